--- /dev/null
+++ b/crates/ashctl/src/args.rs
@@ -0,0 +1,202 @@
+//! The command line.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use eyre::{Result, WrapErr, bail, eyre};
+use lexopt::prelude::*;
+use operator::Operator;
+
+const HELP: &str = "\
+usage: ashctl [OPTIONS] VERB
+
+the table
+  show                             the table as a spreadsheet
+  columns                          every column with its meaning
+  set ROW COLUMN VALUE [...]       set cells in one edit; an empty VALUE clears
+  export                           the table as CSV on standard output
+  import FILE                      make the table equal to a CSV file
+  history                          who changed what
+  hash-key                         hash the bearer key on standard input
+the fleet
+  status                           every box
+  upstreams                        upstreams as one box sees them
+  chains MODEL                     which upstreams hold which layers
+  leases                           who holds the lease for orders
+  drain                            stop the box given by --box
+  timeline                         events of all boxes in one order
+
+options
+  --box ADDR               operators' port of a box (or ASHCTL_BOX)
+  --credential-file FILE   operators' credential (or ASHCTL_CREDENTIAL)
+  --json                   JSON instead of text
+  --wait                   after an edit, wait until it is in force everywhere
+  --wait-ms N              how long at most (default 10000)
+  --who NAME               operator's name in the history (default: USER)
+  --id ID                  id of the edit, to send the same edit again
+  --seen VALUE             with set: value the cell must still have
+  --base FILE              with import: the CSV that the file was made from
+  --request N              with timeline: one request
+  --upstream NAME          with timeline: one upstream
+  --last-ms N              with timeline: only the last so many milliseconds
+
+exit codes: 0 done, 1 refused, 2 wrong call or no box, 3 not known";
+
+/// What to do.
+pub enum Verb {
+    /// Show the table.
+    Show,
+    /// List the columns.
+    Columns,
+    /// Set cells: row, column, value.
+    Set(Vec<(String, String, String)>),
+    /// Write the table as CSV.
+    Export,
+    /// Read the table from CSV.
+    Import(PathBuf),
+    /// Show past edits.
+    History,
+    /// Show the boxes.
+    Status,
+    /// Show the upstreams.
+    Upstreams,
+    /// Show who holds a model's layers.
+    Chains(String),
+    /// Show the lease.
+    Leases,
+    /// Drain a box.
+    Drain,
+    /// Show the merged time line.
+    Timeline,
+    /// Hash a key.
+    HashKey,
+}
+
+/// The whole command line.
+pub struct Args {
+    /// Verb with its words.
+    pub verb: Verb,
+    /// Operators' port.
+    pub addr: String,
+    /// Operators' credential.
+    pub credential: String,
+    /// JSON output.
+    pub json: bool,
+    /// Wait until an edit is in force.
+    pub wait: bool,
+    /// How long.
+    pub wait_time: Duration,
+    /// Operator.
+    pub who: String,
+    /// Id of the edit.
+    pub id: Option<String>,
+    /// Value that a cell must still have.
+    pub seen: Option<String>,
+    /// CSV that an import was made from.
+    pub base: Option<PathBuf>,
+    /// Only this request.
+    pub request: Option<u64>,
+    /// Only this upstream.
+    pub upstream: Option<String>,
+    /// Only the last so many milliseconds.
+    pub last: Option<u64>,
+}
+
+impl Args {
+    /// The box given.
+    pub fn operator(&self) -> Operator {
+        Operator::new(&self.addr, &self.credential)
+    }
+}
+
+/// Reads the command line.
+pub fn parse() -> Result<Args> {
+    let env = |name: &str| std::env::var(name).unwrap_or_default();
+    let mut args = Args {
+        verb: Verb::Show,
+        addr: env("ASHCTL_BOX"),
+        credential: env("ASHCTL_CREDENTIAL"),
+        json: false,
+        wait: false,
+        wait_time: Duration::from_secs(10),
+        who: env("USER"),
+        id: None,
+        seen: None,
+        base: None,
+        request: None,
+        upstream: None,
+        last: None,
+    };
+    let mut words = Vec::new();
+    let mut parser = lexopt::Parser::from_env();
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Value(word) => words.push(word.string()?),
+            Long("box") => args.addr = parser.value()?.string()?,
+            Long("credential-file") => args.credential = read(&parser.value()?.string()?)?,
+            Long("json") => args.json = true,
+            Long("wait") => args.wait = true,
+            Long("wait-ms") => args.wait_time = Duration::from_millis(parser.value()?.parse()?),
+            Long("who") => args.who = parser.value()?.string()?,
+            Long("id") => args.id = Some(parser.value()?.string()?),
+            Long("seen") => args.seen = Some(parser.value()?.string()?),
+            Long("base") => args.base = Some(PathBuf::from(parser.value()?)),
+            Long("request") => args.request = Some(parser.value()?.parse()?),
+            Long("upstream") => args.upstream = Some(parser.value()?.string()?),
+            Long("last-ms") => args.last = Some(parser.value()?.parse()?),
+            Long("help") | Short('h') => {
+                println!("{HELP}");
+                std::process::exit(0);
+            }
+            Long("version") => {
+                println!("ashctl {}", env!("CARGO_PKG_VERSION"));
+                std::process::exit(0);
+            }
+            _ => return Err(arg.unexpected().into()),
+        }
+    }
+    if args.who.is_empty() {
+        args.who = "operator".into();
+    }
+    args.verb = verb(words)?;
+    let local = matches!(args.verb, Verb::Columns | Verb::HashKey);
+    if args.addr.is_empty() && !local {
+        bail!("no box given; use --box ADDR or set ASHCTL_BOX");
+    }
+    Ok(args)
+}
+
+fn verb(words: Vec<String>) -> Result<Verb> {
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    Ok(match words.as_slice() {
+        ["show"] => Verb::Show,
+        ["columns"] => Verb::Columns,
+        ["set", cells @ ..] if !cells.is_empty() && cells.len() % 3 == 0 => {
+            let cells = cells.chunks(3);
+            Verb::Set(
+                cells
+                    .map(|c| (c[0].into(), c[1].into(), c[2].into()))
+                    .collect(),
+            )
+        }
+        ["set", ..] => bail!("set takes ROW COLUMN VALUE, once or more"),
+        ["export"] => Verb::Export,
+        ["import", file] => Verb::Import(file.into()),
+        ["history"] => Verb::History,
+        ["status"] => Verb::Status,
+        ["upstreams"] => Verb::Upstreams,
+        ["chains", model] => Verb::Chains((*model).into()),
+        ["leases"] => Verb::Leases,
+        ["drain"] => Verb::Drain,
+        ["timeline"] => Verb::Timeline,
+        ["hash-key"] => Verb::HashKey,
+        [] => bail!("no verb given\n{HELP}"),
+        other => return Err(eyre!("no verb `{}`; see ashctl --help", other.join(" "))),
+    })
+}
+
+fn read(path: &str) -> Result<String> {
+    let text = std::fs::read_to_string(path);
+    let text = text.wrap_err_with(|| format!("cannot read {path}; name a file with it"))?;
+    Ok(text.trim().into())
+}
--- /dev/null
+++ b/crates/ashctl/src/fleet.rs
@@ -0,0 +1,258 @@
+//! Verbs about the fleet.
+
+use std::time::{Duration, Instant};
+
+use ashgauge::member::State;
+use ashgauge::node::Status;
+use ashgauge::record::{Record, What};
+use ashgauge::table::Version;
+use eyre::Result;
+use operator::Operator;
+
+use crate::args::Args;
+use crate::sheet::align;
+use crate::{FAILED, OK, UNKNOWN};
+
+const POLL_TIME: Duration = Duration::from_millis(50);
+
+/// `status`.
+pub async fn status(args: &Args) -> Result<i32> {
+    let mut all = Vec::new();
+    let mut missing = Vec::new();
+    for (id, operator) in boxes(args).await? {
+        match operator.status().await {
+            Ok(status) => all.push(status),
+            Err(e) => missing.push(format!("{id}: {e}")),
+        }
+    }
+    if args.json {
+        println!("{}", serde_json::to_string_pretty(&all)?);
+    } else {
+        print!("{}", status_text(&all));
+    }
+    missing.iter().for_each(|m| eprintln!("ashctl: {m}"));
+    Ok(if missing.is_empty() { OK } else { FAILED })
+}
+
+/// `upstreams`.
+pub async fn upstreams(args: &Args) -> Result<i32> {
+    let status = args.operator().status().await?;
+    if args.json {
+        println!("{}", serde_json::to_string_pretty(&status.upstreams)?);
+        return Ok(OK);
+    }
+    let head = ["UPSTREAM", "STATE", "HELD", "WINDOW", "LINK US", "HOLDS"];
+    let mut lines = vec![head.map(String::from).to_vec()];
+    for u in &status.upstreams {
+        let state = match (u.state, u.suspect) {
+            (State::Leaving, _) => "leaving",
+            (_, true) => "suspect",
+            _ => "live",
+        };
+        lines.push(vec![
+            u.id.to_string(),
+            state.into(),
+            u.held.to_string(),
+            u.window.to_string(),
+            u.link.to_string(),
+            u.holds.join(" "),
+        ]);
+    }
+    print!("{}", align(&lines));
+    Ok(OK)
+}
+
+/// `chains`.
+pub async fn chains(args: &Args, model: &str) -> Result<i32> {
+    let status = args.operator().status().await?;
+    let mut lines = vec![["LAYERS", "UPSTREAM", "STATE"].map(String::from).to_vec()];
+    for u in &status.upstreams {
+        for hold in &u.holds {
+            let Some(range) = hold.strip_prefix(&format!("{model}:")) else {
+                continue;
+            };
+            let usable = u.state == State::Live && !u.suspect;
+            let state = if usable { "usable" } else { "not usable" };
+            lines.push(vec![range.into(), u.id.to_string(), state.into()]);
+        }
+    }
+    lines[1..].sort();
+    if args.json {
+        println!("{}", serde_json::to_string(&lines[1..])?);
+    } else {
+        print!("{}", align(&lines));
+    }
+    Ok(OK)
+}
+
+/// `leases`.
+pub async fn leases(args: &Args) -> Result<i32> {
+    let mut found = Vec::new();
+    for (id, operator) in boxes(args).await? {
+        if let Ok(status) = operator.status().await
+            && let Some(term) = status.lease
+        {
+            found.push((id, term));
+        }
+    }
+    if args.json {
+        println!("{}", serde_json::to_string(&found)?);
+        return Ok(OK);
+    }
+    match found.as_slice() {
+        [] => println!("orders: held by no box that answers"),
+        all => all
+            .iter()
+            .for_each(|(id, term)| println!("orders: held by {id}, term {term}")),
+    }
+    Ok(OK)
+}
+
+/// `drain`.
+pub async fn drain(args: &Args) -> Result<i32> {
+    args.operator().drain().await?;
+    println!("draining");
+    Ok(OK)
+}
+
+/// `timeline`.
+pub async fn timeline(args: &Args) -> Result<i32> {
+    let mut records = Vec::new();
+    let mut code = OK;
+    for (id, operator) in boxes(args).await? {
+        match operator.events().await {
+            Ok(part) => {
+                if part.lost > 0 {
+                    eprintln!(
+                        "ashctl: {id} no longer holds its oldest {} events",
+                        part.lost
+                    );
+                }
+                records.extend(part.records);
+            }
+            Err(e) => {
+                eprintln!("ashctl: {id}: {e}");
+                code = FAILED;
+            }
+        }
+    }
+    let newest = records.iter().map(|r| r.at.wall).max().unwrap_or(0);
+    let oldest = args.last.map_or(0, |last| newest.saturating_sub(last));
+    records.retain(|r| r.at.wall >= oldest && is_wanted(args, r));
+    records.sort_by(|a, b| (a.at, &a.node).cmp(&(b.at, &b.node)));
+    for record in &records {
+        if args.json {
+            println!("{}", serde_json::to_string(record)?);
+        } else {
+            println!("{}", line(record)?);
+        }
+    }
+    Ok(code)
+}
+
+/// Waits until every box has the version in force.
+pub async fn wait(args: &Args, version: Version) -> Result<i32> {
+    let until = Instant::now() + args.wait_time;
+    loop {
+        let behind = behind(args, version).await?;
+        if behind.is_empty() {
+            return Ok(OK);
+        }
+        if Instant::now() >= until {
+            eprintln!("ashctl: not yet in force on {}", behind.join(", "));
+            return Ok(UNKNOWN);
+        }
+        tokio::time::sleep(POLL_TIME).await;
+    }
+}
+
+async fn behind(args: &Args, version: Version) -> Result<Vec<String>> {
+    let mut behind = Vec::new();
+    for (id, operator) in boxes(args).await? {
+        let status = operator.status().await;
+        if !status.is_ok_and(|s| s.version >= version) {
+            behind.push(id);
+        }
+    }
+    Ok(behind)
+}
+
+/// The operators' ports of all boxes, by the box given.
+async fn boxes(args: &Args) -> Result<Vec<(String, Operator)>> {
+    let first = args.operator();
+    let listed = first.boxes().await?.boxes;
+    if listed.is_empty() {
+        return Ok(vec![(args.addr.clone(), first)]);
+    }
+    let port = |addr: &str| Operator::new(addr, &args.credential);
+    Ok(listed
+        .iter()
+        .map(|b| (b.id.to_string(), port(&b.operator)))
+        .collect())
+}
+
+fn status_text(all: &[Status]) -> String {
+    let head = [
+        "BOX",
+        "DATA CENTRE",
+        "STATE",
+        "TABLE",
+        "IN FLIGHT",
+        "WAITING",
+        "DONE",
+        "TOKENS",
+    ];
+    let mut lines = vec![head.map(String::from).to_vec()];
+    for s in all {
+        let state = match (s.draining, s.ready) {
+            (true, _) => "draining",
+            (_, true) => "ready",
+            _ => "not ready",
+        };
+        lines.push(vec![
+            s.id.to_string(),
+            s.data_centre.clone(),
+            state.into(),
+            s.version.to_string(),
+            s.inflight.to_string(),
+            s.waiting.values().sum::<usize>().to_string(),
+            s.stats.ended.get("Done").copied().unwrap_or(0).to_string(),
+            s.stats.tokens.to_string(),
+        ]);
+    }
+    align(&lines)
+}
+
+fn is_wanted(args: &Args, record: &Record) -> bool {
+    let request = args.request.is_none_or(|id| record.request == Some(id));
+    let upstream = args
+        .upstream
+        .as_ref()
+        .is_none_or(|id| names(&record.what, id));
+    request && upstream
+}
+
+fn names(what: &What, id: &str) -> bool {
+    match what {
+        What::Chosen { stages, .. } | What::Replaced { stages, .. } => {
+            stages.iter().any(|s| &*s.upstream == id)
+        }
+        What::Called { upstream, .. }
+        | What::Resumed { upstream, .. }
+        | What::Lost { upstream, .. }
+        | What::Dropped { upstream }
+        | What::Leaving { upstream, .. }
+        | What::Ordered { upstream, .. } => &**upstream == id,
+        _ => false,
+    }
+}
+
+fn line(record: &Record) -> Result<String> {
+    let request = record.request.map_or(String::new(), |id| format!(" #{id}"));
+    let what = serde_json::to_string(&record.what)?;
+    let at = record.at;
+    Ok(format!(
+        "{}.{:02} {}{request} {what}",
+        at.wall, at.count, record.node
+    ))
+}
--- /dev/null
+++ b/crates/ashctl/src/table.rs
@@ -0,0 +1,166 @@
+//! Verbs about the table.
+
+use std::path::Path;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+use ashgauge::editor::Answer;
+use ashgauge::policy::hash_key as hash;
+use ashgauge::table::{COLUMNS, Change, Edit};
+use eyre::{Result, WrapErr, bail};
+
+use crate::args::Args;
+use crate::{OK, REFUSED, UNKNOWN, fleet, sheet};
+
+/// `show`.
+pub async fn show(args: &Args) -> Result<i32> {
+    let answer = args.operator().table().await?;
+    if args.json {
+        println!("{}", serde_json::to_string_pretty(&answer)?);
+    } else {
+        print!("{}", sheet::show(&answer.table));
+        println!("version {}", answer.version);
+    }
+    Ok(OK)
+}
+
+/// `columns`.
+pub fn columns(_args: &Args) -> Result<i32> {
+    let line = |c: &ashgauge::table::Column| {
+        let need = if c.required { "required" } else { "optional" };
+        vec![c.row.into(), c.name.into(), need.into(), c.help.into()]
+    };
+    let lines: Vec<Vec<String>> = COLUMNS.iter().map(line).collect();
+    print!("{}", sheet::align(&lines));
+    Ok(OK)
+}
+
+/// `set`.
+pub async fn set(args: &Args, cells: &[(String, String, String)]) -> Result<i32> {
+    if args.seen.is_some() && cells.len() > 1 {
+        bail!("--seen goes with one cell; set the others in another call");
+    }
+    let table = args.operator().table().await?.table;
+    let change = |(row, column, value): &(String, String, String)| {
+        let seen = match &args.seen {
+            Some(seen) => Some(seen.as_str())
+                .filter(|s| !s.is_empty())
+                .map(sheet::parse),
+            None => table.cell(row, column).cloned(),
+        };
+        Change {
+            row: row.clone(),
+            column: column.clone(),
+            seen,
+            value: Some(value.as_str())
+                .filter(|v| !v.is_empty())
+                .map(sheet::parse),
+        }
+    };
+    send(args, cells.iter().map(change).collect()).await
+}
+
+/// `export`.
+pub async fn export(args: &Args) -> Result<i32> {
+    let answer = args.operator().table().await?;
+    print!("{}", sheet::to_csv(&answer.table)?);
+    Ok(OK)
+}
+
+/// `import`.
+pub async fn import(args: &Args, file: &Path) -> Result<i32> {
+    let new = sheet::from_csv(&read(file)?)?;
+    let old = match &args.base {
+        Some(base) => sheet::from_csv(&read(base)?)?,
+        None => args.operator().table().await?.table.rows,
+    };
+    let changes = sheet::changes(&old, &new);
+    if changes.is_empty() {
+        println!("nothing to change");
+        return Ok(OK);
+    }
+    send(args, changes).await
+}
+
+/// `history`.
+pub async fn history(args: &Args) -> Result<i32> {
+    let table = args.operator().table().await?.table;
+    if args.json {
+        println!("{}", serde_json::to_string_pretty(&table.edits)?);
+        return Ok(OK);
+    }
+    let mut lines = vec![
+        ["AT", "WHO", "CELL", "FROM", "TO", "EDIT"]
+            .map(String::from)
+            .to_vec(),
+    ];
+    for edit in &table.edits {
+        for c in &edit.cells {
+            let text = |cell: &Option<ashgauge::table::Cell>| {
+                cell.as_ref().map_or("-".into(), |c| c.to_string())
+            };
+            let cell = format!("{}:{}", c.row, c.column);
+            let at = edit.at.to_string();
+            let (from, to) = (text(&c.seen), text(&c.value));
+            lines.push(vec![at, edit.who.clone(), cell, from, to, edit.id.clone()]);
+        }
+    }
+    print!("{}", sheet::align(&lines));
+    Ok(OK)
+}
+
+/// `hash-key`.
+pub fn hash_key() -> Result<i32> {
+    let mut key = String::new();
+    std::io::stdin().read_line(&mut key)?;
+    let hex: Vec<String> = hash(key.trim())
+        .iter()
+        .map(|b| format!("{b:02x}"))
+        .collect();
+    println!("{}", hex.concat());
+    Ok(OK)
+}
+
+async fn send(args: &Args, cells: Vec<Change>) -> Result<i32> {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH)?;
+    let made = format!("{}-{:x}-{}", args.who, since.as_nanos(), std::process::id());
+    let edit = Edit {
+        id: args.id.clone().unwrap_or(made),
+        who: args.who.clone(),
+        at: since.as_millis() as u64,
+        cells,
+    };
+    let began = Instant::now();
+    let answer = args.operator().edit(&edit).await?;
+    if args.json {
+        println!("{}", serde_json::to_string(&answer)?);
+    }
+    match answer {
+        Answer::Accepted { version } => {
+            if !args.json {
+                println!("accepted, version {version}");
+            }
+            if !args.wait {
+                return Ok(OK);
+            }
+            let code = fleet::wait(args, version).await?;
+            if code == OK && !args.json {
+                let ms = began.elapsed().as_millis();
+                println!("in force on every box after {ms} ms");
+            }
+            Ok(code)
+        }
+        Answer::Refused { message, .. } => {
+            eprintln!("ashctl: refused: {message}");
+            Ok(REFUSED)
+        }
+        Answer::Unknown => {
+            eprintln!("ashctl: not known; send it again with --id {}", edit.id);
+            Ok(UNKNOWN)
+        }
+    }
+}
+
+fn read(path: &Path) -> Result<String> {
+    let place = path.display();
+    std::fs::read_to_string(path).wrap_err_with(|| format!("cannot read {place}; name a CSV file"))
+}
--- /dev/null
+++ b/crates/ashgauge/src/error.rs
@@ -0,0 +1,133 @@
+//! When a coordination part refuses something.
+
+use std::fmt;
+
+/// Alias for a `Result` with this crate's [`Error`].
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Any refusal of this crate; its message names the remedy.
+pub struct Error {
+    code: Box<Code>,
+}
+
+/// The family an [`Error`] belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Category {
+    /// The table or one of its cells is not valid.
+    Table,
+    /// Another edit changed the same cell first.
+    Conflict,
+    /// Stored data could not be decoded.
+    Data,
+}
+
+pub(crate) enum Code {
+    UnknownRow {
+        row: String,
+    },
+    UnknownColumn {
+        row: String,
+        column: String,
+    },
+    BadCell {
+        row: String,
+        column: String,
+        need: &'static str,
+    },
+    MissingCell {
+        row: String,
+        column: &'static str,
+    },
+    Dangling {
+        row: String,
+        column: &'static str,
+        target: String,
+    },
+    Conflict {
+        row: String,
+        column: String,
+        value: String,
+        who: String,
+    },
+    Decode {
+        what: &'static str,
+        cause: String,
+    },
+}
+
+impl Error {
+    pub(crate) fn new(code: Code) -> Self {
+        Error {
+            code: Box::new(code),
+        }
+    }
+
+    /// Returns the family of this error.
+    pub fn classify(&self) -> Category {
+        match *self.code {
+            Code::Conflict { .. } => Category::Conflict,
+            Code::Decode { .. } => Category::Data,
+            _ => Category::Table,
+        }
+    }
+
+    /// Returns true if another edit changed the same cell first.
+    pub fn is_conflict(&self) -> bool {
+        self.classify() == Category::Conflict
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &*self.code {
+            Code::UnknownRow { row } => write!(
+                f,
+                "unknown row kind in `{row}`; name it team/NAME, tier/NAME, route/NAME or upstream/NAME"
+            ),
+            Code::UnknownColumn { row, column } => write!(
+                f,
+                "row `{row}` has no column `{column}`; `ashctl table columns` lists them"
+            ),
+            Code::BadCell { row, column, need } => {
+                write!(f, "cell {row}:{column} is not valid; it must be {need}")
+            }
+            Code::MissingCell { row, column } => {
+                write!(
+                    f,
+                    "row `{row}` lacks column `{column}`; set it in the same edit"
+                )
+            }
+            Code::Dangling {
+                row,
+                column,
+                target,
+            } => write!(
+                f,
+                "cell {row}:{column} names `{target}`, which is no row; add that row or name another"
+            ),
+            Code::Conflict {
+                row,
+                column,
+                value,
+                who,
+            } => write!(
+                f,
+                "cell {row}:{column} was set to {value} by {who} after you read it; read the table again and repeat the edit if you still want it"
+            ),
+            Code::Decode { what, cause } => {
+                write!(
+                    f,
+                    "{what} could not be decoded ({cause}); restore an earlier version of the object"
+                )
+            }
+        }
+    }
+}
+
+impl fmt::Debug for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Error({:?})", self.to_string())
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/crates/ashgauge/src/lib.rs
@@ -0,0 +1,67 @@
+//! # ashgauge
+//!
+//! Coordination parts of a router for pipelines that run language models over
+//! mixed accelerators. Every part is a state machine without I/O: events go in
+//! with the time at which they happened, actions come out. A daemon, a test
+//! and a recorded session drive the same code.
+//!
+//! The whole of one box is a [`Node`]:
+//!
+//! ```
+//! use std::time::Duration;
+//! use ashgauge::{Config, Event, Node};
+//!
+//! let mut node = Node::new(Config::new("box-1", 1));
+//! let actions = node.handle(Duration::ZERO, Event::Tick);
+//! // A fresh node asks the platform for the table.
+//! assert!(!actions.is_empty());
+//! assert!(!node.is_ready(Duration::ZERO));
+//! ```
+//!
+//! The parts can be used alone. The cheapest chain of engines over a model's
+//! layers:
+//!
+//! ```
+//! use ashgauge::chain::{cheapest, Edge};
+//!
+//! let edge = |id: &str, first, end, layer| Edge {
+//!     upstream: id.into(), first, end, fixed: 0.0, layer,
+//! };
+//! let edges = [edge("slow", 0, 8, 0.02), edge("fast", 0, 4, 0.01), edge("rest", 4, 8, 0.01)];
+//! let chain = cheapest(0, 8, &edges).unwrap();
+//! assert_eq!(chain.len(), 2);
+//! ```
+//!
+//! - [`table`], [`policy`], [`editor`]: the operators' table, its compiled form
+//!   and its edits.
+//! - [`queue`], [`limit`], [`retry`]: order, limits shared by the fleet, retry
+//!   budget.
+//! - [`chain`], [`load`]: which stages serve a request, and what was learned.
+//! - [`claim`], [`lease`], [`order`]: at most once, one doer, fenced orders.
+//! - [`member`], [`message`]: boxes and upstreams, and what boxes tell each
+//!   other.
+//! - [`clock`], [`record`]: the time line.
+
+#![warn(missing_docs)]
+#![forbid(unsafe_code)]
+
+pub mod chain;
+pub mod claim;
+pub mod clock;
+pub mod editor;
+mod error;
+pub mod lease;
+pub mod limit;
+pub mod load;
+pub mod member;
+pub mod message;
+pub mod node;
+pub mod order;
+pub mod policy;
+pub mod queue;
+pub mod record;
+pub mod retry;
+pub mod table;
+
+pub use error::{Category, Error, Result};
+pub use node::{Action, Config, Event, Node};
--- /dev/null
+++ b/crates/ashgauge/src/load.rs
@@ -0,0 +1,214 @@
+//! What a box has learned of each upstream: speed, link, queue and window.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::chain::{Edge, Layer};
+use crate::member::UpstreamId;
+
+/// Weight of the newest sample in the learned times.
+const GAIN: f64 = 0.1;
+
+/// Step up of the link estimate when a sample lies above it; the step down is
+/// a ninth of it, which settles near the 90th of 100.
+const LINK_STEP: f64 = 0.09;
+
+/// Time after which an unused link counts a third of its learned cost, so
+/// that one that was slow is tried again.
+const LINK_FADE: f64 = 20.0;
+
+/// Share of queueing in an order's engine time under which a window grows.
+const QUEUE_LOW: f64 = 0.5;
+
+/// Share above which it shrinks.
+const QUEUE_HIGH: f64 = 1.5;
+
+const WINDOW_FIRST: f64 = 4.0;
+const WINDOW_MOST: f64 = 512.0;
+const LAYER_FIRST: f64 = 0.000_2;
+const SUSPECT_FIRST: Duration = Duration::from_millis(500);
+const SUSPECT_MOST: Duration = Duration::from_secs(15);
+
+/// Engine's own account of one order.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Timing {
+    /// From sending to the answer, on the box's clock.
+    pub total: Duration,
+    /// Time that the order waited in the engine.
+    pub queued: Duration,
+    /// Time that it ran.
+    pub ran: Duration,
+    /// Layers times positions that it ran.
+    pub layers: u32,
+}
+
+/// One upstream as this box sees it.
+#[derive(Clone, Debug)]
+pub struct Load {
+    /// Requests of this box that hold a place on it.
+    pub held: u32,
+    window: f64,
+    layer: f64,
+    link: f64,
+    ratio: f64,
+    seen: Duration,
+    until: Duration,
+    fails: u32,
+    probing: bool,
+}
+
+/// All upstreams as this box sees them.
+#[derive(Debug, Default)]
+pub struct Loads {
+    map: HashMap<UpstreamId, Load>,
+}
+
+impl Default for Load {
+    fn default() -> Self {
+        Load {
+            held: 0,
+            window: WINDOW_FIRST,
+            layer: LAYER_FIRST,
+            link: 0.0,
+            ratio: 0.0,
+            seen: Duration::ZERO,
+            until: Duration::ZERO,
+            fails: 0,
+            probing: false,
+        }
+    }
+}
+
+impl Load {
+    /// Requests that this box may hold on it.
+    pub fn window(&self) -> u32 {
+        self.window as u32
+    }
+
+    /// Learned time of the link both ways, in seconds, faded by disuse.
+    pub fn link(&self, now: Duration) -> f64 {
+        let idle = now.saturating_sub(self.seen).as_secs_f64();
+        self.link * (-idle / LINK_FADE).exp()
+    }
+
+    fn is_open(&self, now: Duration) -> bool {
+        if self.fails > 0 {
+            return now >= self.until && !self.probing;
+        }
+        self.held < self.window()
+    }
+
+    fn learn(&mut self, now: Duration, t: &Timing) {
+        let layers = f64::from(t.layers.max(1));
+        let per_layer = t.ran.as_secs_f64() / layers;
+        self.layer += GAIN * (per_layer - self.layer);
+        let link = t.total.saturating_sub(t.queued + t.ran).as_secs_f64();
+        self.learn_link(link);
+        let ratio = t.queued.as_secs_f64() / t.ran.as_secs_f64().max(1e-6);
+        self.ratio += GAIN * (ratio.min(10.0) - self.ratio);
+        self.resize();
+        self.seen = now;
+        self.fails = 0;
+        self.probing = false;
+    }
+
+    fn learn_link(&mut self, link: f64) {
+        if self.link == 0.0 {
+            self.link = link;
+        } else if link > self.link {
+            self.link += (link - self.link) * LINK_STEP * 2.0;
+        } else {
+            self.link -= (self.link - link) * LINK_STEP / 4.5;
+        }
+    }
+
+    fn resize(&mut self) {
+        let full = f64::from(self.held) + 1.0 >= self.window;
+        if self.ratio < QUEUE_LOW && full {
+            self.window = (self.window + 1.0 / self.window).min(WINDOW_MOST);
+        } else if self.ratio > QUEUE_HIGH {
+            self.window = (self.window - 1.0 / self.window).max(1.0);
+        }
+    }
+}
+
+impl Loads {
+    /// Returns what is known of an upstream.
+    pub fn get(&mut self, id: &UpstreamId) -> &mut Load {
+        self.map.entry(id.clone()).or_default()
+    }
+
+    /// Returns true if the upstream may be given one more request.
+    pub fn is_open(&self, now: Duration, id: &str) -> bool {
+        self.map.get(id).is_none_or(|l| l.is_open(now))
+    }
+
+    /// Returns true if the last call failed and its time out is not over.
+    pub fn is_suspect(&self, now: Duration, id: &str) -> bool {
+        self.map
+            .get(id)
+            .is_some_and(|l| l.fails > 0 && now < l.until)
+    }
+
+    /// Counts one more request on the upstream.
+    pub fn hold(&mut self, id: &UpstreamId) {
+        let l = self.get(id);
+        l.held += 1;
+        l.probing = l.fails > 0;
+    }
+
+    /// Counts one request less.
+    pub fn release(&mut self, id: &UpstreamId) {
+        let l = self.get(id);
+        l.held = l.held.saturating_sub(1);
+        l.probing = false;
+    }
+
+    /// Learns from an order that was answered.
+    pub fn learn(&mut self, now: Duration, id: &UpstreamId, timing: &Timing) {
+        self.get(id).learn(now, timing);
+    }
+
+    /// Notes that an order failed; the upstream gets nothing for a while.
+    pub fn fail(&mut self, now: Duration, id: &UpstreamId) {
+        let l = self.get(id);
+        let pause = SUSPECT_FIRST * 2u32.saturating_pow(l.fails.min(10));
+        l.until = now + pause.min(SUSPECT_MOST);
+        l.fails += 1;
+        l.probing = false;
+        l.window = (l.window / 2.0).max(1.0);
+    }
+
+    /// Cost of using the upstream for a range it holds.
+    pub fn edge(&self, now: Duration, id: &UpstreamId, first: Layer, end: Layer) -> Edge {
+        let fresh = Load::default();
+        let l = self.map.get(id).unwrap_or(&fresh);
+        let busy = f64::from(l.held) / l.window.max(1.0);
+        Edge {
+            upstream: id.clone(),
+            first,
+            end,
+            fixed: l.link(now),
+            layer: l.layer * (1.0 + l.ratio + busy),
+        }
+    }
+
+    /// Learned time in which an order of so many layers should be answered.
+    pub fn expect(&self, now: Duration, id: &str, layers: u32) -> Duration {
+        let Some(l) = self.map.get(id) else {
+            return Duration::ZERO;
+        };
+        let run = l.layer * f64::from(layers) * (1.0 + l.ratio);
+        Duration::from_secs_f64(run + l.link(now))
+    }
+
+    /// Forgets upstreams that are no longer listed and hold nothing.
+    pub fn retain(&mut self, mut listed: impl FnMut(&str) -> bool) {
+        self.map.retain(|id, l| l.held > 0 || listed(id));
+    }
+
+    /// Every upstream known, for status and metrics.
+    pub fn iter(&self) -> impl Iterator<Item = (&UpstreamId, &Load)> {
+        self.map.iter()
+    }
+}
--- /dev/null
+++ b/crates/ashgauge/src/member.rs
@@ -0,0 +1,179 @@
+//! Boxes and upstreams: who is live, leaving or suspected.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::chain::Layer;
+
+/// Name of a box.
+pub type BoxId = Arc<str>;
+
+/// Name of an upstream.
+pub type UpstreamId = Arc<str>;
+
+/// How long a failed call keeps a peer out of the live set.
+const SUSPECT_TIME: Duration = Duration::from_secs(3);
+
+/// How long a rumour that an upstream leaves outlives the list's silence.
+const RUMOUR_TIME: Duration = Duration::from_secs(30);
+
+/// State of a member in the platform's list.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum State {
+    /// Takes work.
+    #[default]
+    Live,
+    /// Finishes its work and takes no more.
+    Leaving,
+}
+
+/// A box in the platform's list.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct BoxEntry {
+    /// Name.
+    pub id: BoxId,
+    /// Address of its box-to-box port.
+    pub peer: String,
+    /// Address of its operator port.
+    pub operator: String,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Live or leaving.
+    #[serde(default)]
+    pub state: State,
+}
+
+/// A model's layers that an engine holds.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Hold {
+    /// Model, as its route names it.
+    pub model: String,
+    /// First layer.
+    pub first: Layer,
+    /// Layer after the last.
+    pub end: Layer,
+}
+
+/// An upstream in the platform's list.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct UpstreamEntry {
+    /// Name.
+    pub id: UpstreamId,
+    /// Address.
+    pub addr: String,
+    /// Its data centre.
+    #[serde(default)]
+    pub data_centre: String,
+    /// Layers it holds, if it is a model engine.
+    #[serde(default)]
+    pub holds: Vec<Hold>,
+    /// Service route it serves, if it is a plain service.
+    #[serde(default)]
+    pub service: Option<String>,
+    /// Whether it refuses orders with an old fence.
+    #[serde(default)]
+    pub fenced: bool,
+    /// Live or leaving.
+    #[serde(default)]
+    pub state: State,
+}
+
+/// The platform's lagging list.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Listing {
+    /// Boxes.
+    pub boxes: Vec<BoxEntry>,
+    /// Upstreams.
+    pub upstreams: Vec<UpstreamEntry>,
+}
+
+/// What one box knows of all members.
+#[derive(Debug, Default)]
+pub struct Members {
+    boxes: BTreeMap<BoxId, BoxEntry>,
+    upstreams: BTreeMap<UpstreamId, UpstreamEntry>,
+    suspects: HashMap<BoxId, Duration>,
+    rumours: HashMap<UpstreamId, Duration>,
+}
+
+impl Members {
+    /// Takes over a newer list.
+    pub fn update(&mut self, list: Listing) {
+        let boxes = list.boxes.into_iter().map(|b| (b.id.clone(), b));
+        self.boxes = boxes.collect();
+        let ups = list.upstreams.into_iter().map(|u| (u.id.clone(), u));
+        self.upstreams = ups.collect();
+    }
+
+    /// Notes that a call to a box failed.
+    pub fn suspect(&mut self, now: Duration, id: &str) {
+        self.suspects.insert(id.into(), now + SUSPECT_TIME);
+    }
+
+    /// Notes that a box was heard.
+    pub fn clear(&mut self, id: &str) {
+        self.suspects.remove(id);
+    }
+
+    /// Notes that an upstream is leaving; returns true if that is news.
+    pub fn leave(&mut self, now: Duration, id: &str) -> bool {
+        let known = self.is_leaving(now, id);
+        if !known {
+            self.rumours.insert(id.into(), now + RUMOUR_TIME);
+        }
+        !known
+    }
+
+    /// Upstreams known to leave by rumour, to tell other boxes.
+    pub fn rumours(&self, now: Duration) -> Vec<UpstreamId> {
+        let fresh = self.rumours.iter().filter(|(_, until)| **until > now);
+        let mut ids: Vec<_> = fresh.map(|(id, _)| id.clone()).collect();
+        ids.sort();
+        ids
+    }
+
+    /// Returns true if the upstream must get no new work.
+    pub fn is_leaving(&self, now: Duration, id: &str) -> bool {
+        let listed = self.upstreams.get(id);
+        let rumoured = self.rumours.get(id).is_some_and(|until| *until > now);
+        rumoured || listed.is_none_or(|u| u.state == State::Leaving)
+    }
+
+    /// All boxes of the list.
+    pub fn boxes(&self) -> impl Iterator<Item = &BoxEntry> {
+        self.boxes.values()
+    }
+
+    /// All upstreams of the list.
+    pub fn upstreams(&self) -> impl Iterator<Item = &UpstreamEntry> {
+        self.upstreams.values()
+    }
+
+    /// One upstream.
+    pub fn upstream(&self, id: &str) -> Option<&UpstreamEntry> {
+        self.upstreams.get(id)
+    }
+
+    /// Boxes that can be asked: listed as live, and not suspected.
+    pub fn live(&self, now: Duration) -> impl Iterator<Item = &BoxEntry> {
+        let fine = move |b: &&BoxEntry| {
+            let suspected = self.suspects.get(&b.id).is_some_and(|until| *until > now);
+            b.state == State::Live && !suspected
+        };
+        self.boxes.values().filter(fine)
+    }
+
+    /// The live box that is home to `key`, by highest random weight.
+    pub fn home(&self, now: Duration, key: &str) -> Option<BoxId> {
+        let weight = |b: &&BoxEntry| {
+            let seed = xxh3_64_with_seed(b.id.as_bytes(), 0);
+            xxh3_64_with_seed(key.as_bytes(), seed)
+        };
+        self.live(now).max_by_key(weight).map(|b| b.id.clone())
+    }
+}
--- /dev/null
+++ b/crates/ashgauge/src/message.rs
@@ -0,0 +1,89 @@
+//! Messages between boxes.
+
+use serde::{Deserialize, Serialize};
+
+use crate::claim::{ClaimId, Verdict};
+use crate::clock::Stamp;
+use crate::member::{BoxId, Listing, UpstreamId};
+use crate::policy::TeamId;
+use crate::table::{Table, Version};
+
+/// A message with its sender and the sender's clock.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Envelope {
+    /// The sending box.
+    pub from: BoxId,
+    /// Address of its box-to-box port, for the answer.
+    pub addr: String,
+    /// Its clock.
+    pub at: Stamp,
+    /// What it says.
+    pub body: Message,
+}
+
+/// What one box tells another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case")]
+pub enum Message {
+    /// Sent to a few boxes chosen at random, every heartbeat interval.
+    Heartbeat {
+        /// Table version in force.
+        version: Version,
+        /// Upstreams known to leave.
+        leaving: Vec<UpstreamId>,
+        /// Whether the receiver should answer with a heartbeat of its own.
+        answer: bool,
+    },
+    /// Asks a team's home box for a slice of its rate.
+    AskSlice {
+        /// The team.
+        team: TeamId,
+        /// Tokens a second that the sender could use.
+        want: f64,
+        /// Asker's clock when it asked, in microseconds; given back.
+        asked: u64,
+    },
+    /// Grants a slice.
+    GrantSlice {
+        /// The team.
+        team: TeamId,
+        /// Tokens a second.
+        rate: f64,
+        /// The asker's clock, as it came.
+        asked: u64,
+    },
+    /// Asks a key's home box to claim it.
+    AskClaim {
+        /// The key.
+        key: String,
+        /// Unique name of the claim.
+        id: ClaimId,
+    },
+    /// Answers [`Message::AskClaim`].
+    TellClaim {
+        /// Unique name of the claim.
+        id: ClaimId,
+        /// What became of it.
+        verdict: Verdict,
+    },
+    /// Tells a key's home box how far the request came.
+    EndClaim {
+        /// The key.
+        key: String,
+        /// Unique name of the claim.
+        id: ClaimId,
+        /// How far the request came.
+        stage: crate::claim::Stage,
+    },
+    /// Asks for table and member list, while the platform is out of reach.
+    FetchState,
+    /// Answers [`Message::FetchState`].
+    State {
+        /// Version of the table.
+        version: Version,
+        /// The table.
+        table: Box<Table>,
+        /// The list of members.
+        listing: Listing,
+    },
+}
--- /dev/null
+++ b/crates/ashgauge/src/node/admit.rs
@@ -0,0 +1,471 @@
+//! A request's way in: checks, claim, queue, and its way out.
+
+use std::time::Duration;
+
+use super::*;
+use crate::claim::{Stage, Verdict};
+use crate::message::Message;
+use crate::policy::Target;
+use crate::queue::Job;
+
+/// Time to come back after, when nothing better is known.
+const COME_BACK: Duration = Duration::from_secs(1);
+
+/// How long a key's home box may take before the asker turns elsewhere.
+const HOME_TIME: Duration = Duration::from_millis(400);
+
+/// Longest key that is stored, in bytes.
+const KEY_MOST: usize = 128;
+
+/// Cost of a service call in the queue, in tokens.
+const CALL_COST: f64 = 100.0;
+
+impl Node {
+    pub(super) fn arrive(&mut self, order: Order) {
+        let id = order.id;
+        self.stats.arrived += 1;
+        match self.admit(order) {
+            Ok(request) => {
+                let what = What::Arrived {
+                    team: request.team.id.to_string(),
+                    route: request.route.clone(),
+                };
+                self.note(Some(id), what);
+                self.requests.insert(id, request);
+                self.claim_or_queue(id);
+            }
+            Err(refusal) => self.reply(id, Reply::Refused(refusal)),
+        }
+    }
+
+    pub(super) fn gone(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        let outcome = request.outcome();
+        self.close(id, outcome, "gone");
+    }
+
+    /// Ends requests whose deadline has passed, and turns from a slow home.
+    pub(super) fn expire(&mut self) {
+        let now = self.now;
+        let late = self.requests.iter().filter(|(_, r)| r.deadline <= now);
+        let late: Vec<RequestId> = late.map(|(id, _)| *id).collect();
+        for id in late {
+            self.refuse(id, Kind::Deadline, "the deadline has passed", None);
+        }
+        let slow = |r: &Request| {
+            let c = r.claim.as_ref().filter(|c| c.home.is_some());
+            matches!(r.phase, Phase::Claiming) && c.is_some_and(|c| now > c.asked + HOME_TIME)
+        };
+        let slow = self.requests.iter().filter(|(_, r)| slow(r));
+        let slow: Vec<RequestId> = slow.map(|(id, _)| *id).collect();
+        for id in slow {
+            self.claim_here(id);
+        }
+    }
+
+    /// Takes a claim's verdict, from this box's shards or the key's home.
+    pub(super) fn claim_told(&mut self, claim: &str, verdict: Verdict) {
+        let Some(id) = self.claiming.remove(claim) else {
+            return self.free_claim(claim, &verdict);
+        };
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        let key = request.order.key.clone().unwrap_or_default();
+        let text = match &verdict {
+            Verdict::Granted => "granted",
+            Verdict::Held(..) => "held",
+            Verdict::Unavailable => "unavailable",
+        };
+        let what = What::Claimed {
+            key,
+            verdict: text.into(),
+        };
+        self.note(Some(id), what);
+        match verdict {
+            Verdict::Granted => self.enqueue(id),
+            Verdict::Held(other, stage) => self.refuse_held(id, &other, stage),
+            Verdict::Unavailable => {
+                self.requests.get_mut(&id).and_then(|r| r.claim.take());
+                let message = "the platform does not answer, so the key cannot be claimed";
+                self.refuse(id, Kind::PlatformDown, message, Some(COME_BACK));
+            }
+        }
+    }
+
+    /// Asks this box's own claims, after the key's home failed.
+    pub(super) fn claim_here(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let (Some(claim), Some(key)) = (&mut request.claim, &request.order.key) else {
+            return;
+        };
+        // A new name: the home may yet release what was asked under the old.
+        let new = format!("{}+", claim.id);
+        let old = std::mem::replace(&mut claim.id, new);
+        let (name, key) = (claim.id.clone(), key.clone());
+        claim.dropped.push(old.clone());
+        let home = claim.home.take();
+        self.claiming.remove(&old);
+        self.given_up.insert(old, (key.clone(), self.now));
+        self.claiming.insert(name.clone(), id);
+        if let Some((home, _)) = home {
+            self.members.suspect(self.now, &home);
+            self.note(None, What::Suspected { node: home });
+        }
+        let steps = self.claims.ask(self.now, self.wall() / 1000, &key, &name);
+        self.claim_steps(steps);
+    }
+
+    /// Gives a request its final answer without a result.
+    pub(super) fn refuse(
+        &mut self,
+        id: RequestId,
+        kind: Kind,
+        message: &str,
+        retry_after: Option<Duration>,
+    ) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        let outcome = request.outcome();
+        self.refuse_as(id, kind, outcome, message, retry_after);
+    }
+
+    /// As [`Node::refuse`], with the outcome given.
+    pub(super) fn refuse_as(
+        &mut self,
+        id: RequestId,
+        kind: Kind,
+        outcome: Outcome,
+        message: &str,
+        retry_after: Option<Duration>,
+    ) {
+        let refusal = refusal(kind, outcome, message, retry_after);
+        self.reply(id, Reply::Refused(refusal));
+        self.close(id, outcome, &format!("{kind:?}"));
+    }
+
+    /// Forgets a request and gives back all it held.
+    pub(super) fn close(&mut self, id: RequestId, outcome: Outcome, kind: &str) {
+        let Some(mut request) = self.requests.remove(&id) else {
+            return;
+        };
+        let tokens = request.produced.len() as u32;
+        match std::mem::replace(&mut request.phase, Phase::Waiting) {
+            Phase::Running(flow) => {
+                self.release_flow(id, &flow);
+                self.settle(&request);
+            }
+            Phase::Calling(upstream, _) => {
+                self.loads.release(&upstream);
+                self.settle(&request);
+            }
+            Phase::Waiting => {
+                if let Some(q) = self.queues.get_mut(&request.route) {
+                    q.remove(id);
+                }
+            }
+            Phase::Claiming => {}
+        }
+        self.end_claim(&request, outcome);
+        self.stats.end(outcome, kind);
+        let what = What::Ended {
+            outcome: format!("{outcome:?}"),
+            kind: kind.into(),
+            tokens,
+        };
+        self.note(Some(id), what);
+    }
+
+    pub(super) fn reply(&mut self, id: RequestId, reply: Reply) {
+        if let Reply::Refused(r) = &reply {
+            self.stats.refuse(r.kind);
+        }
+        self.out.push(Action::Reply(id, reply));
+    }
+
+    pub(super) fn job(&self, id: RequestId, request: &Request) -> Job {
+        let fair = self.config.tactics.fair;
+        Job {
+            id,
+            team: if fair {
+                request.team.id.clone()
+            } else {
+                "".into()
+            },
+            rank: if fair { request.team.rank } else { 0 },
+            weight: if fair { request.team.weight } else { 1.0 },
+            cost: request.cost,
+            deadline: request.deadline,
+        }
+    }
+
+    fn admit(&mut self, order: Order) -> std::result::Result<Request, Refusal> {
+        let no = |kind, message: &str, after| refusal(kind, Outcome::NotRun, message, after);
+        if self.fleet.draining {
+            return Err(no(
+                Kind::Draining,
+                "this box is stopping",
+                Some(Duration::ZERO),
+            ));
+        }
+        if self.policy.version == 0 {
+            return Err(no(
+                Kind::NotReady,
+                "this box has no table yet",
+                Some(COME_BACK),
+            ));
+        }
+        let Some(team) = self.policy.find_team(&order.key_hash).cloned() else {
+            return Err(no(Kind::Unauthorized, "no team has this key", None));
+        };
+        let Some(name) = self.route_name(&order.work) else {
+            return Err(no(Kind::UnknownRoute, "no route leads there", None));
+        };
+        if order
+            .key
+            .as_ref()
+            .is_some_and(|k| k.len() > KEY_MOST || k.is_empty())
+        {
+            return Err(no(
+                Kind::BadKey,
+                "the idempotency key has a bad length",
+                None,
+            ));
+        }
+        let route = &self.policy.routes[&name];
+        let timeout = order.timeout.unwrap_or(route.deadline).min(route.deadline);
+        let request = Request {
+            repeatable: route.repeatable && order.repeatable,
+            deadline: self.now + timeout,
+            cost: cost(&order.work),
+            attempt: 0,
+            ran: false,
+            before: false,
+            claim: None,
+            produced: Vec::new(),
+            phase: Phase::Waiting,
+            route: name,
+            team,
+            order,
+        };
+        self.check_room(&request)?;
+        Ok(request)
+    }
+
+    /// Refuses a request that would wait in vain.
+    fn check_room(&mut self, request: &Request) -> std::result::Result<(), Refusal> {
+        let no = |kind, message: &str, after| refusal(kind, Outcome::NotRun, message, Some(after));
+        if !self.is_served(&request.route) {
+            let message = "no live upstream can serve this now";
+            return Err(no(Kind::NoUpstream, message, COME_BACK));
+        }
+        let team = &request.team;
+        let queue = self.queues.entry(request.route.clone()).or_default();
+        let (wait, len) = (queue.wait(team.rank), queue.team_len(team.rank, &team.id));
+        if len >= team.queue || self.requests.len() >= self.config.requests {
+            let after = wait.max(COME_BACK);
+            return Err(no(Kind::QueueFull, "the team's queue is full", after));
+        }
+        let patience = request.deadline - self.now;
+        if wait > patience {
+            let after = wait - patience / 2;
+            return Err(no(
+                Kind::Overloaded,
+                "the wait would pass the deadline",
+                after,
+            ));
+        }
+        let limited = self.limit_wait(team, len as f64 * request.cost);
+        if limited.is_some_and(|w| w > patience) {
+            let after = limited.unwrap_or(COME_BACK);
+            return Err(no(Kind::RateLimited, "the team's rate is used up", after));
+        }
+        Ok(())
+    }
+
+    fn limit_wait(&mut self, team: &Team, ahead: f64) -> Option<Duration> {
+        let rate = team.rate?;
+        let own = self.slices.wait(self.now, &team.id)?;
+        Some(own + Duration::from_secs_f64(ahead / rate))
+    }
+
+    fn route_name(&self, work: &Work) -> Option<String> {
+        let model = |name: &String| {
+            let target = self.policy.routes.get(name).map(|r| &r.target);
+            matches!(target, Some(Target::Model(_)))
+        };
+        match work {
+            Work::Generate { model: m, .. } => Some(m.clone()).filter(model),
+            Work::Call { path, .. } => self.policy.find_service(path).map(String::from),
+        }
+    }
+
+    fn claim_or_queue(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        let Some(key) = request.order.key.as_ref().filter(|_| !request.repeatable) else {
+            return self.enqueue(id);
+        };
+        // Keys of different teams never meet.
+        let key = format!("{}/{key}", request.team.id);
+        let name = format!("{}.{:x}.{id}", self.config.id, self.config.incarnation);
+        let home = self
+            .members
+            .home(self.now, &self.claims.shard(&key).to_string());
+        let home = home.filter(|h| *h != self.config.id);
+        let home = home.and_then(|h| self.addr(&h).map(|a| (h, a)));
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.order.key = Some(key.clone());
+            request.phase = Phase::Claiming;
+            request.claim = Some(Claim {
+                id: name.clone(),
+                dropped: Vec::new(),
+                home: home.clone(),
+                asked: self.now,
+            });
+        }
+        self.claiming.insert(name.clone(), id);
+        match home {
+            Some((to, addr)) => self.send(to, addr, Message::AskClaim { key, id: name }),
+            None => {
+                let steps = self.claims.ask(self.now, self.wall() / 1000, &key, &name);
+                self.claim_steps(steps);
+            }
+        }
+    }
+
+    fn refuse_held(&mut self, id: RequestId, other: &str, stage: Stage) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let claim = request.claim.as_ref();
+        let own = claim.is_some_and(|c| c.dropped.iter().any(|d| d == other));
+        if own {
+            // This box gave that name up unsent, so the key can be set free.
+            let message = "the key's home box failed in the middle of the claim";
+            return self.refuse(id, Kind::PlatformDown, message, Some(COME_BACK));
+        }
+        request.claim = None;
+        let (outcome, message) = match stage {
+            Stage::Done => (Outcome::Done, "a request with this key has already run"),
+            _ => (
+                Outcome::Unknown,
+                "a request with this key was already taken",
+            ),
+        };
+        self.refuse_as(id, Kind::KeyTaken, outcome, message, None);
+    }
+
+    /// Sets a key free whose claim was granted after it was given up.
+    fn free_claim(&mut self, claim: &str, verdict: &Verdict) {
+        if let Some((key, _)) = self.given_up.remove(claim)
+            && *verdict == Verdict::Granted
+        {
+            self.claims.finish(&key, claim, Stage::NotRun);
+        }
+    }
+
+    fn end_claim(&mut self, request: &Request, outcome: Outcome) {
+        let (Some(claim), Some(key)) = (&request.claim, &request.order.key) else {
+            return;
+        };
+        if self.claiming.remove(&claim.id).is_some() {
+            let value = (key.clone(), self.now);
+            self.given_up.insert(claim.id.clone(), value);
+        }
+        let stage = match outcome {
+            Outcome::Done => Stage::Done,
+            Outcome::NotRun => Stage::NotRun,
+            Outcome::Unknown => Stage::Taken,
+        };
+        if outcome != Outcome::Unknown {
+            self.end_claim_at(claim.home.clone(), key, &claim.id, stage);
+        }
+        for name in &claim.dropped {
+            self.end_claim_at(None, key, name, Stage::NotRun);
+        }
+    }
+
+    fn end_claim_at(&mut self, at: Option<(BoxId, String)>, key: &str, id: &str, stage: Stage) {
+        match at {
+            Some((to, addr)) => {
+                let (key, id) = (key.into(), id.into());
+                self.send(to, addr, Message::EndClaim { key, id, stage });
+            }
+            None => self.claims.finish(key, id, stage),
+        }
+    }
+
+    fn enqueue(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        request.phase = Phase::Waiting;
+        let request = &self.requests[&id];
+        let job = self.job(id, request);
+        let (team, cost, route) = (request.team.clone(), request.cost, request.route.clone());
+        if team.rate.is_some() {
+            self.slices.demand(self.now, &team.id, cost);
+            self.ask_slice(&team.id);
+        }
+        let queue = self.queues.entry(route.clone()).or_default();
+        queue.push(job);
+        let waiting = queue.len();
+        self.dispatch(&route);
+        if matches!(self.requests.get(&id), Some(r) if matches!(r.phase, Phase::Waiting)) {
+            self.note(Some(id), What::Queued { waiting });
+        }
+    }
+
+    /// Corrects queue and limit once the true number of tokens is known.
+    fn settle(&mut self, request: &Request) {
+        let Work::Generate { prompt, .. } = &request.order.work else {
+            return;
+        };
+        let actual = (prompt.len() + request.produced.len()) as f64;
+        let job = self.job(request.order.id, request);
+        if let Some(queue) = self.queues.get_mut(&request.route) {
+            queue.settle(&job, actual);
+        }
+        if request.team.rate.is_some() {
+            let more = actual - request.cost;
+            self.slices.spend(self.now, &request.team.id, more);
+        }
+    }
+}
+
+fn cost(work: &Work) -> f64 {
+    match work {
+        Work::Generate { prompt, most, .. } => (prompt.len() + *most as usize) as f64,
+        Work::Call { .. } => CALL_COST,
+    }
+}
+
+fn refusal(kind: Kind, outcome: Outcome, message: &str, retry_after: Option<Duration>) -> Refusal {
+    Refusal {
+        kind,
+        outcome,
+        message: message.into(),
+        remedy: remedy(kind, outcome).into(),
+        retry_after,
+    }
+}
+
+fn remedy(kind: Kind, outcome: Outcome) -> &'static str {
+    match (kind, outcome) {
+        (Kind::Unauthorized, _) => "send the team's key as a bearer token",
+        (Kind::UnknownRoute, _) => "ask the operator for the names of models and services",
+        (Kind::BadKey, _) => "use a key of 1 to 128 bytes",
+        (Kind::KeyTaken, Outcome::Done) => "do not send it again; it has run",
+        (Kind::KeyTaken, _) => "check whether it took effect before using a new key",
+        (_, Outcome::NotRun) => "send it again after the given time",
+        (_, Outcome::Unknown) => "check whether it took effect before sending it again",
+        (_, Outcome::Done) => "nothing to do",
+    }
+}
--- /dev/null
+++ b/crates/ashgauge/src/policy.rs
@@ -0,0 +1,214 @@
+//! The table compiled into the form that decisions read.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+
+use crate::member::UpstreamId;
+use crate::order::Goal;
+use crate::table::{Cell, Table, Version};
+
+/// Name of a team.
+pub type TeamId = Arc<str>;
+
+/// SHA-256 of a caller's bearer key.
+pub type KeyHash = [u8; 32];
+
+const QUEUE_DEFAULT: usize = 64;
+const DEADLINE_DEFAULT: Duration = Duration::from_secs(60);
+
+/// One team's weights and limits.
+#[derive(Clone, Debug)]
+pub struct Team {
+    /// Name.
+    pub id: TeamId,
+    /// Order of the tier; 0 goes first.
+    pub rank: u32,
+    /// Share within the tier.
+    pub weight: f64,
+    /// Tokens a second over the fleet, if limited.
+    pub rate: Option<f64>,
+    /// Requests that may wait on one box.
+    pub queue: usize,
+}
+
+/// What a route leads to.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Target {
+    /// A model with this many layers.
+    Model(u32),
+    /// A plain service under this path prefix.
+    Service(String),
+}
+
+/// One route.
+#[derive(Clone, Debug)]
+pub struct Route {
+    /// What it leads to.
+    pub target: Target,
+    /// Whether a request may be sent twice.
+    pub repeatable: bool,
+    /// Longest time for a request.
+    pub deadline: Duration,
+}
+
+/// A table version, ready for decisions.
+#[derive(Clone, Debug, Default)]
+pub struct Policy {
+    /// Version of the table it was made from.
+    pub version: Version,
+    /// Routes by name.
+    pub routes: HashMap<String, Route>,
+    /// Floor share by tier rank, 0 to 1.
+    pub floors: HashMap<u32, f64>,
+    /// Wanted states of upstreams.
+    pub goals: BTreeMap<UpstreamId, Goal>,
+    teams: HashMap<u64, Vec<(KeyHash, Arc<Team>)>>,
+    names: HashMap<TeamId, Arc<Team>>,
+}
+
+/// Hashes a caller's bearer key.
+pub fn hash_key(key: &str) -> KeyHash {
+    Sha256::digest(key.as_bytes()).into()
+}
+
+impl Policy {
+    /// Compiles a checked table.
+    pub fn new(version: Version, table: &Table) -> Self {
+        let mut p = Policy {
+            version,
+            ..Policy::default()
+        };
+        for row in table.rows.keys() {
+            match row.split_once('/') {
+                Some(("tier", _)) => p.add_tier(table, row),
+                Some(("team", name)) => p.add_team(table, row, name),
+                Some(("route", name)) => p.add_route(table, row, name),
+                Some(("upstream", name)) => p.add_goal(table, row, name),
+                _ => {}
+            }
+        }
+        p
+    }
+
+    /// Finds the team that a key hash belongs to.
+    ///
+    /// Candidates share the hash's first eight bytes and are compared in
+    /// constant time.
+    pub fn find_team(&self, hash: &KeyHash) -> Option<&Arc<Team>> {
+        let same = self.teams.get(&prefix(hash))?;
+        let found = same.iter().find(|(h, _)| bool::from(h.ct_eq(hash)));
+        found.map(|(_, t)| t)
+    }
+
+    /// Returns a team by name.
+    pub fn team(&self, id: &str) -> Option<&Arc<Team>> {
+        self.names.get(id)
+    }
+
+    /// Number of teams.
+    pub fn team_count(&self) -> usize {
+        self.names.len()
+    }
+
+    /// Finds the service route with the longest path prefix of `path`.
+    pub fn find_service(&self, path: &str) -> Option<&str> {
+        let prefix = |r: &Route| match &r.target {
+            Target::Service(p) if under(path, p) => Some(p.len()),
+            _ => None,
+        };
+        let matches = self
+            .routes
+            .iter()
+            .filter_map(|(n, r)| Some((prefix(r)?, n)));
+        matches.max().map(|(_, n)| n.as_str())
+    }
+
+    fn add_tier(&mut self, table: &Table, row: &str) {
+        let rank = number(table, row, "rank").unwrap_or(0.0) as u32;
+        let floor = number(table, row, "floor").unwrap_or(0.0).min(1.0);
+        self.floors.insert(rank, floor);
+    }
+
+    fn add_team(&mut self, table: &Table, row: &str, name: &str) {
+        let tier = text(table, row, "tier").unwrap_or_default();
+        let rank = number(table, &format!("tier/{tier}"), "rank").unwrap_or(0.0);
+        let team = Arc::new(Team {
+            id: name.into(),
+            rank: rank as u32,
+            weight: number(table, row, "weight").unwrap_or(1.0),
+            rate: number(table, row, "rate").filter(|r| *r > 0.0),
+            queue: number(table, row, "queue").map_or(QUEUE_DEFAULT, |n| n as usize),
+        });
+        self.names.insert(team.id.clone(), team.clone());
+        if let Some(hash) = text(table, row, "key").and_then(parse_hash) {
+            self.teams
+                .entry(prefix(&hash))
+                .or_default()
+                .push((hash, team));
+        }
+    }
+
+    fn add_goal(&mut self, table: &Table, row: &str, name: &str) {
+        let get = |column| text(table, row, column).map(String::from);
+        let goal = Goal {
+            number: 0,
+            load: get("load"),
+            adapter: get("adapter"),
+            version: get("version"),
+            role: get("role"),
+        };
+        self.goals.insert(name.into(), goal.numbered());
+    }
+
+    fn add_route(&mut self, table: &Table, row: &str, name: &str) {
+        let target = match text(table, row, "kind") {
+            Some("service") => {
+                let path = text(table, row, "path").map_or(format!("/{name}"), String::from);
+                Target::Service(path)
+            }
+            _ => Target::Model(number(table, row, "layers").unwrap_or(1.0) as u32),
+        };
+        let deadline = number(table, row, "deadline");
+        let route = Route {
+            target,
+            repeatable: text(table, row, "repeat") != Some("no"),
+            deadline: deadline.map_or(DEADLINE_DEFAULT, |ms| Duration::from_millis(ms as u64)),
+        };
+        self.routes.insert(name.into(), route);
+    }
+}
+
+fn under(path: &str, prefix: &str) -> bool {
+    let rest = path.strip_prefix(prefix);
+    rest.is_some_and(|r| r.is_empty() || r.starts_with('/') || r.starts_with('?'))
+}
+
+fn number(table: &Table, row: &str, column: &str) -> Option<f64> {
+    match table.cell(row, column) {
+        Some(Cell::Number(n)) => Some(*n),
+        _ => None,
+    }
+}
+
+fn text<'a>(table: &'a Table, row: &str, column: &str) -> Option<&'a str> {
+    match table.cell(row, column) {
+        Some(Cell::Text(s)) => Some(s),
+        _ => None,
+    }
+}
+
+fn prefix(hash: &KeyHash) -> u64 {
+    u64::from_le_bytes(std::array::from_fn(|i| hash[i]))
+}
+
+fn parse_hash(s: &str) -> Option<KeyHash> {
+    let mut hash = [0; 32];
+    for (i, b) in hash.iter_mut().enumerate() {
+        *b = u8::from_str_radix(s.get(2 * i..2 * i + 2)?, 16).ok()?;
+    }
+    Some(hash)
+}
--- /dev/null
+++ b/crates/ashgauge/src/record.rs
@@ -0,0 +1,105 @@
+//! The time line's records.
+
+use serde::{Deserialize, Serialize};
+
+use crate::chain::{Layer, Stage};
+use crate::clock::Stamp;
+use crate::member::{BoxId, UpstreamId};
+use crate::queue::RequestId;
+use crate::table::Version;
+
+/// One thing that a box decided or learned.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Record {
+    /// When, on the merged time line.
+    pub at: Stamp,
+    /// The box.
+    pub node: BoxId,
+    /// The request it belongs to, if any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub request: Option<RequestId>,
+    /// What it was.
+    #[serde(flatten)]
+    pub what: What,
+}
+
+/// Kinds of records.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+#[allow(missing_docs)]
+pub enum What {
+    Arrived {
+        team: String,
+        route: String,
+    },
+    Claimed {
+        key: String,
+        verdict: String,
+    },
+    Queued {
+        waiting: usize,
+    },
+    Chosen {
+        attempt: u32,
+        stages: Vec<Stage>,
+    },
+    Called {
+        attempt: u32,
+        upstream: UpstreamId,
+    },
+    Resumed {
+        upstream: UpstreamId,
+        position: u32,
+    },
+    Lost {
+        upstream: UpstreamId,
+        cause: String,
+    },
+    Replaced {
+        first: Layer,
+        end: Layer,
+        stages: Vec<Stage>,
+        replayed: usize,
+    },
+    Stalled {
+        first: Layer,
+        end: Layer,
+    },
+    Dropped {
+        upstream: UpstreamId,
+    },
+    Ended {
+        outcome: String,
+        kind: String,
+        tokens: u32,
+    },
+    Table {
+        version: Version,
+        source: String,
+    },
+    Edit {
+        id: String,
+        result: String,
+    },
+    Leaving {
+        upstream: UpstreamId,
+        source: String,
+    },
+    Lease {
+        name: String,
+        term: u64,
+        held: bool,
+    },
+    Ordered {
+        upstream: UpstreamId,
+        term: u64,
+        order: String,
+        result: String,
+    },
+    Draining {
+        inflight: usize,
+    },
+    Suspected {
+        node: BoxId,
+    },
+}
--- /dev/null
+++ b/crates/ashgauged/src/io.rs
@@ -0,0 +1,164 @@
+//! Performs a node's actions and sends the results back as events.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ashgauge::{Action, Event};
+use http::Client;
+use platform::Platform;
+use ractor::ActorRef;
+use spdlog::{debug, info, warn};
+
+use crate::actor::{Msg, Start};
+
+/// Longest time of a stage order or a service call; the node gives up sooner.
+const CALL_MOST: Duration = Duration::from_secs(120);
+
+const CONNECT_TIME: Duration = Duration::from_secs(1);
+const CANCEL_TIME: Duration = Duration::from_secs(2);
+const ORDER_TIME: Duration = Duration::from_secs(4);
+const PAUSE_FIRST: Duration = Duration::from_millis(100);
+const PAUSE_MOST: Duration = Duration::from_secs(2);
+
+/// Connections to everything outside.
+pub struct Io {
+    node: ActorRef<Msg>,
+    platform: Platform,
+    peers: peer::Peers,
+    client: Client,
+    owner: Arc<str>,
+    list_time: Duration,
+}
+
+impl Io {
+    /// Makes the connections' clients.
+    pub fn new(node: ActorRef<Msg>, start: &Start) -> Self {
+        let settings = &start.settings;
+        let owner = format!("{}.{:x}", start.config.id, start.config.incarnation);
+        Io {
+            node,
+            platform: Platform::new(&settings.platform, settings.platform_calls),
+            peers: start.peers.clone(),
+            client: Client::new(CONNECT_TIME),
+            owner: owner.into(),
+            list_time: Duration::from_millis(settings.timing.list_ms),
+        }
+    }
+
+    /// Follows the table's watch and the list of members, as long as the node
+    /// lives.
+    pub fn follow_platform(&self) {
+        let (node, platform) = (self.node.clone(), self.platform.clone());
+        tokio::spawn(follow_table(node, platform));
+        let (node, platform) = (self.node.clone(), self.platform.clone());
+        tokio::spawn(follow_list(node, platform, self.list_time));
+    }
+
+    /// Performs one action.
+    pub fn perform(&self, action: Action) {
+        let node = self.node.clone();
+        let (client, owner) = (self.client.clone(), self.owner.clone());
+        let platform = self.platform.clone();
+        match action {
+            Action::Run(run) => spawn(node, async move {
+                let done = upstream::run(&client, &owner, &run, CALL_MOST).await;
+                match done {
+                    Ok(ran) => Event::Ran(ran),
+                    Err(fault) => {
+                        debug!("upstream: order to {} failed: {fault:?}", run.upstream);
+                        Event::RunFailed(run.id, run.session, run.start, fault)
+                    }
+                }
+            }),
+            Action::Call(call) => spawn(node, async move {
+                match upstream::call(&client, &call, CALL_MOST).await {
+                    Ok(called) => Event::Called(call.id, call.attempt, called),
+                    Err(fault) => Event::CallFailed(call.id, call.attempt, fault),
+                }
+            }),
+            Action::Cancel {
+                id, session, addr, ..
+            } => {
+                let session = upstream::session_name(&owner, id, session);
+                tokio::spawn(async move {
+                    upstream::cancel(&client, &addr, session, CANCEL_TIME).await;
+                });
+            }
+            Action::Command(order) => spawn(node, async move {
+                let reply = upstream::command(&client, &order, ORDER_TIME).await;
+                Event::Obeyed(order.upstream, order.term, reply)
+            }),
+            Action::Read(object) => spawn(node, async move {
+                let answer = platform.read(&object).await;
+                Event::Read(object, answer)
+            }),
+            Action::Write(object, version, content) => spawn(node, async move {
+                let result = platform.write(&object, version, &content).await;
+                Event::Written(object, content, result)
+            }),
+            Action::Send(to, addr, envelope) => self.deliver(to, addr, envelope),
+            Action::Reply(..) | Action::Edited(..) | Action::Note(_) => {}
+        }
+    }
+
+    fn deliver(
+        &self,
+        to: ashgauge::member::BoxId,
+        addr: String,
+        envelope: ashgauge::message::Envelope,
+    ) {
+        let (node, peers) = (self.node.clone(), self.peers.clone());
+        tokio::spawn(async move {
+            if let Err(e) = peers.deliver(&addr, &envelope).await {
+                debug!("peer: message to {addr} failed: {e}");
+                let _ = node.cast(Msg::Event(Event::SendFailed(to, envelope.body)));
+            }
+        });
+    }
+}
+
+fn spawn(node: ActorRef<Msg>, work: impl Future<Output = Event> + Send + 'static) {
+    tokio::spawn(async move {
+        let event = work.await;
+        let _ = node.cast(Msg::Event(event));
+    });
+}
+
+async fn follow_table(node: ActorRef<Msg>, platform: Platform) {
+    let mut version = 0;
+    let mut pause = PAUSE_FIRST;
+    loop {
+        match platform.watch_table(version).await {
+            Ok(Some((newer, table))) => {
+                version = newer;
+                pause = PAUSE_FIRST;
+                info!("platform: table version {newer}");
+                if node.cast(Msg::Event(Event::Watched(newer, table))).is_err() {
+                    return;
+                }
+            }
+            Ok(None) => pause = PAUSE_FIRST,
+            Err(()) => {
+                warn!("platform: no answer to the watch, trying again");
+                tokio::time::sleep(jittered(pause)).await;
+                pause = (pause * 2).min(PAUSE_MOST);
+            }
+        }
+    }
+}
+
+async fn follow_list(node: ActorRef<Msg>, platform: Platform, every: Duration) {
+    loop {
+        if let Some(listing) = platform.list().await
+            && node.cast(Msg::Event(Event::Listed(listing))).is_err()
+        {
+            return;
+        }
+        tokio::time::sleep(jittered(every)).await;
+    }
+}
+
+/// The pause, give or take a quarter, so that boxes do not fall into step.
+fn jittered(pause: Duration) -> Duration {
+    pause.mul_f64(rand::random_range(0.75..1.25))
+}
--- /dev/null
+++ b/crates/ashgauged/src/main.rs
@@ -0,0 +1,168 @@
+//! `ashgauged`: the ashgauge daemon. One box of the fleet.
+
+mod actor;
+mod io;
+mod metrics;
+mod ports;
+mod settings;
+mod timeline;
+
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use eyre::{Result, WrapErr, eyre};
+use lexopt::prelude::*;
+use ractor::Actor;
+use spdlog::{info, warn};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use crate::actor::{Msg, NodeActor, Start};
+use crate::ports::Ports;
+use crate::settings::Settings;
+use crate::timeline::Timeline;
+
+const HELP: &str = "\
+usage: ashgauged --settings FILE [--check]
+
+  --settings FILE  settings in JSON; docs/OPERATING.md lists them
+  --check          check the settings and exit: 0 if they are fine, 2 if not
+  --version        print the version
+
+On SIGTERM the box takes no more requests, ends those in flight and exits.";
+
+struct Args {
+    settings: PathBuf,
+    check: bool,
+}
+
+fn main() {
+    let code = match start() {
+        Ok(()) => 0,
+        Err(e) => {
+            eprintln!("ashgauged: {e:#}");
+            2
+        }
+    };
+    std::process::exit(code);
+}
+
+fn start() -> Result<()> {
+    let args = parse()?;
+    let settings = Settings::load(&args.settings)?;
+    if args.check {
+        println!("settings are fine: {}", settings.summary());
+        return Ok(());
+    }
+    spdlog::default_logger().set_level_filter(settings.level()?);
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .worker_threads(settings.threads)
+        .build()?;
+    runtime.block_on(run(settings))
+}
+
+async fn run(settings: Settings) -> Result<()> {
+    let callers = bind(&settings.caller).await?;
+    let operators = bind(&settings.operator).await?;
+    let operator_credential = settings.operator_credential.load("operator_credential")?;
+    let peer_credential = settings.peer_credential.load("peer_credential")?;
+    let timeline = Arc::new(Timeline::new(&settings)?);
+    let (mailbox, gate) = ports::gate();
+    let taker = gate.clone();
+    let take = move |envelope| taker.hear(envelope);
+    let served = peer::serve(&settings.peer, &peer_credential, take).await;
+    let (peer_addr, server) = served.map_err(|e| eyre!("{e}"))?;
+    let start = Start {
+        config: settings.node(&peer_addr.to_string()),
+        settings: settings.clone(),
+        peers: peer::Peers::new(&peer_credential),
+        timeline: timeline.clone(),
+    };
+    let (node, task) = Actor::spawn(None, NodeActor, start).await?;
+    mailbox.connect(node.clone());
+    let ports = Arc::new(Ports::new(node.clone(), timeline));
+    let (stop, stopped) = watch::channel(false);
+    announce(&settings, &callers, &operators, &peer_addr.to_string())?;
+    let bounds = settings.bounds();
+    let serving = tokio::spawn(caller::listen(
+        callers,
+        bounds,
+        stopped.clone(),
+        ports.clone(),
+    ));
+    let desk = operator::listen(operators, operator_credential, stopped, ports);
+    let desk = tokio::spawn(desk);
+    wait_for_stop(&node, Duration::from_millis(settings.timing.drain_ms)).await;
+    let _ = stop.send(true);
+    // Answers that are ready still have to get out.
+    let _ = tokio::time::timeout(Duration::from_secs(2), serving).await;
+    desk.abort();
+    let _ = server.stop();
+    node.stop(None);
+    let _ = task.await;
+    info!("box: stopped");
+    Ok(())
+}
+
+/// Waits for the signal, then until the node is drained or the bound is over.
+async fn wait_for_stop(node: &ractor::ActorRef<Msg>, bound: Duration) {
+    ports::signalled(node).await;
+    info!("box: draining");
+    let _ = node.cast(Msg::Event(ashgauge::Event::Drain));
+    let drained = async {
+        while !ports::is_drained(node).await {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    if tokio::time::timeout(bound, drained).await.is_err() {
+        let cut = ports::inflight(node).await;
+        warn!("box: stopped hard, {cut} requests cut");
+    }
+}
+
+async fn bind(addr: &str) -> Result<TcpListener> {
+    let bound = TcpListener::bind(addr).await;
+    bound.wrap_err_with(|| format!("cannot listen on {addr}; free the port or set another"))
+}
+
+/// Prints the bound addresses as one JSON line, for whoever started the box.
+fn announce(
+    settings: &Settings,
+    callers: &TcpListener,
+    operators: &TcpListener,
+    peer: &str,
+) -> Result<()> {
+    let line = serde_json::json!({
+        "id": settings.id,
+        "caller": callers.local_addr()?.to_string(),
+        "operator": operators.local_addr()?.to_string(),
+        "peer": peer,
+    });
+    println!("{line}");
+    Ok(())
+}
+
+fn parse() -> Result<Args> {
+    let mut settings = None;
+    let mut check = false;
+    let mut parser = lexopt::Parser::from_env();
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Long("settings") => settings = Some(PathBuf::from(parser.value()?)),
+            Long("check") => check = true,
+            Long("help") | Short('h') => {
+                println!("{HELP}");
+                std::process::exit(0);
+            }
+            Long("version") => {
+                println!("ashgauged {}", env!("CARGO_PKG_VERSION"));
+                std::process::exit(0);
+            }
+            _ => return Err(arg.unexpected().into()),
+        }
+    }
+    let settings = settings.ok_or_else(|| eyre!("--settings FILE is missing\n{HELP}"))?;
+    Ok(Args { settings, check })
+}
--- /dev/null
+++ b/crates/ashgauged/src/settings.rs
@@ -0,0 +1,368 @@
+//! Settings of the daemon: JSON, checked whole before anything starts.
+
+use std::path::{Path, PathBuf};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use ashgauge::Config;
+use ashgauge::claim;
+use caller::Bounds;
+use eyre::{Result, WrapErr, bail, eyre};
+use http::Limits;
+use serde::Deserialize;
+
+/// All settings. Times end in `_ms` or `_s`, sizes in `_bytes`.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of the box, unique in the fleet.
+    pub id: String,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Address of the callers' port.
+    pub caller: String,
+    /// Address of the box-to-box port.
+    pub peer: String,
+    /// Address of the operators' port.
+    pub operator: String,
+    /// Address of the platform's object API.
+    pub platform: String,
+    /// Credential of the box-to-box port.
+    pub peer_credential: Credential,
+    /// Credential of the operators' port.
+    pub operator_credential: Credential,
+    /// Box-to-box addresses asked for the table if the platform is down.
+    #[serde(default)]
+    pub seeds: Vec<String>,
+    /// Bounds.
+    #[serde(default)]
+    pub limits: Bound,
+    /// Times.
+    #[serde(default)]
+    pub timing: Timing,
+    /// Claims of keyed requests.
+    #[serde(default)]
+    pub claims: Claims,
+    /// Calls a second to the platform.
+    #[serde(default = "default_calls")]
+    pub platform_calls: f64,
+    /// Second tries per first try, 0 to 1.
+    #[serde(default = "default_retries")]
+    pub retry_share: f64,
+    /// Log level: error, warn, info or debug.
+    #[serde(default = "default_log")]
+    pub log: String,
+    /// File to which the time line is written as JSON lines, if any.
+    #[serde(default)]
+    pub events: Option<PathBuf>,
+    /// Threads.
+    #[serde(default = "default_threads")]
+    pub threads: usize,
+}
+
+/// Where a credential is read from; never the credential itself.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum Credential {
+    /// A file.
+    File(PathBuf),
+    /// An environment variable.
+    Env(String),
+}
+
+/// Bounds of connections, bodies and queues.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Bound {
+    /// Callers' connections.
+    pub connections: usize,
+    /// Bytes of a request's head.
+    pub head_bytes: usize,
+    /// Time for a request's head.
+    pub head_ms: u64,
+    /// Bytes of a request's body.
+    pub body_bytes: usize,
+    /// Time for a request's body.
+    pub body_ms: u64,
+    /// Tokens that one request may ask for.
+    pub tokens: u32,
+    /// Requests at one time, waiting ones included.
+    pub requests: usize,
+    /// Stage inputs kept for one request.
+    pub keep_inputs: usize,
+    /// Records of the time line kept in memory.
+    pub records: usize,
+}
+
+/// Times.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Timing {
+    /// Between heartbeats.
+    pub heartbeat_ms: u64,
+    /// Least silence after which a stage counts as lost.
+    pub silence_ms: u64,
+    /// Silence after which a repeatable service call counts as lost.
+    pub call_silence_ms: u64,
+    /// How long a box may hear neither the platform nor a peer.
+    pub isolation_ms: u64,
+    /// Time to live of the lease for orders.
+    pub lease_ms: u64,
+    /// Between reads of the platform's list.
+    pub list_ms: u64,
+    /// How long a planned stop may take.
+    pub drain_ms: u64,
+}
+
+/// Claims of keyed requests; the same on every box.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Claims {
+    /// Objects that the keys are spread over.
+    pub shards: u32,
+    /// How long a key is kept.
+    pub keep_s: u64,
+    /// Least time between two writes of one object.
+    pub interval_ms: u64,
+    /// How long a claim may wait for the platform.
+    pub patience_ms: u64,
+}
+
+impl Default for Bound {
+    fn default() -> Self {
+        Bound {
+            connections: 4096,
+            head_bytes: 16 << 10,
+            head_ms: 5000,
+            body_bytes: 1 << 20,
+            body_ms: 10_000,
+            tokens: 4096,
+            requests: 4096,
+            keep_inputs: 65_536,
+            records: 20_000,
+        }
+    }
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Timing {
+            heartbeat_ms: 1000,
+            silence_ms: 500,
+            call_silence_ms: 5000,
+            isolation_ms: 30_000,
+            lease_ms: 5000,
+            list_ms: 1000,
+            drain_ms: 60_000,
+        }
+    }
+}
+
+impl Default for Claims {
+    fn default() -> Self {
+        Claims {
+            shards: 16,
+            keep_s: 24 * 3600,
+            interval_ms: 200,
+            patience_ms: 2000,
+        }
+    }
+}
+
+fn default_calls() -> f64 {
+    20.0
+}
+
+fn default_retries() -> f64 {
+    0.1
+}
+
+fn default_log() -> String {
+    "info".into()
+}
+
+fn default_threads() -> usize {
+    2
+}
+
+impl Settings {
+    /// Reads and checks a file.
+    pub fn load(path: &Path) -> Result<Self> {
+        let place = path.display();
+        let text = std::fs::read_to_string(path)
+            .wrap_err_with(|| format!("cannot read {place}; name a settings file"))?;
+        let settings: Settings = serde_json::from_str(&text)
+            .map_err(|e| eyre!("{place}: {e}; docs/OPERATING.md lists the settings"))?;
+        settings
+            .check()
+            .wrap_err_with(|| format!("{place} is not valid"))?;
+        Ok(settings)
+    }
+
+    /// One line for `--check`, without credentials.
+    pub fn summary(&self) -> String {
+        format!(
+            "box {} in {}, callers {}, peers {}, operators {}",
+            self.id, self.data_centre, self.caller, self.peer, self.operator
+        )
+    }
+
+    /// The log level as a filter.
+    pub fn level(&self) -> Result<spdlog::LevelFilter> {
+        use spdlog::{Level, LevelFilter};
+        let level = match self.log.as_str() {
+            "error" => Level::Error,
+            "warn" => Level::Warn,
+            "info" => Level::Info,
+            "debug" => Level::Debug,
+            other => bail!("log: `{other}` is no level; use error, warn, info or debug"),
+        };
+        Ok(LevelFilter::MoreSevereEqual(level))
+    }
+
+    /// Settings of the node.
+    pub fn node(&self, peer: &str) -> Config {
+        let since = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        let ms = Duration::from_millis;
+        let t = &self.timing;
+        let mut config = Config::new(&self.id, rand::random::<u64>() >> 16);
+        config.data_centre = self.data_centre.clone();
+        config.addr = peer.into();
+        config.seeds = self.seeds.clone();
+        config.wall = since.as_millis() as u64;
+        config.requests = self.limits.requests;
+        config.heartbeat = ms(t.heartbeat_ms);
+        config.silence = ms(t.silence_ms);
+        config.call_silence = ms(t.call_silence_ms);
+        config.isolation = ms(t.isolation_ms);
+        config.lease = ms(t.lease_ms);
+        config.keep = self.limits.keep_inputs;
+        config.retries = self.retry_share;
+        config.claims = claim::Config {
+            shards: self.claims.shards,
+            keep: Duration::from_secs(self.claims.keep_s),
+            interval: ms(self.claims.interval_ms),
+            patience: ms(self.claims.patience_ms),
+        };
+        config
+    }
+
+    /// Bounds of the callers' port.
+    pub fn bounds(&self) -> Bounds {
+        let l = &self.limits;
+        Bounds {
+            server: Limits {
+                connections: l.connections,
+                head: l.head_bytes,
+                head_time: Duration::from_millis(l.head_ms),
+            },
+            body: l.body_bytes,
+            body_time: Duration::from_millis(l.body_ms),
+            tokens: l.tokens,
+        }
+    }
+
+    fn check(&self) -> Result<()> {
+        let positive = [
+            ("limits.connections", self.limits.connections as u64),
+            ("limits.body_bytes", self.limits.body_bytes as u64),
+            ("limits.requests", self.limits.requests as u64),
+            ("limits.tokens", u64::from(self.limits.tokens)),
+            ("limits.records", self.limits.records as u64),
+            ("timing.heartbeat_ms", self.timing.heartbeat_ms),
+            ("timing.silence_ms", self.timing.silence_ms),
+            ("timing.call_silence_ms", self.timing.call_silence_ms),
+            ("timing.lease_ms", self.timing.lease_ms),
+            ("timing.list_ms", self.timing.list_ms),
+            ("claims.shards", u64::from(self.claims.shards)),
+            ("claims.keep_s", self.claims.keep_s),
+            ("claims.patience_ms", self.claims.patience_ms),
+            ("threads", self.threads as u64),
+        ];
+        for (place, value) in positive {
+            if value == 0 {
+                bail!("{place}: 0 is not possible; use at least 1");
+            }
+        }
+        if self.id.is_empty() || self.id.contains(['.', '/', '+']) {
+            bail!("id: `{}` must be a name without `.`, `/` and `+`", self.id);
+        }
+        if self.limits.head_bytes < 8192 {
+            bail!(
+                "limits.head_bytes: {} is too small; use at least 8192",
+                self.limits.head_bytes
+            );
+        }
+        if !(0.0..=1.0).contains(&self.retry_share) {
+            bail!("retry_share: {} is no share; use 0 to 1", self.retry_share);
+        }
+        if !(self.platform_calls.is_finite() && self.platform_calls >= 1.0) {
+            bail!(
+                "platform_calls: {} is too few; use at least 1",
+                self.platform_calls
+            );
+        }
+        self.check_clashes()?;
+        self.level()?;
+        self.peer_credential.load("peer_credential")?;
+        self.operator_credential.load("operator_credential")?;
+        Ok(())
+    }
+
+    fn check_clashes(&self) -> Result<()> {
+        let t = &self.timing;
+        if t.isolation_ms < 3 * t.heartbeat_ms {
+            bail!(
+                "timing.isolation_ms: {} clashes with timing.heartbeat_ms: {}; use at least three heartbeats",
+                t.isolation_ms,
+                t.heartbeat_ms
+            );
+        }
+        if self.claims.interval_ms >= self.claims.patience_ms {
+            bail!(
+                "claims.interval_ms: {} clashes with claims.patience_ms: {}; make the interval shorter",
+                self.claims.interval_ms,
+                self.claims.patience_ms
+            );
+        }
+        let ports = [
+            ("caller", &self.caller),
+            ("peer", &self.peer),
+            ("operator", &self.operator),
+        ];
+        for (i, (name, addr)) in ports.iter().enumerate() {
+            let parsed: Result<std::net::SocketAddr, _> = addr.parse();
+            let port = parsed
+                .map_err(|_| eyre!("{name}: `{addr}` is no IP:PORT"))?
+                .port();
+            for (other, same) in &ports[i + 1..] {
+                if port != 0 && addr == same {
+                    bail!("{name} and {other} are both {addr}; give each a port of its own");
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Credential {
+    /// Reads the credential; `place` names the setting in errors.
+    pub fn load(&self, place: &str) -> Result<String> {
+        let text = match self {
+            Credential::File(path) => std::fs::read_to_string(path).wrap_err_with(|| {
+                format!(
+                    "{place}: cannot read {}; name a file with it",
+                    path.display()
+                )
+            })?,
+            Credential::Env(name) => std::env::var(name)
+                .map_err(|_| eyre!("{place}: variable {name} is not set; set it"))?,
+        };
+        let text = text.trim().to_string();
+        if text.len() < 8 {
+            bail!("{place}: it is shorter than 8 characters; use a longer one");
+        }
+        Ok(text)
+    }
+}
--- /dev/null
+++ b/crates/ashgauged/src/timeline.rs
@@ -0,0 +1,69 @@
+//! The box's own part of the time line.
+
+use std::collections::VecDeque;
+use std::fs::File;
+use std::io::Write;
+use std::sync::Mutex;
+
+use ashgauge::record::Record;
+use eyre::{Result, WrapErr};
+use operator::EventsAnswer;
+
+use crate::settings::Settings;
+
+/// Keeps the newest records, and writes all of them to a file if one is set.
+pub struct Timeline {
+    most: usize,
+    inner: Mutex<Inner>,
+}
+
+struct Inner {
+    records: VecDeque<Record>,
+    lost: u64,
+    file: Option<File>,
+}
+
+impl Timeline {
+    /// Makes an empty time line.
+    pub fn new(settings: &Settings) -> Result<Self> {
+        let open = |path| {
+            let mut options = File::options();
+            let file = options.append(true).create(true).open(path);
+            file.wrap_err_with(|| format!("events: cannot open {path:?}; name another file"))
+        };
+        let file = settings.events.as_ref().map(open).transpose()?;
+        let inner = Inner {
+            records: VecDeque::new(),
+            lost: 0,
+            file,
+        };
+        Ok(Timeline {
+            most: settings.limits.records,
+            inner: Mutex::new(inner),
+        })
+    }
+
+    /// Adds a record.
+    pub fn add(&self, record: Record) {
+        let mut inner = self.inner.lock().unwrap_or_else(|e| e.into_inner());
+        if let Some(file) = &mut inner.file {
+            let mut line = serde_json::to_vec(&record).unwrap_or_default();
+            line.push(b'\n');
+            let _ = file.write_all(&line);
+        }
+        if inner.records.len() >= self.most {
+            inner.records.pop_front();
+            inner.lost += 1;
+        }
+        inner.records.push_back(record);
+    }
+
+    /// The records that are kept.
+    pub fn read(&self) -> EventsAnswer {
+        let inner = self.inner.lock().unwrap_or_else(|e| e.into_inner());
+        EventsAnswer {
+            records: inner.records.iter().cloned().collect(),
+            lost: inner.lost,
+        }
+    }
+}
--- /dev/null
+++ b/crates/caller/src/request.rs
@@ -0,0 +1,230 @@
+//! From an HTTP request to an [`Order`].
+
+use std::time::Duration;
+
+use ashgauge::node::{Order, Value, Work};
+use ashgauge::policy::hash_key;
+use http::read_body;
+use hyper::body::Incoming;
+use hyper::header::{AUTHORIZATION, CONTENT_TYPE, HeaderMap};
+use hyper::{Method, Request, StatusCode};
+use serde::Deserialize;
+
+use crate::Bounds;
+use crate::answer::Problem;
+
+/// Header that marks a request as not repeatable, with the value `no`.
+const REPEAT: &str = "ashgauge-repeat";
+
+/// Header with the request's longest time in milliseconds.
+const TIMEOUT: &str = "ashgauge-timeout-ms";
+
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+const TOKENS_DEFAULT: u32 = 16;
+
+/// Form in which the caller wants its answer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Shape {
+    /// `/v1/completions`.
+    Completion {
+        /// Model.
+        model: String,
+        /// Whether by server-sent events.
+        stream: bool,
+    },
+    /// `/v1/chat/completions`.
+    Chat {
+        /// Model.
+        model: String,
+        /// Whether by server-sent events.
+        stream: bool,
+    },
+    /// A plain service's own.
+    Service,
+}
+
+#[derive(Deserialize)]
+struct CompletionBody {
+    model: String,
+    prompt: String,
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    stream: bool,
+}
+
+#[derive(Deserialize)]
+struct ChatBody {
+    model: String,
+    messages: Vec<ChatMessage>,
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    stream: bool,
+}
+
+#[derive(Deserialize)]
+struct ChatMessage {
+    role: String,
+    content: String,
+}
+
+/// Splits a prompt into tokens, one a byte.
+pub fn tokenize(text: &str) -> Vec<Value> {
+    text.bytes().map(Value::from).collect()
+}
+
+/// Reads a request whole and checks it.
+pub(crate) async fn parse(
+    request: Request<Incoming>,
+    bounds: &Bounds,
+) -> Result<(Order, Shape), Problem> {
+    let (head, body) = request.into_parts();
+    let key = bearer(&head.headers)?;
+    let timeout = timeout(&head.headers)?;
+    let name = text(&head.headers, IDEMPOTENCY_KEY)?;
+    let repeatable = text(&head.headers, REPEAT)?.as_deref() != Some("no");
+    let path = head
+        .uri
+        .path_and_query()
+        .map_or("/", |p| p.as_str())
+        .to_string();
+    let model = matches!(head.uri.path(), "/v1/completions" | "/v1/chat/completions");
+    if model && head.method != Method::POST {
+        return Err(Problem::bad_method());
+    }
+    let body = read_body(body, bounds.body, bounds.body_time).await;
+    let body = body.map_err(|status| Problem::bad_body(status, bounds.body))?;
+    let (work, shape) = match head.uri.path() {
+        "/v1/completions" => completion(&body, bounds)?,
+        "/v1/chat/completions" => chat(&body, bounds)?,
+        _ => {
+            let content = text(&head.headers, CONTENT_TYPE.as_str())?;
+            let work = Work::Call {
+                method: head.method.to_string(),
+                path,
+                content: content.unwrap_or_default(),
+                body: body.to_vec().into(),
+            };
+            (work, Shape::Service)
+        }
+    };
+    let order = Order {
+        id: 0,
+        key_hash: hash_key(&key),
+        work,
+        key: name,
+        repeatable,
+        timeout,
+    };
+    Ok((order, shape))
+}
+
+fn completion(body: &[u8], bounds: &Bounds) -> Result<(Work, Shape), Problem> {
+    let body: CompletionBody = decode(body)?;
+    let work = generate(&body.model, &body.prompt, body.max_tokens, bounds)?;
+    let (model, stream) = (body.model, body.stream);
+    Ok((work, Shape::Completion { model, stream }))
+}
+
+fn chat(body: &[u8], bounds: &Bounds) -> Result<(Work, Shape), Problem> {
+    let body: ChatBody = decode(body)?;
+    let lines = body.messages.iter();
+    let lines: Vec<String> = lines
+        .map(|m| format!("{}: {}\n", m.role, m.content))
+        .collect();
+    let work = generate(&body.model, &lines.concat(), body.max_tokens, bounds)?;
+    let (model, stream) = (body.model, body.stream);
+    Ok((work, Shape::Chat { model, stream }))
+}
+
+fn generate(
+    model: &str,
+    prompt: &str,
+    most: Option<u32>,
+    bounds: &Bounds,
+) -> Result<Work, Problem> {
+    let most = most.unwrap_or(TOKENS_DEFAULT);
+    if most == 0 || most > bounds.tokens {
+        let limit = bounds.tokens;
+        return Err(Problem::bad_request(&format!(
+            "max_tokens must be 1 to {limit}"
+        )));
+    }
+    if prompt.is_empty() {
+        return Err(Problem::bad_request("the prompt must not be empty"));
+    }
+    Ok(Work::Generate {
+        model: model.into(),
+        prompt: tokenize(prompt),
+        most,
+    })
+}
+
+fn decode<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, Problem> {
+    serde_json::from_slice(body).map_err(|e| Problem::bad_request(&e.to_string()))
+}
+
+fn bearer(headers: &HeaderMap) -> Result<String, Problem> {
+    let value = text(headers, AUTHORIZATION.as_str())?;
+    let key = value.as_deref().and_then(|v| v.strip_prefix("Bearer "));
+    key.map(String::from).ok_or_else(Problem::no_key)
+}
+
+fn timeout(headers: &HeaderMap) -> Result<Option<Duration>, Problem> {
+    let Some(value) = text(headers, TIMEOUT)? else {
+        return Ok(None);
+    };
+    match value.parse::<u64>() {
+        Ok(ms) if ms > 0 => Ok(Some(Duration::from_millis(ms))),
+        _ => Err(Problem::bad_request(&format!(
+            "{TIMEOUT} must be a whole number from 1"
+        ))),
+    }
+}
+
+fn text(headers: &HeaderMap, name: &str) -> Result<Option<String>, Problem> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    match value.to_str() {
+        Ok(value) => Ok(Some(value.into())),
+        Err(_) => Err(Problem::bad_request(&format!("header {name} is not text"))),
+    }
+}
+
+impl Problem {
+    fn bad_body(status: StatusCode, most: usize) -> Self {
+        let message = match status {
+            StatusCode::PAYLOAD_TOO_LARGE => format!("the body is longer than {most} bytes"),
+            StatusCode::REQUEST_TIMEOUT => "the body took too long to arrive".into(),
+            _ => "the body could not be read".into(),
+        };
+        Problem::new(
+            status,
+            "bad_request",
+            &message,
+            "send a shorter or whole body",
+        )
+    }
+
+    fn bad_request(message: &str) -> Self {
+        let remedy = "correct the request; README shows its form";
+        Problem::new(StatusCode::BAD_REQUEST, "bad_request", message, remedy)
+    }
+
+    fn bad_method() -> Self {
+        let status = StatusCode::METHOD_NOT_ALLOWED;
+        Problem::new(
+            status,
+            "bad_method",
+            "this path takes POST only",
+            "use POST",
+        )
+    }
+
+    fn no_key() -> Self {
+        let status = StatusCode::UNAUTHORIZED;
+        let remedy = "send the team's key as a bearer token";
+        Problem::new(status, "unauthorized", "no bearer key was sent", remedy)
+    }
+}
--- /dev/null
+++ b/crates/http/src/client.rs
@@ -0,0 +1,156 @@
+//! A client with pooled connections that tells what got out.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+type Sender = SendRequest<Full<Bytes>>;
+
+/// Idle connections kept for one address.
+const IDLE_MOST: usize = 64;
+
+/// Longest answer, in bytes; a stored object is at most 1 MB.
+const ANSWER_MOST: usize = 8 << 20;
+
+/// Why a request brought no answer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Failure {
+    /// No byte of it left this process.
+    NotSent(String),
+    /// It was sent, and no whole answer came.
+    Lost(String),
+}
+
+/// Sends requests over kept connections. Clones share the connections.
+#[derive(Clone, Debug)]
+pub struct Client {
+    connect: Duration,
+    idle: Arc<Mutex<HashMap<String, Vec<Sender>>>>,
+}
+
+impl Client {
+    /// Makes a client that gives up connecting after `connect`.
+    pub fn new(connect: Duration) -> Self {
+        Client {
+            connect,
+            idle: Arc::default(),
+        }
+    }
+
+    /// Sends a request to `addr` and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be reached, the connection breaks, or no
+    /// whole answer came within `limit`.
+    pub async fn send(
+        &self,
+        addr: &str,
+        request: Request<Full<Bytes>>,
+        limit: Duration,
+    ) -> Result<Response<Bytes>, Failure> {
+        match timeout(limit, self.exchange(addr, request)).await {
+            Ok(result) => result,
+            Err(_) => Err(Failure::Lost("no answer in time".into())),
+        }
+    }
+
+    async fn exchange(
+        &self,
+        addr: &str,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<Response<Bytes>, Failure> {
+        // An idle connection may have been closed by the other side; hyper
+        // gives the request back if it was not begun.
+        while let Some(sender) = self.take(addr) {
+            match self.try_on(addr, sender, request).await {
+                Ok(answer) => return answer,
+                Err(unsent) => request = *unsent,
+            }
+        }
+        let sender = self.connect(addr).await?;
+        match self.try_on(addr, sender, request).await {
+            Ok(answer) => answer,
+            Err(_) => Err(Failure::NotSent("connection closed at once".into())),
+        }
+    }
+
+    /// Sends on one connection; gives the request back if it did not go out.
+    async fn try_on(
+        &self,
+        addr: &str,
+        mut sender: Sender,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Result<Response<Bytes>, Failure>, Box<Request<Full<Bytes>>>> {
+        let response = match sender.try_send_request(request).await {
+            Ok(response) => response,
+            Err(mut e) => match e.take_message() {
+                Some(request) => return Err(Box::new(request)),
+                None => return Ok(Err(Failure::Lost(e.error().to_string()))),
+            },
+        };
+        let (parts, body) = response.into_parts();
+        let body = match Limited::new(body, ANSWER_MOST).collect().await {
+            Ok(body) => body.to_bytes(),
+            Err(e) => return Ok(Err(Failure::Lost(e.to_string()))),
+        };
+        self.keep(addr, sender);
+        Ok(Ok(Response::from_parts(parts, body)))
+    }
+
+    async fn connect(&self, addr: &str) -> Result<Sender, Failure> {
+        let not_sent = |e: &dyn fmt::Display| Failure::NotSent(e.to_string());
+        let stream = match timeout(self.connect, TcpStream::connect(addr)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(e)) => return Err(not_sent(&e)),
+            Err(_) => return Err(Failure::NotSent("connecting took too long".into())),
+        };
+        let _ = stream.set_nodelay(true);
+        let (sender, connection) = handshake(TokioIo::new(stream))
+            .await
+            .map_err(|e| not_sent(&e))?;
+        tokio::spawn(connection);
+        Ok(sender)
+    }
+
+    fn take(&self, addr: &str) -> Option<Sender> {
+        let mut idle = self.idle.lock().ok()?;
+        let senders = idle.get_mut(addr)?;
+        while let Some(sender) = senders.pop() {
+            if sender.is_ready() {
+                return Some(sender);
+            }
+        }
+        None
+    }
+
+    fn keep(&self, addr: &str, sender: Sender) {
+        let Ok(mut idle) = self.idle.lock() else {
+            return;
+        };
+        let senders = idle.entry(addr.into()).or_default();
+        if !sender.is_closed() && senders.len() < IDLE_MOST {
+            senders.push(sender);
+        }
+    }
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Failure::NotSent(cause) => write!(f, "not sent: {cause}"),
+            Failure::Lost(cause) => write!(f, "no answer: {cause}"),
+        }
+    }
+}
+
+impl std::error::Error for Failure {}
--- /dev/null
+++ b/crates/http/src/server.rs
@@ -0,0 +1,147 @@
+//! A server that bounds what each connection may cost.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::combinators::BoxBody;
+use http_body_util::{BodyExt, Empty, Full, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, watch};
+use tokio::time::timeout;
+
+/// Body of an answer.
+pub type Body = BoxBody<Bytes, Infallible>;
+
+/// Bounds of a server.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Open connections.
+    pub connections: usize,
+    /// Bytes of a request's head.
+    pub head: usize,
+    /// Time for a request's head.
+    pub head_time: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            connections: 4096,
+            head: 16 << 10,
+            head_time: Duration::from_secs(5),
+        }
+    }
+}
+
+/// Serves connections until `stop` turns true or is closed, then lets the
+/// requests in flight end.
+pub async fn serve<H, F>(
+    listener: TcpListener,
+    limits: Limits,
+    mut stop: watch::Receiver<bool>,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    let places = Arc::new(Semaphore::new(limits.connections));
+    let handler = Arc::new(handler);
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|s| *s) => break,
+        };
+        let Ok((stream, _)) = accepted else {
+            // Out of file descriptors, most likely; accepting again at once
+            // would spin.
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let Ok(place) = places.clone().try_acquire_owned() else {
+            continue;
+        };
+        let (handler, stop) = (handler.clone(), stop.clone());
+        tokio::spawn(async move {
+            connection(stream, limits, stop, handler).await;
+            drop(place);
+        });
+    }
+    drop(listener);
+    let _ = places.acquire_many(limits.connections as u32).await;
+}
+
+/// Reads a request's whole body.
+///
+/// # Errors
+///
+/// Fails with the status to answer if the body is longer than `most` bytes,
+/// takes longer than `limit`, or breaks.
+pub async fn read_body(body: Incoming, most: usize, limit: Duration) -> Result<Bytes, StatusCode> {
+    match timeout(limit, Limited::new(body, most).collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
+            Err(StatusCode::PAYLOAD_TOO_LARGE)
+        }
+        Ok(Err(_)) => Err(StatusCode::BAD_REQUEST),
+        Err(_) => Err(StatusCode::REQUEST_TIMEOUT),
+    }
+}
+
+/// A body with all its bytes at hand.
+pub fn full(bytes: impl Into<Bytes>) -> Body {
+    Full::new(bytes.into()).boxed()
+}
+
+/// A body without bytes.
+pub fn empty() -> Body {
+    Empty::new().boxed()
+}
+
+/// A JSON answer.
+pub fn json(status: StatusCode, value: &impl serde::Serialize) -> Response<Body> {
+    let bytes = serde_json::to_vec(value).unwrap_or_default();
+    let mut response = Response::new(full(bytes));
+    *response.status_mut() = status;
+    let kind = hyper::header::HeaderValue::from_static("application/json");
+    response
+        .headers_mut()
+        .insert(hyper::header::CONTENT_TYPE, kind);
+    response
+}
+
+async fn connection<H, F>(
+    stream: TcpStream,
+    limits: Limits,
+    mut stop: watch::Receiver<bool>,
+    handler: Arc<H>,
+) where
+    H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let answer = handler(request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.head_time)
+        .max_buf_size(limits.head.max(8192))
+        .half_close(false);
+    let serving = builder.serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(serving);
+    tokio::select! {
+        _ = serving.as_mut() => return,
+        _ = stop.wait_for(|s| *s) => serving.as_mut().graceful_shutdown(),
+    }
+    let _ = serving.await;
+}
--- /dev/null
+++ b/crates/operator/src/client.rs
@@ -0,0 +1,145 @@
+//! Calls of the operator API.
+
+use std::fmt;
+use std::time::Duration;
+
+use ashgauge::editor::Answer;
+use ashgauge::node::Status;
+use ashgauge::table::Edit;
+use bytes::Bytes;
+use http::{Client, Failure, Full};
+use hyper::header::{AUTHORIZATION, HOST, HeaderValue};
+use hyper::{Method, Request, StatusCode};
+use serde::de::DeserializeOwned;
+
+use crate::{BoxesAnswer, EventsAnswer, TableAnswer};
+
+const CALL_TIME: Duration = Duration::from_secs(10);
+
+/// Why a call brought no result.
+#[derive(Debug)]
+pub enum CallError {
+    /// The box could not be reached or did not answer.
+    Network(Failure),
+    /// The credential is wrong.
+    Unauthorized,
+    /// The box refused, with its words.
+    Refused(String),
+}
+
+/// The operators' port of one box.
+#[derive(Clone, Debug)]
+pub struct Operator {
+    addr: String,
+    credential: String,
+    client: Client,
+}
+
+impl Operator {
+    /// Makes a client of the box at `addr`.
+    pub fn new(addr: &str, credential: &str) -> Self {
+        Operator {
+            addr: addr.into(),
+            credential: credential.into(),
+            client: Client::new(Duration::from_secs(1)),
+        }
+    }
+
+    /// Reads the table.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the box gives no result.
+    pub async fn table(&self) -> Result<TableAnswer, CallError> {
+        self.get("/v1/table").await
+    }
+
+    /// Reads the box's state.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the box gives no result.
+    pub async fn status(&self) -> Result<Status, CallError> {
+        self.get("/v1/status").await
+    }
+
+    /// Reads the boxes that the box knows.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the box gives no result.
+    pub async fn boxes(&self) -> Result<BoxesAnswer, CallError> {
+        self.get("/v1/boxes").await
+    }
+
+    /// Reads the box's time line.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the box gives no result.
+    pub async fn events(&self) -> Result<EventsAnswer, CallError> {
+        self.get("/v1/events").await
+    }
+
+    /// Edits the table.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the box gives no result; the edit may then have taken effect,
+    /// and the same edit may be sent again.
+    pub async fn edit(&self, edit: &Edit) -> Result<Answer, CallError> {
+        let body = serde_json::to_vec(edit).unwrap_or_default();
+        self.call(Method::POST, "/v1/edits", body.into()).await
+    }
+
+    /// Drains the box.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the box gives no result.
+    pub async fn drain(&self) -> Result<(), CallError> {
+        let answer = self.call(Method::POST, "/v1/drain", Bytes::new()).await;
+        answer.map(|_: serde_json::Value| ())
+    }
+
+    async fn get<T: DeserializeOwned>(&self, path: &'static str) -> Result<T, CallError> {
+        self.call(Method::GET, path, Bytes::new()).await
+    }
+
+    async fn call<T: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &'static str,
+        body: Bytes,
+    ) -> Result<T, CallError> {
+        let mut request = Request::new(Full::new(body));
+        *request.method_mut() = method;
+        *request.uri_mut() = hyper::Uri::from_static(path);
+        let headers = request.headers_mut();
+        headers.insert(HOST, HeaderValue::from_static("box"));
+        let bearer = HeaderValue::from_str(&format!("Bearer {}", self.credential));
+        headers.insert(AUTHORIZATION, bearer.map_err(|_| CallError::Unauthorized)?);
+        let answer = self.client.send(&self.addr, request, CALL_TIME).await;
+        let answer = answer.map_err(CallError::Network)?;
+        let refused = || CallError::Refused(String::from_utf8_lossy(answer.body()).into());
+        match answer.status() {
+            StatusCode::OK => serde_json::from_slice(answer.body()).map_err(|_| refused()),
+            StatusCode::UNAUTHORIZED => Err(CallError::Unauthorized),
+            _ => Err(refused()),
+        }
+    }
+}
+
+impl fmt::Display for CallError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            CallError::Network(e) => write!(f, "the box does not answer ({e}); try another box"),
+            CallError::Unauthorized => {
+                f.write_str("the credential is wrong; set ASHCTL_CREDENTIAL or --credential-file")
+            }
+            CallError::Refused(text) => write!(f, "the box refused: {text}"),
+        }
+    }
+}
+
+impl std::error::Error for CallError {}
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,129 @@
+//! Messages between boxes over JSON-RPC.
+//!
+//! One method, `deliver`, takes an [`Envelope`] and answers at once; an answer
+//! to a message is a message of its own. The port takes nothing without the
+//! fleet's credential.
+
+#![warn(missing_docs)]
+#![forbid(unsafe_code)]
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use ashgauge::message::Envelope;
+use jsonrpsee::core::client::ClientT;
+use jsonrpsee::http_client::{HeaderMap, HeaderValue, HttpClient};
+use jsonrpsee::rpc_params;
+use jsonrpsee::server::{HttpBody, HttpRequest, HttpResponse, RpcModule, Server, ServerHandle};
+use subtle::ConstantTimeEq;
+use tower_http::validate_request::ValidateRequestHeaderLayer;
+
+const METHOD: &str = "deliver";
+
+/// Time that a delivery may take.
+const CALL_TIME: Duration = Duration::from_millis(1000);
+
+/// Longest message, in bytes; a table is at most 1 MB.
+const MESSAGE_MOST: u32 = 4 << 20;
+
+/// Sends messages to other boxes. Clones share the connections.
+#[derive(Clone)]
+pub struct Peers {
+    credential: Arc<str>,
+    clients: Arc<Mutex<HashMap<String, HttpClient>>>,
+}
+
+impl Peers {
+    /// Makes a sender that shows this credential.
+    pub fn new(credential: &str) -> Self {
+        Peers {
+            credential: credential.into(),
+            clients: Arc::default(),
+        }
+    }
+
+    /// Delivers a message to the box at `addr`.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the cause if the box did not take it in time.
+    pub async fn deliver(&self, addr: &str, envelope: &Envelope) -> Result<(), String> {
+        let client = self.client(addr)?;
+        let params = rpc_params![envelope];
+        let sent: Result<bool, _> = client.request(METHOD, params).await;
+        sent.map(|_| ()).map_err(|e| e.to_string())
+    }
+
+    fn client(&self, addr: &str) -> Result<HttpClient, String> {
+        let mut clients = self.clients.lock().unwrap_or_else(|e| e.into_inner());
+        if let Some(client) = clients.get(addr) {
+            return Ok(client.clone());
+        }
+        let mut headers = HeaderMap::new();
+        let value = HeaderValue::from_str(&format!("Bearer {}", self.credential));
+        headers.insert("authorization", value.map_err(|e| e.to_string())?);
+        let client = HttpClient::builder()
+            .request_timeout(CALL_TIME)
+            .max_request_size(MESSAGE_MOST)
+            .set_headers(headers)
+            .build(format!("http://{addr}"))
+            .map_err(|e| e.to_string())?;
+        clients.insert(addr.into(), client.clone());
+        Ok(client)
+    }
+}
+
+/// Serves the box-to-box port; `take` gets each message.
+///
+/// Dropping the handle stops the server.
+///
+/// # Errors
+///
+/// Fails if the address cannot be bound.
+pub async fn serve(
+    addr: &str,
+    credential: &str,
+    take: impl Fn(Envelope) + Send + Sync + 'static,
+) -> Result<(SocketAddr, ServerHandle), String> {
+    let wanted = format!("Bearer {credential}");
+    #[allow(clippy::result_large_err)]
+    let check = move |request: &mut HttpRequest<_>| authorize(request, &wanted);
+    let middleware = tower::ServiceBuilder::new().layer(ValidateRequestHeaderLayer::custom(check));
+    let config = jsonrpsee::server::ServerConfig::builder()
+        .max_request_body_size(MESSAGE_MOST)
+        .http_only()
+        .build();
+    let server = Server::builder()
+        .set_config(config)
+        .set_http_middleware(middleware)
+        .build(addr)
+        .await
+        .map_err(|e| e.to_string())?;
+    let bound = server.local_addr().map_err(|e| e.to_string())?;
+    let mut module = RpcModule::new(take);
+    module
+        .register_method(METHOD, |params, take, _| {
+            let envelope: Envelope = params.one()?;
+            take(envelope);
+            Ok::<bool, jsonrpsee::types::ErrorObjectOwned>(true)
+        })
+        .map_err(|e| e.to_string())?;
+    Ok((bound, server.start(module)))
+}
+
+#[allow(clippy::result_large_err)]
+fn authorize(
+    request: &mut HttpRequest<HttpBody>,
+    wanted: &str,
+) -> Result<(), HttpResponse<HttpBody>> {
+    let shown = request.headers().get("authorization");
+    let shown = shown.map_or(&b""[..], |v| v.as_bytes());
+    if bool::from(shown.ct_eq(wanted.as_bytes())) {
+        return Ok(());
+    }
+    let refused = HttpResponse::builder().status(401);
+    let body = HttpBody::from("wrong credential");
+    Err(refused.body(body).unwrap_or_default())
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,178 @@
+//! Client of the platform's object API.
+//!
+//! An object has a name, a JSON value and a version that grows with each write.
+//! Every call is paced by a budget, so that one box cannot use up the fleet's
+//! share.
+
+#![warn(missing_docs)]
+#![forbid(unsafe_code)]
+
+mod pace;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ashgauge::claim::Written;
+use ashgauge::member::Listing;
+use ashgauge::node::{Content, Object};
+use ashgauge::table::{self, Version};
+use bytes::Bytes;
+use http::{Client, Failure, Full};
+use hyper::{Method, Request, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+
+pub use pace::Pace;
+
+/// Time that a call may take.
+const CALL_TIME: Duration = Duration::from_secs(2);
+
+/// Time that the platform may hold a watch.
+const WATCH_TIME: Duration = Duration::from_secs(20);
+
+/// An object's version and value, as the API carries them.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Stored {
+    /// Version.
+    pub version: Version,
+    /// Value.
+    pub value: serde_json::Value,
+}
+
+/// Answer to a write.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct WriteReply {
+    /// Version that the object has now.
+    pub version: Version,
+}
+
+/// The platform, as one box calls it. Clones share the budget.
+#[derive(Clone)]
+pub struct Platform {
+    addr: String,
+    client: Client,
+    pace: Arc<Pace>,
+}
+
+/// Name of an object in the store.
+pub fn name(object: &Object) -> String {
+    match object {
+        Object::Table => "table".into(),
+        Object::Claims(shard) => format!("claims-{shard}"),
+        Object::Lease => "lease-orders".into(),
+    }
+}
+
+impl Platform {
+    /// Makes a client of the platform at `addr` with `rate` calls a second.
+    pub fn new(addr: &str, rate: f64) -> Self {
+        Platform {
+            addr: addr.into(),
+            client: Client::new(Duration::from_millis(500)),
+            pace: Arc::new(Pace::new(rate)),
+        }
+    }
+
+    /// Reads an object; version 0 if it is not there, `None` if no answer.
+    pub async fn read(&self, object: &Object) -> Option<(Version, Option<Content>)> {
+        self.pace.wait().await;
+        let path = format!("/v1/objects/{}", name(object));
+        let answer = self.get(&path, CALL_TIME).await?;
+        match answer.status() {
+            StatusCode::NOT_FOUND => Some((0, None)),
+            StatusCode::OK => {
+                let stored: Stored = serde_json::from_slice(answer.body()).ok()?;
+                let content = decode(object, &stored.value)?;
+                Some((stored.version, Some(content)))
+            }
+            _ => None,
+        }
+    }
+
+    /// Writes an object if it still has `version`; 0 creates it.
+    pub async fn write(&self, object: &Object, version: Version, content: &Content) -> Written {
+        self.pace.wait().await;
+        let path = format!("/v1/objects/{}?version={version}", name(object));
+        let mut request = Request::new(Full::new(encode(content)));
+        *request.method_mut() = Method::PUT;
+        *request.uri_mut() = path.parse().unwrap_or_default();
+        let answer = self.client.send(&self.addr, host(request), CALL_TIME).await;
+        match answer {
+            Ok(answer) => written(&answer),
+            Err(Failure::NotSent(_)) => Written::Refused,
+            Err(Failure::Lost(_)) => Written::Unknown,
+        }
+    }
+
+    /// Waits until the table's version passes `version`, or some time is over.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform gives no answer.
+    pub async fn watch_table(
+        &self,
+        version: Version,
+    ) -> Result<Option<(Version, Arc<table::Table>)>, ()> {
+        self.pace.wait().await;
+        let wait = WATCH_TIME.as_secs();
+        let path = format!("/v1/objects/table?after={version}&wait={wait}");
+        let limit = WATCH_TIME + CALL_TIME;
+        let answer = self.get(&path, limit).await.ok_or(())?;
+        if answer.status() != StatusCode::OK {
+            let calm = [StatusCode::NOT_MODIFIED, StatusCode::NOT_FOUND];
+            return calm.contains(&answer.status()).then_some(None).ok_or(());
+        }
+        let stored: Stored = serde_json::from_slice(answer.body()).map_err(|_| ())?;
+        let table = table::from_value(&stored.value).map_err(|_| ())?;
+        Ok(Some((stored.version, Arc::new(table))))
+    }
+
+    /// Reads the lagging list of members.
+    pub async fn list(&self) -> Option<Listing> {
+        self.pace.wait().await;
+        let answer = self.get("/v1/members", CALL_TIME).await?;
+        serde_json::from_slice(answer.body()).ok()
+    }
+
+    async fn get(&self, path: &str, limit: Duration) -> Option<Response<Bytes>> {
+        let mut request = Request::new(Full::new(Bytes::new()));
+        *request.uri_mut() = path.parse().ok()?;
+        let answer = self.client.send(&self.addr, host(request), limit).await;
+        answer.ok()
+    }
+}
+
+fn host(mut request: Request<Full<Bytes>>) -> Request<Full<Bytes>> {
+    let value = hyper::header::HeaderValue::from_static("platform");
+    request.headers_mut().insert(hyper::header::HOST, value);
+    request
+}
+
+fn written(answer: &Response<Bytes>) -> Written {
+    match answer.status() {
+        StatusCode::OK => match serde_json::from_slice::<WriteReply>(answer.body()) {
+            Ok(v) => Written::Done(v.version),
+            Err(_) => Written::Unknown,
+        },
+        StatusCode::CONFLICT => Written::Conflict,
+        // The only answer by which the API says that it did nothing.
+        StatusCode::TOO_MANY_REQUESTS => Written::Refused,
+        _ => Written::Unknown,
+    }
+}
+
+fn encode(content: &Content) -> Bytes {
+    let bytes = match content {
+        Content::Table(table) => serde_json::to_vec(&**table),
+        Content::Claims(entries) => serde_json::to_vec(entries),
+        Content::Lease(stored) => serde_json::to_vec(stored),
+    };
+    bytes.unwrap_or_default().into()
+}
+
+fn decode(object: &Object, value: &serde_json::Value) -> Option<Content> {
+    match object {
+        Object::Table => Some(Content::Table(Arc::new(table::from_value(value).ok()?))),
+        Object::Claims(_) => Deserialize::deserialize(value).ok().map(Content::Claims),
+        Object::Lease => Deserialize::deserialize(value).ok().map(Content::Lease),
+    }
+}
--- /dev/null
+++ b/crates/platform/src/pace.rs
@@ -0,0 +1,41 @@
+//! A budget of calls.
+
+use std::sync::Mutex;
+use std::time::Duration;
+
+use tokio::time::{Instant, sleep_until};
+
+/// Calls that may go out at once after a calm time, in seconds of rate.
+const BURST: f64 = 2.0;
+
+/// Spaces calls so that a rate is not passed.
+#[derive(Debug)]
+pub struct Pace {
+    gap: Duration,
+    next: Mutex<Instant>,
+}
+
+impl Pace {
+    /// Makes a budget of `rate` calls a second.
+    pub fn new(rate: f64) -> Self {
+        Pace {
+            gap: Duration::from_secs_f64(1.0 / rate.max(0.1)),
+            next: Mutex::new(Instant::now()),
+        }
+    }
+
+    /// Waits until one more call fits.
+    pub async fn wait(&self) {
+        let due = self.book();
+        sleep_until(due).await;
+    }
+
+    fn book(&self) -> Instant {
+        let now = Instant::now();
+        let saved = Duration::from_secs_f64(BURST);
+        let mut next = self.next.lock().unwrap_or_else(|e| e.into_inner());
+        let due = (*next).max(now.checked_sub(saved).unwrap_or(now));
+        *next = due + self.gap;
+        due
+    }
+}
--- /dev/null
+++ b/crates/proof/src/fleet.rs
@@ -0,0 +1,487 @@
+//! A whole fleet of processes: platform, upstreams, links, boxes.
+
+use std::path::{Path, PathBuf};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use ashgauge::member::{BoxEntry, Hold, Listing, State, UpstreamEntry};
+use ashgauge::policy::hash_key;
+use ashgauge::table::{Cell, Table};
+use eyre::{Result, eyre};
+use http::{Client, Full};
+use hyper::Request;
+use operator::Operator;
+use serde_json::{Value, json};
+use standin::engine::Record;
+
+use crate::process::{Link, Process, put, wait_until};
+use crate::{KEY, OPERATOR, OTHER_KEY, PEER};
+
+/// Layers of the model of a test fleet.
+const LAYERS: u32 = 8;
+
+/// What to start.
+pub struct Plan {
+    /// Boxes.
+    pub boxes: Vec<BoxPlan>,
+    /// Engines of the model `chat`.
+    pub engines: Vec<EnginePlan>,
+    /// Number of plain services under `/notes`.
+    pub services: usize,
+    /// Layers of the model.
+    pub layers: u32,
+    /// The first table.
+    pub table: Table,
+}
+
+/// One box to start.
+#[derive(Clone, Default)]
+pub struct BoxPlan {
+    /// Settings that differ from the defaults, as JSON.
+    pub settings: Value,
+}
+
+/// One engine to start.
+#[derive(Clone)]
+pub struct EnginePlan {
+    /// First layer.
+    pub first: u32,
+    /// Layer after the last.
+    pub end: u32,
+    /// Time a layer.
+    pub layer_time: Duration,
+    /// Orders at the same time.
+    pub slots: usize,
+    /// Whether it checks the fence.
+    pub fenced: bool,
+}
+
+impl EnginePlan {
+    /// An engine of layers `first..end`, quick and fenced.
+    pub fn new(first: u32, end: u32) -> Self {
+        EnginePlan {
+            first,
+            end,
+            layer_time: Duration::from_micros(200),
+            slots: 8,
+            fenced: true,
+        }
+    }
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Plan {
+            boxes: vec![BoxPlan::default(); 2],
+            engines: vec![
+                EnginePlan::new(0, 4),
+                EnginePlan::new(4, 8),
+                EnginePlan::new(0, 4),
+                EnginePlan::new(4, 8),
+            ],
+            services: 1,
+            layers: LAYERS,
+            table: starter_table(LAYERS),
+        }
+    }
+}
+
+/// A box of the fleet.
+pub struct Node {
+    /// Name.
+    pub id: String,
+    /// The process.
+    pub process: Process,
+    /// Its link to the platform.
+    pub platform: Link,
+    /// Callers' port.
+    pub caller: String,
+    /// Operators' port.
+    pub operator: String,
+    /// Box-to-box port, through its link.
+    pub peer: String,
+    /// Link before its box-to-box port.
+    pub peer_link: Link,
+}
+
+/// An engine or service of the fleet.
+pub struct Upstream {
+    /// Name.
+    pub id: String,
+    /// The process.
+    pub process: Process,
+    /// The link before it.
+    pub link: Link,
+    addr: String,
+    records: PathBuf,
+}
+
+/// All processes; dropped, they are killed.
+pub struct Fleet {
+    /// Boxes.
+    pub boxes: Vec<Node>,
+    /// Engines.
+    pub engines: Vec<Upstream>,
+    /// Plain services.
+    pub services: Vec<Upstream>,
+    /// The platform's list as last published.
+    pub listing: Listing,
+    /// Layers of the model.
+    pub layers: u32,
+    platform: Process,
+    platform_addr: String,
+    dir: PathBuf,
+}
+
+impl Fleet {
+    /// Starts everything and waits until every box is ready.
+    pub async fn start(plan: Plan) -> Result<Self> {
+        let dir = temp_dir()?;
+        let mut platform = Process::start("standin", &["platform".to_string()])?;
+        let mut fleet = Fleet {
+            platform_addr: platform.line()?,
+            platform,
+            boxes: Vec::new(),
+            engines: Vec::new(),
+            services: Vec::new(),
+            listing: Listing::default(),
+            layers: plan.layers,
+            dir,
+        };
+        put(
+            &fleet.platform_addr,
+            "/v1/objects/table?version=0",
+            &plan.table,
+        )
+        .await?;
+        for engine in &plan.engines {
+            fleet.add_engine(engine)?;
+        }
+        for _ in 0..plan.services {
+            fleet.add_service()?;
+        }
+        for node in &plan.boxes {
+            fleet.add_box(node)?;
+        }
+        fleet.publish().await?;
+        fleet.ready().await?;
+        Ok(fleet)
+    }
+
+    /// Starts an engine and adds it to the list, which is not yet published.
+    pub fn add_engine(&mut self, plan: &EnginePlan) -> Result<usize> {
+        let id = format!("engine-{}", self.engines.len() + 1);
+        let records = self.dir.join(&id);
+        let mut args: Vec<String> = vec!["engine".into(), "--model".into(), "chat".into()];
+        let numbers = [
+            ("--first", u64::from(plan.first)),
+            ("--end", u64::from(plan.end)),
+            ("--layers", u64::from(self.layers)),
+            ("--layer-us", plan.layer_time.as_micros() as u64),
+            ("--slots", plan.slots as u64),
+        ];
+        for (name, value) in numbers {
+            args.extend([name.to_string(), value.to_string()]);
+        }
+        args.extend(["--records".into(), records.display().to_string()]);
+        if plan.fenced {
+            args.push("--fenced".into());
+        }
+        let upstream = Upstream::start(id, &args, records)?;
+        let hold = Hold {
+            model: "chat".into(),
+            first: plan.first,
+            end: plan.end,
+        };
+        self.listing.upstreams.push(UpstreamEntry {
+            id: upstream.id.as_str().into(),
+            addr: upstream.link.addr.clone(),
+            data_centre: "ebene-a".into(),
+            holds: vec![hold],
+            service: None,
+            fenced: plan.fenced,
+            state: State::Live,
+        });
+        self.engines.push(upstream);
+        Ok(self.engines.len() - 1)
+    }
+
+    /// Starts a plain service and adds it to the list, not yet published.
+    pub fn add_service(&mut self) -> Result<usize> {
+        let id = format!("service-{}", self.services.len() + 1);
+        let records = self.dir.join(&id);
+        let args = ["service", "--records", &records.display().to_string()].map(String::from);
+        let upstream = Upstream::start(id, &args, records)?;
+        self.listing.upstreams.push(UpstreamEntry {
+            id: upstream.id.as_str().into(),
+            addr: upstream.link.addr.clone(),
+            data_centre: "ebene-a".into(),
+            holds: Vec::new(),
+            service: Some("notes".into()),
+            fenced: false,
+            state: State::Live,
+        });
+        self.services.push(upstream);
+        Ok(self.services.len() - 1)
+    }
+
+    /// Starts a box and adds it to the list, not yet published.
+    pub fn add_box(&mut self, plan: &BoxPlan) -> Result<usize> {
+        let id = format!("box-{}", self.boxes.len() + 1);
+        let platform = Link::start(&self.platform_addr)?;
+        let mut settings = json!({
+            "id": id,
+            "data_centre": "ebene-a",
+            "caller": "127.0.0.1:0",
+            "peer": "127.0.0.1:0",
+            "operator": "127.0.0.1:0",
+            "platform": platform.addr,
+            "peer_credential": {"file": self.file("peer-credential", PEER)?},
+            "operator_credential": {"file": self.file("operator-credential", OPERATOR)?},
+            "timing": {"list_ms": 100, "heartbeat_ms": 200},
+            "platform_calls": 100.0,
+        });
+        merge(&mut settings, &plan.settings);
+        let file = self.file(&id, &settings.to_string())?;
+        let args = ["--settings".to_string(), file.display().to_string()];
+        let mut process = Process::start("ashgauged", &args)?;
+        let line: Value = serde_json::from_str(&process.line()?)?;
+        let port = |name: &str| {
+            let addr = line[name].as_str().map(String::from);
+            addr.ok_or_else(|| eyre!("the box did not name its port {name}"))
+        };
+        let peer_link = Link::start(&port("peer")?)?;
+        let node = Node {
+            id: id.clone(),
+            process,
+            platform,
+            caller: port("caller")?,
+            operator: port("operator")?,
+            peer: port("peer")?,
+            peer_link,
+        };
+        self.listing.boxes.push(BoxEntry {
+            id: id.as_str().into(),
+            peer: node.peer_link.addr.clone(),
+            operator: node.operator.clone(),
+            data_centre: "ebene-a".into(),
+            state: State::Live,
+        });
+        self.boxes.push(node);
+        Ok(self.boxes.len() - 1)
+    }
+
+    /// Gives the list of members to the platform.
+    pub async fn publish(&self) -> Result<()> {
+        put(&self.platform_addr, "/admin/members", &self.listing).await
+    }
+
+    /// Sets the platform's faults and limits.
+    pub async fn set_platform(&self, mode: standin::platform::Mode) -> Result<()> {
+        put(&self.platform_addr, "/admin/mode", &mode).await
+    }
+
+    /// The platform's counts of calls.
+    pub async fn platform_counts(&self) -> Result<standin::platform::Counts> {
+        Ok(serde_json::from_value(
+            self.platform_get("/admin/counts").await?,
+        )?)
+    }
+
+    /// The table as the platform holds it, with its version.
+    pub async fn stored_table(&self) -> Result<(u64, Table)> {
+        let objects = self.platform_get("/admin/objects").await?;
+        let table = &objects["table"];
+        let version = table["version"].as_u64().unwrap_or(0);
+        Ok((version, serde_json::from_value(table["value"].clone())?))
+    }
+
+    /// Waits until every box that runs is ready.
+    pub async fn ready(&self) -> Result<()> {
+        for node in &self.boxes {
+            node.wait_ready().await?;
+        }
+        Ok(())
+    }
+
+    /// Records of all engines.
+    pub fn engine_records(&self) -> Result<Vec<Record>> {
+        let mut all = Vec::new();
+        for engine in &self.engines {
+            all.extend(engine.records()?);
+        }
+        Ok(all)
+    }
+
+    /// Records of all services, as the bodies they ran.
+    pub fn service_bodies(&self) -> Result<Vec<String>> {
+        let mut all = Vec::new();
+        for service in &self.services {
+            let records: Vec<standin::service::Record> = read(&service.records)?;
+            all.extend(records.into_iter().map(|r| r.body));
+        }
+        Ok(all)
+    }
+
+    /// Where the fleet's files are.
+    pub fn dir(&self) -> &Path {
+        &self.dir
+    }
+
+    /// The platform's process.
+    pub fn platform(&mut self) -> &mut Process {
+        &mut self.platform
+    }
+
+    async fn platform_get(&self, path: &str) -> Result<Value> {
+        let mut request = Request::new(Full::default());
+        *request.uri_mut() = path.parse()?;
+        request.headers_mut().insert("host", "platform".parse()?);
+        let client = Client::new(Duration::from_secs(2));
+        let limit = Duration::from_secs(5);
+        let answer = client.send(&self.platform_addr, request, limit).await?;
+        Ok(serde_json::from_slice(answer.body())?)
+    }
+
+    fn file(&self, name: &str, text: &str) -> Result<PathBuf> {
+        let path = self.dir.join(format!("{name}.txt"));
+        std::fs::write(&path, text)?;
+        Ok(path)
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+impl Node {
+    /// The operators' port.
+    pub fn desk(&self) -> Operator {
+        Operator::new(&self.operator, OPERATOR)
+    }
+
+    /// Waits until the balancer may send requests here.
+    pub async fn wait_ready(&self) -> Result<()> {
+        wait_until("a box that is ready", || async {
+            let status = self.desk().status().await.ok()?;
+            status.ready.then_some(())
+        })
+        .await
+    }
+
+    /// Waits until a table version is in force.
+    pub async fn wait_version(&self, version: u64) -> Result<()> {
+        wait_until("a table version in force", || async {
+            let status = self.desk().status().await.ok()?;
+            (status.version >= version).then_some(())
+        })
+        .await
+    }
+}
+
+impl Upstream {
+    fn start(id: String, args: &[String], records: PathBuf) -> Result<Self> {
+        let mut process = Process::start("standin", args)?;
+        let addr = process.line()?;
+        Ok(Upstream {
+            id,
+            link: Link::start(&addr)?,
+            process,
+            addr,
+            records,
+        })
+    }
+
+    /// What the engine recorded.
+    pub fn records(&self) -> Result<Vec<Record>> {
+        read(&self.records)
+    }
+
+    /// Sets the stand-in's own faults and states.
+    pub async fn set(&self, mode: &impl serde::Serialize) -> Result<()> {
+        put(&self.addr, "/admin/mode", mode).await
+    }
+}
+
+/// A table with two tiers, two teams, a model and a service.
+pub fn starter_table(layers: u32) -> Table {
+    let mut table = Table::default();
+    let hash = |key: &str| {
+        let bytes = hash_key(key);
+        Cell::Text(bytes.iter().map(|b| format!("{b:02x}")).collect())
+    };
+    let text = |s: &str| Cell::Text(s.into());
+    let number = Cell::Number;
+    let rows = [
+        ("tier/gold", vec![("rank", number(0.0))]),
+        (
+            "tier/bronze",
+            vec![("rank", number(1.0)), ("floor", number(0.1))],
+        ),
+        (
+            "team/payroll",
+            vec![
+                ("tier", text("gold")),
+                ("weight", number(3.0)),
+                ("key", hash(KEY)),
+            ],
+        ),
+        (
+            "team/cellar",
+            vec![
+                ("tier", text("bronze")),
+                ("weight", number(1.0)),
+                ("key", hash(OTHER_KEY)),
+            ],
+        ),
+        (
+            "route/chat",
+            vec![
+                ("kind", text("model")),
+                ("layers", number(f64::from(layers))),
+            ],
+        ),
+        (
+            "route/notes",
+            vec![
+                ("kind", text("service")),
+                ("path", text("/notes")),
+                ("repeat", text("no")),
+            ],
+        ),
+    ];
+    for (row, cells) in rows {
+        let cells = cells.into_iter().map(|(c, v)| (c.to_string(), v));
+        table.rows.insert(row.into(), cells.collect());
+    }
+    table
+}
+
+/// Reads a file of JSON lines; a line that is being written is left out.
+fn read<T: serde::de::DeserializeOwned>(path: &Path) -> Result<Vec<T>> {
+    let text = std::fs::read_to_string(path).unwrap_or_default();
+    let whole = text.rfind('\n').map_or("", |end| &text[..end]);
+    let lines = whole.lines().map(|l| Ok(serde_json::from_str(l)?));
+    lines.collect()
+}
+
+fn merge(into: &mut Value, from: &Value) {
+    match (into, from) {
+        (Value::Object(into), Value::Object(from)) => {
+            for (key, value) in from {
+                merge(into.entry(key.clone()).or_insert(Value::Null), value);
+            }
+        }
+        (_, Value::Null) => {}
+        (into, from) => *into = from.clone(),
+    }
+}
+
+fn temp_dir() -> Result<PathBuf> {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH)?;
+    let name = format!("ashgauge-{}-{}", std::process::id(), since.as_nanos());
+    let dir = std::env::temp_dir().join(name);
+    std::fs::create_dir_all(&dir)?;
+    Ok(dir)
+}
--- /dev/null
+++ b/crates/proof/src/process.rs
@@ -0,0 +1,174 @@
+//! Child processes, and waiting for what they do.
+
+use std::future::Future;
+use std::io::{BufRead, BufReader};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use eyre::{Result, WrapErr, bail, eyre};
+use http::{Client, Full};
+use hyper::{Method, Request};
+use standin::link::Mode;
+
+/// Longest wait for a condition; only a failing test gets there.
+const WAIT_MOST: Duration = Duration::from_secs(30);
+
+const POLL_TIME: Duration = Duration::from_millis(10);
+
+/// A child process, killed when dropped.
+pub struct Process {
+    child: Child,
+    lines: BufReader<std::process::ChildStdout>,
+}
+
+/// A fault-injecting link with its control port.
+pub struct Link {
+    /// The process.
+    pub process: Process,
+    /// Address that leads through the link.
+    pub addr: String,
+    control: String,
+}
+
+/// Path of a program of this workspace, next to the running test.
+pub fn binary(name: &str) -> Result<PathBuf> {
+    let exe = std::env::current_exe()?;
+    let mut dirs = exe.ancestors().skip(1);
+    let found = dirs.find_map(|d| Some(d.join(name)).filter(|p| p.is_file()));
+    found.ok_or_else(|| eyre!("program {name} is not built; run cargo build --workspace first"))
+}
+
+/// Polls until `test` gives a value.
+///
+/// # Errors
+///
+/// Fails with `what` after half a minute.
+pub async fn wait_until<T, F>(what: &str, mut test: impl FnMut() -> F) -> Result<T>
+where
+    F: Future<Output = Option<T>>,
+{
+    let until = Instant::now() + WAIT_MOST;
+    loop {
+        if let Some(value) = test().await {
+            return Ok(value);
+        }
+        if Instant::now() > until {
+            bail!("waited in vain: {what}");
+        }
+        tokio::time::sleep(POLL_TIME).await;
+    }
+}
+
+impl Process {
+    /// Starts a program of this workspace.
+    pub fn start(name: &str, args: &[String]) -> Result<Self> {
+        let mut command = Command::new(binary(name)?);
+        command
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped());
+        if std::env::var_os("PROOF_LOGS").is_none() {
+            command.stderr(Stdio::null());
+        }
+        let mut child = command
+            .spawn()
+            .wrap_err_with(|| format!("cannot start {name}"))?;
+        let stdout = child
+            .stdout
+            .take()
+            .ok_or_else(|| eyre!("no output of {name}"))?;
+        Ok(Process {
+            child,
+            lines: BufReader::new(stdout),
+        })
+    }
+
+    /// Reads the next line of its output.
+    pub fn line(&mut self) -> Result<String> {
+        let mut line = String::new();
+        self.lines.read_line(&mut line)?;
+        if line.is_empty() {
+            bail!("the process ended early");
+        }
+        Ok(line.trim().into())
+    }
+
+    /// Process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends a signal, such as `TERM`, `STOP` or `CONT`.
+    pub fn signal(&self, name: &str) -> Result<()> {
+        let id = self.child.id().to_string();
+        let status = Command::new("kill")
+            .args([&format!("-{name}"), &id])
+            .status()?;
+        if !status.success() {
+            bail!("kill -{name} {id} failed");
+        }
+        Ok(())
+    }
+
+    /// Kills the process without notice.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Waits for its end and returns its exit code.
+    pub async fn ended(&mut self) -> Result<i32> {
+        let child = std::sync::Mutex::new(&mut self.child);
+        let status = wait_until("the end of a process", || async {
+            child.lock().ok()?.try_wait().ok()?
+        });
+        status
+            .await?
+            .code()
+            .ok_or_else(|| eyre!("the process was killed"))
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+impl Link {
+    /// Starts a link that leads to `to`.
+    pub fn start(to: &str) -> Result<Self> {
+        let args = ["link", "--to", to].map(String::from);
+        let mut process = Process::start("standin", &args)?;
+        Ok(Link {
+            addr: process.line()?,
+            control: process.line()?,
+            process,
+        })
+    }
+
+    /// Sets what the link does.
+    pub async fn set(&self, mode: Mode) -> Result<()> {
+        put(&self.control, "/admin/mode", &mode).await
+    }
+
+    /// Lets the link pass everything again.
+    pub async fn heal(&self) -> Result<()> {
+        self.set(Mode::default()).await
+    }
+}
+
+/// Sends a stand-in a JSON value.
+pub(crate) async fn put(addr: &str, path: &str, value: &impl serde::Serialize) -> Result<()> {
+    let mut request = Request::new(Full::new(serde_json::to_vec(value)?.into()));
+    *request.method_mut() = Method::PUT;
+    *request.uri_mut() = path.parse()?;
+    request.headers_mut().insert("host", "standin".parse()?);
+    let client = Client::new(Duration::from_secs(2));
+    let answer = client.send(addr, request, Duration::from_secs(5)).await?;
+    if !answer.status().is_success() {
+        bail!("{addr}{path} answered {}", answer.status());
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/standin/src/link.rs
@@ -0,0 +1,122 @@
+//! A link that brings faults about: a TCP relay with a control port.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::StatusCode;
+use serde::{Deserialize, Serialize};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use crate::web::{run, status_only};
+
+const CHUNK: usize = 16 << 10;
+
+/// What the link does to its connections; set by `PUT /admin/mode`.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Mode {
+    /// Milliseconds that every piece waits, each way.
+    pub delay_ms: u64,
+    /// Close all connections and every new one.
+    pub cut: bool,
+    /// Pass nothing on, but keep connections open.
+    pub freeze: bool,
+    /// Pass requests on, throw the answers away and then reset.
+    pub swallow: bool,
+    /// Reset connections after so many bytes of answers; 0 for never.
+    pub reset_after: usize,
+}
+
+/// Relays connections from `listener` to `to`, for ever.
+pub async fn serve(listener: TcpListener, control: TcpListener, to: SocketAddr) {
+    let mode = Arc::new(watch::Sender::new(Mode::default()));
+    tokio::spawn(serve_control(control, mode.clone()));
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        let mode = mode.subscribe();
+        tokio::spawn(relay(stream, to, mode));
+    }
+}
+
+async fn serve_control(control: TcpListener, mode: Arc<watch::Sender<Mode>>) {
+    run(control, move |_, body| {
+        let mode = mode.clone();
+        async move {
+            match serde_json::from_slice(&body) {
+                Ok(new) => {
+                    mode.send_replace(new);
+                    status_only(StatusCode::OK)
+                }
+                Err(_) => status_only(StatusCode::BAD_REQUEST),
+            }
+        }
+    })
+    .await;
+}
+
+async fn relay(stream: TcpStream, to: SocketAddr, mut mode: watch::Receiver<Mode>) {
+    if mode.borrow().cut {
+        return reset(stream);
+    }
+    let Ok(target) = TcpStream::connect(to).await else {
+        return reset(stream);
+    };
+    let _ = stream.set_nodelay(true);
+    let _ = target.set_nodelay(true);
+    // Resets instead of a clean end, whichever way the relay stops.
+    let _ = stream.set_zero_linger();
+    let _ = target.set_zero_linger();
+    let (near_in, near_out) = stream.into_split();
+    let (far_in, far_out) = target.into_split();
+    let mut cut = mode.clone();
+    tokio::select! {
+        _ = pump(near_in, far_out, mode.clone(), false) => {}
+        _ = pump(far_in, near_out, mode.clone(), true) => {}
+        _ = cut.wait_for(|m| m.cut) => {}
+    }
+    mode.mark_unchanged();
+}
+
+/// Passes bytes one way until an end or a fault.
+async fn pump(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mut mode: watch::Receiver<Mode>,
+    answers: bool,
+) -> io::Result<()> {
+    let mut passed = 0;
+    let mut chunk = vec![0; CHUNK];
+    loop {
+        let n = from.read(&mut chunk).await?;
+        if n == 0 {
+            return Ok(());
+        }
+        let now = mode.borrow().clone();
+        if now.delay_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(now.delay_ms)).await;
+        }
+        if mode.wait_for(|m| !m.freeze).await.is_err() {
+            return Ok(());
+        }
+        let now = mode.borrow().clone();
+        if answers && now.swallow {
+            return Ok(());
+        }
+        passed += n;
+        if answers && now.reset_after > 0 && passed > now.reset_after {
+            return Ok(());
+        }
+        to.write_all(&chunk[..n]).await?;
+    }
+}
+
+fn reset(stream: TcpStream) {
+    let _ = stream.set_zero_linger();
+}
--- /dev/null
+++ b/crates/standin/src/platform.rs
@@ -0,0 +1,250 @@
+//! The platform: versioned objects, conditional writes, watches, the list.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use ashgauge::member::Listing;
+use bytes::Bytes;
+use http::{Body, json};
+use hyper::http::request::Parts;
+use hyper::{Method, Response, StatusCode};
+use platform::{Stored, WriteReply};
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use crate::web::{query, run, status_only};
+
+/// Largest value, in bytes.
+const VALUE_MOST: usize = 1 << 20;
+
+/// Faults and limits that `PUT /admin/mode` sets.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Mode {
+    /// Answer nothing but errors.
+    pub down: bool,
+    /// Answer reads with the values that objects had when this was set.
+    pub stale: bool,
+    /// Milliseconds that every call takes.
+    pub delay_ms: u64,
+    /// Milliseconds by which the list of members lags.
+    pub lag_ms: u64,
+    /// Writes a second.
+    pub writes: f64,
+    /// Reads a second.
+    pub reads: f64,
+}
+
+impl Default for Mode {
+    fn default() -> Self {
+        Mode {
+            down: false,
+            stale: false,
+            delay_ms: 0,
+            lag_ms: 0,
+            writes: 100.0,
+            reads: 2000.0,
+        }
+    }
+}
+
+/// Calls counted since the start, from `GET /admin/counts`.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Counts {
+    /// Reads answered.
+    pub reads: u64,
+    /// Writes that took effect.
+    pub writes: u64,
+    /// Writes refused for another version.
+    pub conflicts: u64,
+    /// Calls refused for their rate.
+    pub limited: u64,
+    /// Watches answered.
+    pub watches: u64,
+}
+
+#[derive(Default)]
+struct State {
+    objects: HashMap<String, Stored>,
+    old: HashMap<String, Stored>,
+    mode: Mode,
+    lists: Vec<(Instant, Listing)>,
+    counts: Counts,
+    spent: [(f64, Option<Instant>); 2],
+}
+
+struct Platform {
+    state: Mutex<State>,
+    changed: watch::Sender<u64>,
+}
+
+/// Serves a platform on a listener, for ever.
+pub async fn serve(listener: TcpListener) {
+    let platform = Arc::new(Platform {
+        state: Mutex::default(),
+        changed: watch::Sender::new(0),
+    });
+    run(listener, move |head, body| {
+        let platform = platform.clone();
+        async move { platform.handle(head, body).await }
+    })
+    .await;
+}
+
+impl Platform {
+    async fn handle(&self, head: Parts, body: Bytes) -> Response<Body> {
+        let path = head.uri.path().to_string();
+        if let Some(what) = path.strip_prefix("/admin/") {
+            return self.admin(what, &head.method, &body);
+        }
+        let mode = self.lock().mode.clone();
+        if mode.delay_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(mode.delay_ms)).await;
+        }
+        if mode.down {
+            return status_only(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        if !self.lock().admit(head.method == Method::PUT) {
+            return status_only(StatusCode::TOO_MANY_REQUESTS);
+        }
+        if path == "/v1/members" {
+            return self.members();
+        }
+        let Some(name) = path.strip_prefix("/v1/objects/") else {
+            return status_only(StatusCode::NOT_FOUND);
+        };
+        match (head.method.clone(), query(&head, "after")) {
+            (Method::PUT, _) => self.write(name, query(&head, "version"), &body),
+            (_, Some(after)) => self.watch(name, after, query(&head, "wait")).await,
+            _ => self.read(name),
+        }
+    }
+
+    fn read(&self, name: &str) -> Response<Body> {
+        let mut state = self.lock();
+        state.counts.reads += 1;
+        let objects = if state.mode.stale {
+            &state.old
+        } else {
+            &state.objects
+        };
+        match objects.get(name) {
+            Some(stored) => json(StatusCode::OK, stored),
+            None => status_only(StatusCode::NOT_FOUND),
+        }
+    }
+
+    fn write(&self, name: &str, version: Option<u64>, body: &[u8]) -> Response<Body> {
+        if body.len() > VALUE_MOST {
+            return status_only(StatusCode::PAYLOAD_TOO_LARGE);
+        }
+        let (Some(version), Ok(value)) = (version, serde_json::from_slice(body)) else {
+            return status_only(StatusCode::BAD_REQUEST);
+        };
+        let mut state = self.lock();
+        let current = state.objects.get(name).map_or(0, |s| s.version);
+        if current != version {
+            state.counts.conflicts += 1;
+            return json(StatusCode::CONFLICT, &WriteReply { version: current });
+        }
+        let version = current + 1;
+        state.objects.insert(name.into(), Stored { version, value });
+        state.counts.writes += 1;
+        drop(state);
+        self.changed.send_modify(|n| *n += 1);
+        json(StatusCode::OK, &WriteReply { version })
+    }
+
+    async fn watch(&self, name: &str, after: u64, wait: Option<u64>) -> Response<Body> {
+        let until = Instant::now() + Duration::from_secs(wait.unwrap_or(10));
+        let mut changed = self.changed.subscribe();
+        loop {
+            {
+                let mut state = self.lock();
+                if state.mode.down {
+                    return status_only(StatusCode::SERVICE_UNAVAILABLE);
+                }
+                let newer = state
+                    .objects
+                    .get(name)
+                    .filter(|s| s.version > after)
+                    .cloned();
+                if let Some(stored) = newer.filter(|_| !state.mode.stale) {
+                    state.counts.watches += 1;
+                    return json(StatusCode::OK, &stored);
+                }
+            }
+            let left = until.saturating_duration_since(Instant::now());
+            let waited = tokio::time::timeout(left, changed.changed()).await;
+            if waited.is_err() {
+                self.lock().counts.watches += 1;
+                return status_only(StatusCode::NOT_MODIFIED);
+            }
+        }
+    }
+
+    /// The list as it was some time ago.
+    fn members(&self) -> Response<Body> {
+        let mut state = self.lock();
+        state.counts.reads += 1;
+        let lag = Duration::from_millis(state.mode.lag_ms);
+        let old = state.lists.iter().rev().find(|(at, _)| at.elapsed() >= lag);
+        let listing = old.or(state.lists.first()).map(|(_, l)| l.clone());
+        json(StatusCode::OK, &listing.unwrap_or_default())
+    }
+
+    fn admin(&self, what: &str, method: &Method, body: &[u8]) -> Response<Body> {
+        let mut state = self.lock();
+        match (what, method) {
+            ("mode", &Method::PUT) => {
+                let Ok(mode) = serde_json::from_slice::<Mode>(body) else {
+                    return status_only(StatusCode::BAD_REQUEST);
+                };
+                if mode.stale && !state.mode.stale {
+                    state.old = state.objects.clone();
+                }
+                state.mode = mode;
+                drop(state);
+                self.changed.send_modify(|n| *n += 1);
+                status_only(StatusCode::OK)
+            }
+            ("members", &Method::PUT) => {
+                let Ok(listing) = serde_json::from_slice(body) else {
+                    return status_only(StatusCode::BAD_REQUEST);
+                };
+                state.lists.push((Instant::now(), listing));
+                status_only(StatusCode::OK)
+            }
+            ("counts", _) => json(StatusCode::OK, &state.counts),
+            ("objects", _) => json(StatusCode::OK, &state.objects),
+            _ => status_only(StatusCode::NOT_FOUND),
+        }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(|e| e.into_inner())
+    }
+}
+
+impl State {
+    /// A bucket of one second's calls, for writes and for reads.
+    fn admit(&mut self, write: bool) -> bool {
+        let rate = if write {
+            self.mode.writes
+        } else {
+            self.mode.reads
+        };
+        let (spent, last) = &mut self.spent[usize::from(write)];
+        let now = Instant::now();
+        let gap = last.replace(now).map_or(0.0, |t| (now - t).as_secs_f64());
+        *spent = (*spent - gap * rate).max(0.0);
+        if *spent + 1.0 > rate {
+            self.counts.limited += 1;
+            return false;
+        }
+        *spent += 1.0;
+        true
+    }
+}
--- /dev/null
+++ b/crates/upstream/src/lib.rs
@@ -0,0 +1,165 @@
+//! Client of model engines and plain services.
+//!
+//! The engine protocol is JSON over HTTP, one call a stage order. An engine
+//! keeps a session a stage of a request. It runs each position of a session
+//! once: the same order sent again brings the kept outputs. A header
+//! `not-run: REASON` is the upstream's own word that it did nothing.
+
+#![warn(missing_docs)]
+#![forbid(unsafe_code)]
+
+mod wire;
+
+use std::time::Duration;
+
+use ashgauge::node::{Call, Called, Fault, Ran, Reason, Run};
+use ashgauge::order::{Command, Reply};
+use bytes::Bytes;
+use http::{Client, Failure, Full};
+use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue};
+use hyper::{Request, Response, StatusCode};
+
+pub use wire::{Cancel, NOT_RUN, OrderBody, OrderReply, RunBody, RunReply, reason, reason_word};
+
+/// Name of a stage's session on its engine.
+pub fn session_name(owner: &str, id: u64, session: u32) -> String {
+    format!("{owner}.{id}.{session}")
+}
+
+/// Sends a stage order; `owner` is the box with its incarnation.
+///
+/// # Errors
+///
+/// Fails with what is known of whether it ran.
+pub async fn run(client: &Client, owner: &str, order: &Run, limit: Duration) -> Result<Ran, Fault> {
+    let body = RunBody {
+        session: session_name(owner, order.id, order.session),
+        request: format!("{owner}.{}", order.id),
+        attempt: order.attempt,
+        model: order.model.clone(),
+        first: order.first,
+        end: order.end,
+        start: order.start,
+        inputs: order.inputs.clone(),
+        rebuild: order.rebuild,
+    };
+    let request = post("/v1/stages/run", &body);
+    let answer = client
+        .send(&order.addr, request, limit)
+        .await
+        .map_err(fault)?;
+    check(&answer)?;
+    let reply: RunReply = decode(&answer)?;
+    if reply.session != body.session {
+        return Err(Fault::Lost("the answer is of another session".into()));
+    }
+    Ok(Ran {
+        id: order.id,
+        session: order.session,
+        start: reply.start,
+        outputs: reply.outputs,
+        token: reply.token,
+        queued: Duration::from_micros(reply.queued_us),
+        ran: Duration::from_micros(reply.ran_us),
+    })
+}
+
+/// Tells an engine that a session is over.
+pub async fn cancel(client: &Client, addr: &str, session: String, limit: Duration) {
+    let request = post("/v1/stages/cancel", &Cancel { session });
+    // The engine forgets idle sessions by itself, so a lost cancel is no harm.
+    let _ = client.send(addr, request, limit).await;
+}
+
+/// Calls a plain service.
+///
+/// # Errors
+///
+/// Fails with what is known of whether it ran.
+pub async fn call(client: &Client, call: &Call, limit: Duration) -> Result<Called, Fault> {
+    let mut request = Request::new(Full::new(Bytes::copy_from_slice(&call.body)));
+    *request.method_mut() = call.method.parse().unwrap_or(hyper::Method::POST);
+    *request.uri_mut() = call.path.parse().unwrap_or_default();
+    let headers = request.headers_mut();
+    set(headers, hyper::header::HOST, &call.addr);
+    set(headers, CONTENT_TYPE, &call.content);
+    if let Some(key) = &call.key {
+        set(headers, HeaderName::from_static("idempotency-key"), key);
+    }
+    let answer = client
+        .send(&call.addr, request, limit)
+        .await
+        .map_err(fault)?;
+    if let Some(reason) = refused(&answer) {
+        return Err(Fault::Refused(reason));
+    }
+    let content = answer.headers().get(CONTENT_TYPE);
+    Ok(Called {
+        status: answer.status().as_u16(),
+        content: content
+            .and_then(|c| c.to_str().ok())
+            .unwrap_or_default()
+            .into(),
+        body: answer.into_body().to_vec(),
+    })
+}
+
+/// Sends a fenced order.
+pub async fn command(client: &Client, order: &Command, limit: Duration) -> Reply {
+    let body = OrderBody {
+        term: order.term,
+        goal: order.goal.clone(),
+    };
+    let request = post("/v1/orders", &body);
+    let Ok(answer) = client.send(&order.addr, request, limit).await else {
+        return Reply::Lost;
+    };
+    match answer.status() {
+        StatusCode::OK => decode::<OrderReply>(&answer).map_or(Reply::Lost, |r| Reply::Has(r.has)),
+        StatusCode::CONFLICT => Reply::Fenced,
+        _ => Reply::Lost,
+    }
+}
+
+fn post(path: &'static str, body: &impl serde::Serialize) -> Request<Full<Bytes>> {
+    let bytes = serde_json::to_vec(body).unwrap_or_default();
+    let mut request = Request::new(Full::new(Bytes::from(bytes)));
+    *request.method_mut() = hyper::Method::POST;
+    *request.uri_mut() = hyper::Uri::from_static(path);
+    let headers = request.headers_mut();
+    headers.insert(hyper::header::HOST, HeaderValue::from_static("upstream"));
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    request
+}
+
+fn set(headers: &mut hyper::HeaderMap, name: HeaderName, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(name, value);
+    }
+}
+
+fn check(answer: &Response<Bytes>) -> Result<(), Fault> {
+    if let Some(reason) = refused(answer) {
+        return Err(Fault::Refused(reason));
+    }
+    if answer.status() == StatusCode::OK {
+        return Ok(());
+    }
+    Err(Fault::Lost(format!("status {}", answer.status())))
+}
+
+fn refused(answer: &Response<Bytes>) -> Option<Reason> {
+    let word = answer.headers().get(NOT_RUN)?;
+    reason(word.to_str().ok()?)
+}
+
+fn decode<T: serde::de::DeserializeOwned>(answer: &Response<Bytes>) -> Result<T, Fault> {
+    serde_json::from_slice(answer.body()).map_err(|e| Fault::Lost(format!("bad answer: {e}")))
+}
+
+fn fault(failure: Failure) -> Fault {
+    match failure {
+        Failure::NotSent(cause) => Fault::NotSent(cause),
+        Failure::Lost(cause) => Fault::Lost(cause),
+    }
+}
