Add property tests and golden sessions of the library

A home kept a box's first, larger slice as taken at every renewal, so a team's later boxes starved for ever. It now remembers each slice with its own end and counts the largest that has not run out: (750, 250).

--- a/crates/ashgauge/src/limit.rs
+++ b/crates/ashgauge/src/limit.rs
@@ -36,11 +36,20 @@
     grants: HashMap<BoxId, Grant>,
 }
 
-#[derive(Debug)]
+/// Slices of one box: it may still use any that has not run out, since the
+/// newer ones may be on their way or lost.
+#[derive(Debug, Default)]
 struct Grant {
     want: f64,
-    rate: f64,
-    until: Duration,
+    slices: Vec<(f64, Duration)>,
+}
+
+impl Grant {
+    /// The most that the box may be spending.
+    fn rate(&self, now: Duration) -> f64 {
+        let valid = self.slices.iter().filter(|(_, until)| *until > now);
+        valid.map(|(rate, _)| *rate).fold(0.0, f64::max)
+    }
 }
 
 impl Home {
@@ -63,7 +72,7 @@
         if now < entry.opens {
             return None;
         }
-        entry.grants.retain(|_, g| g.until > now);
+        entry.expire(now);
         Some(entry.grant(now, limit, asker, want))
     }
 
@@ -72,8 +81,7 @@
         let Some(entry) = self.teams.get(team) else {
             return 0.0;
         };
-        let valid = entry.grants.values().filter(|g| g.until > now);
-        valid.map(|g| g.rate).sum()
+        entry.grants.values().map(|g| g.rate(now)).sum()
     }
 
     /// Forgets teams whose home is another box now.
@@ -85,33 +93,32 @@
 }
 
 impl HomeTeam {
+    fn expire(&mut self, now: Duration) {
+        for grant in self.grants.values_mut() {
+            grant.slices.retain(|(_, until)| *until > now);
+        }
+        self.grants.retain(|_, g| !g.slices.is_empty());
+    }
+
     fn grant(&mut self, now: Duration, limit: f64, asker: &BoxId, want: f64) -> f64 {
-        let before = self.grants.remove(asker);
-        let others: f64 = self.grants.values().map(|g| g.rate).sum();
-        let wanted: f64 = self.grants.values().map(|g| g.want).sum::<f64>() + want;
+        let mine = self.grants.entry(asker.clone()).or_default();
+        mine.want = want;
+        let wanted: f64 = self.grants.values().map(|g| g.want).sum();
         let fair = if wanted > limit {
             limit * want / wanted
         } else {
-            want + (limit - wanted) / (self.grants.len() + 1) as f64
+            want + (limit - wanted) / self.grants.len() as f64
         };
-        let free = (limit - others).max(0.0);
-        let rate = fair.min(free).max(0.0);
-        let least = limit * LEAST_SHARE;
-        let rate = if rate < least { 0.0 } else { rate };
-        // The old slice stays valid at its holder until the new one arrives,
-        // so a smaller one must not free the difference before that.
-        let kept = before.as_ref().map_or(0.0, |g| g.rate);
-        let hold = Grant {
-            want,
-            rate: rate.max(kept.min(free)),
-            until: now + SLICE_TIME + SLICE_MARGIN,
+        let others = self.grants.iter().filter(|(id, _)| *id != asker);
+        let taken: f64 = others.map(|(_, g)| g.rate(now)).sum();
+        let rate = fair.min(limit - taken).max(0.0);
+        let rate = if rate < limit * LEAST_SHARE {
+            0.0
+        } else {
+            rate
         };
-        self.grants.insert(asker.clone(), hold);
-        if let (Some(old), Some(new)) = (before, self.grants.get_mut(asker)) {
-            // Once the larger slice has run out by itself, only the new counts.
-            if old.until <= now {
-                new.rate = rate;
-            }
+        if let Some(mine) = self.grants.get_mut(asker) {
+            mine.slices.push((rate, now + SLICE_TIME + SLICE_MARGIN));
         }
         rate
     }
--- /dev/null
+++ b/crates/ashgauge/tests/chain.rs
@@ -0,0 +1,71 @@
+//! Chains cover every layer once, whatever ranges the engines hold.
+
+mod common;
+
+use ashgauge::chain::{Edge, Stage, cheapest, covers};
+use proptest::prelude::*;
+
+fn edges() -> impl Strategy<Value = Vec<Edge>> {
+    let edge = (0u32..12, 1u32..12, 0.0f64..0.1, 0.001f64..0.05);
+    prop::collection::vec(edge, 1..10).prop_map(|all| {
+        let make = |(n, (first, len, fixed, layer)): (usize, (u32, u32, f64, f64))| Edge {
+            upstream: format!("engine-{n}").into(),
+            first,
+            end: first + len,
+            fixed,
+            layer,
+        };
+        all.into_iter().enumerate().map(make).collect()
+    })
+}
+
+fn cost(stages: &[Stage], edges: &[Edge]) -> f64 {
+    let of = |s: &Stage| {
+        let e = edges.iter().find(|e| e.upstream == s.upstream).unwrap();
+        e.fixed + e.layer * f64::from(s.end - s.first)
+    };
+    stages.iter().map(of).sum()
+}
+
+/// The cheapest way by trying all, one layer at a time.
+fn least(first: u32, end: u32, edges: &[Edge]) -> f64 {
+    if first == end {
+        return 0.0;
+    }
+    let mut best = f64::INFINITY;
+    for e in edges.iter().filter(|e| e.first <= first && first < e.end) {
+        for to in first + 1..=e.end.min(end) {
+            let rest = least(to, end, edges);
+            best = best.min(e.fixed + e.layer * f64::from(to - first) + rest);
+        }
+    }
+    best
+}
+
+proptest! {
+    #![proptest_config(common::seeded(300))]
+
+    #[test]
+    fn chain_covers_each_layer_once_within_its_engines(edges in edges(), first in 0u32..4, len in 1u32..8) {
+        let end = first + len;
+        let held = |l: u32| edges.iter().any(|e| e.first <= l && l < e.end);
+        match cheapest(first, end, &edges) {
+            Some(stages) => {
+                prop_assert!(covers(first, end, &stages), "{stages:?}");
+                for s in &stages {
+                    let e = edges.iter().find(|e| e.upstream == s.upstream).unwrap();
+                    prop_assert!(e.first <= s.first && s.end <= e.end);
+                }
+            }
+            None => prop_assert!((first..end).any(|l| !held(l))),
+        }
+    }
+
+    #[test]
+    fn chain_is_the_cheapest(edges in edges().prop_filter("few", |e| e.len() < 6), len in 1u32..7) {
+        if let Some(stages) = cheapest(2, 2 + len, &edges) {
+            let (found, best) = (cost(&stages, &edges), least(2, 2 + len, &edges));
+            prop_assert!((found - best).abs() < 1e-9, "{found} for {best}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/ashgauge/tests/golden.rs
@@ -0,0 +1,259 @@
+//! Whole sessions, event by event and action by action, against golden files.
+//!
+//! `GOLDEN_WRITE=1 cargo test -p ashgauge --test golden` writes the files anew;
+//! read their change before committing it.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ashgauge::claim::Written;
+use ashgauge::member::{BoxEntry, Hold, Listing, State, UpstreamEntry};
+use ashgauge::node::{Content, Fault, Object, Order, Ran, Run, Token, Work};
+use ashgauge::policy::hash_key;
+use ashgauge::table::{Cell, Change, Edit, Table, Version};
+use ashgauge::{Action, Config, Event, Node};
+
+const STEP: Duration = Duration::from_millis(1);
+
+/// Some boxes, a store, and engines that answer at once.
+struct World {
+    nodes: Vec<Node>,
+    now: Duration,
+    store: (Version, Arc<Table>),
+    events: VecDeque<(usize, Event)>,
+    dead: Option<&'static str>,
+    log: String,
+}
+
+fn hash(key: &str) -> Cell {
+    Cell::Text(hash_key(key).iter().map(|b| format!("{b:02x}")).collect())
+}
+
+fn table() -> Table {
+    let text = |s: &str| Cell::Text(s.into());
+    let rows = [
+        ("tier/gold", vec![("rank", Cell::Number(0.0))]),
+        (
+            "team/payroll",
+            vec![
+                ("tier", text("gold")),
+                ("weight", Cell::Number(3.0)),
+                ("key", hash("k")),
+            ],
+        ),
+        (
+            "route/chat",
+            vec![("kind", text("model")), ("layers", Cell::Number(4.0))],
+        ),
+    ];
+    let mut table = Table::default();
+    for (row, cells) in rows {
+        let cells = cells.into_iter().map(|(c, v)| (c.to_string(), v));
+        table.rows.insert(row.into(), cells.collect());
+    }
+    table
+}
+
+fn listing() -> Listing {
+    let node = |n: usize| BoxEntry {
+        id: format!("box-{n}").into(),
+        peer: format!("peer-{n}"),
+        operator: format!("operator-{n}"),
+        data_centre: "talca".into(),
+        state: State::Live,
+    };
+    let engine = |id: &str, first, end| UpstreamEntry {
+        id: id.into(),
+        addr: format!("{id}:1"),
+        data_centre: "talca".into(),
+        holds: vec![Hold {
+            model: "chat".into(),
+            first,
+            end,
+        }],
+        service: None,
+        fenced: true,
+        state: State::Live,
+    };
+    Listing {
+        boxes: vec![node(0), node(1)],
+        upstreams: vec![engine("a", 0, 2), engine("b", 2, 4), engine("c", 2, 4)],
+    }
+}
+
+impl World {
+    fn new(boxes: usize) -> Self {
+        let node = |n: usize| {
+            let mut config = Config::new(&format!("box-{n}"), 1);
+            config.addr = format!("peer-{n}");
+            config.wall = 1_000_000;
+            Node::new(config)
+        };
+        let mut world = World {
+            nodes: (0..boxes).map(node).collect(),
+            now: Duration::from_millis(1),
+            store: (1, Arc::new(table())),
+            events: VecDeque::new(),
+            dead: None,
+            log: String::new(),
+        };
+        for n in 0..boxes {
+            world
+                .events
+                .push_back((n, Event::Watched(1, Arc::new(table()))));
+            world.events.push_back((n, Event::Listed(listing())));
+        }
+        world.run();
+        world.log.clear();
+        world
+    }
+
+    /// Handles events until none is left, one a millisecond.
+    fn run(&mut self) {
+        while !self.events.is_empty() {
+            self.run_one();
+        }
+    }
+
+    /// Handles the next event.
+    fn run_one(&mut self) {
+        let Some((n, event)) = self.events.pop_front() else {
+            return;
+        };
+        self.now += STEP;
+        self.write(&format!("{} box-{n} <- ", self.now.as_millis()), &event);
+        for action in self.nodes[n].handle(self.now, event) {
+            self.write(&format!("      box-{n} -> "), &action);
+            self.act(n, action);
+        }
+    }
+
+    fn write(&mut self, head: &str, value: &impl serde::Serialize) {
+        let text = serde_json::to_string(value).unwrap();
+        self.log.push_str(head);
+        self.log.push_str(&text);
+        self.log.push('\n');
+    }
+
+    fn act(&mut self, n: usize, action: Action) {
+        let event = match action {
+            Action::Run(run) => self.engine(run),
+            Action::Read(Object::Table) => {
+                let content = Content::Table(self.store.1.clone());
+                Event::Read(Object::Table, Some((self.store.0, Some(content))))
+            }
+            Action::Write(object, version, Content::Table(next)) => {
+                let result = if version == self.store.0 {
+                    self.store = (version + 1, next.clone());
+                    Written::Done(version + 1)
+                } else {
+                    Written::Conflict
+                };
+                Event::Written(object, Content::Table(next), result)
+            }
+            _ => return,
+        };
+        self.events.push_back((n, event));
+    }
+
+    fn engine(&self, run: Run) -> Event {
+        if self.dead == Some(&*run.upstream) {
+            let fault = Fault::Lost("connection reset".into());
+            return Event::RunFailed(run.id, run.session, run.start, fault);
+        }
+        let outputs: Vec<u64> = run.inputs.iter().map(|x| x + 1).collect();
+        let token = outputs.last().filter(|_| run.end == 4).map(|x| Token {
+            id: *x,
+            text: format!("<{x}>"),
+            end: false,
+        });
+        Event::Ran(Ran {
+            id: run.id,
+            session: run.session,
+            start: run.start,
+            outputs,
+            token,
+            queued: Duration::ZERO,
+            ran: Duration::from_micros(100),
+        })
+    }
+
+    fn arrive(&mut self, id: u64, most: u32) {
+        let order = Order {
+            id,
+            key_hash: hash_key("k"),
+            work: Work::Generate {
+                model: "chat".into(),
+                prompt: vec![7, 8],
+                most,
+            },
+            key: None,
+            repeatable: true,
+            timeout: None,
+        };
+        self.events.push_back((0, Event::Arrive(order)));
+    }
+}
+
+fn check(name: &str, log: &str) {
+    let path = format!("{}/tests/golden/{name}.txt", env!("CARGO_MANIFEST_DIR"));
+    if std::env::var_os("GOLDEN_WRITE").is_some() {
+        std::fs::write(&path, log).unwrap();
+    }
+    let golden = std::fs::read_to_string(&path).unwrap();
+    for (n, (is, wanted)) in log.lines().zip(golden.lines()).enumerate() {
+        assert_eq!(is, wanted, "{name}.txt, line {}", n + 1);
+    }
+    assert_eq!(log.lines().count(), golden.lines().count(), "{name}.txt");
+}
+
+#[test]
+fn plain_session() {
+    let mut world = World::new(1);
+    world.arrive(1, 3);
+    world.run();
+    check("plain", &world.log);
+}
+
+#[test]
+fn death_of_a_stage() {
+    let mut world = World::new(1);
+    world.arrive(1, 4);
+    // The engine of the last layers dies after the second token.
+    while world.log.matches("\"Token\"").count() < 2 {
+        world.run_one();
+    }
+    world.dead = Some("b");
+    world.run();
+    assert!(world.log.contains("\"replaced\""));
+    check("death", &world.log);
+}
+
+#[test]
+fn race_of_two_operators() {
+    let mut world = World::new(2);
+    for (n, who, value) in [(0, "ana", 4.0), (1, "ben", 5.0)] {
+        let change = Change {
+            row: "team/payroll".into(),
+            column: "weight".into(),
+            seen: Some(Cell::Number(3.0)),
+            value: Some(Cell::Number(value)),
+        };
+        let edit = Edit {
+            id: who.into(),
+            who: who.into(),
+            at: 0,
+            cells: vec![change],
+        };
+        world.events.push_back((n, Event::Edit(1, edit)));
+    }
+    world.run();
+    // Nothing but time makes the loser read again.
+    for _ in 0..20 {
+        world.events.push_back((1, Event::Tick));
+        world.run();
+    }
+    assert!(world.log.contains("set to 4 by ana"));
+    check("race", &world.log);
+}
--- /dev/null
+++ b/crates/ashgauge/tests/lease.rs
@@ -0,0 +1,73 @@
+//! No two boxes hold a lease at one time, and no two spans share a term.
+
+mod common;
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use ashgauge::claim::Written;
+use ashgauge::lease::{Lease, Step, Stored};
+use proptest::prelude::*;
+
+const TTL: Duration = Duration::from_millis(1000);
+
+enum Call {
+    Read(usize),
+    Write(usize, u64, Stored),
+}
+
+fn write(store: &mut (u64, Stored), version: u64, next: &Stored) -> Written {
+    if store.0 != version {
+        return Written::Conflict;
+    }
+    *store = (version + 1, next.clone());
+    Written::Done(version + 1)
+}
+
+proptest! {
+    #![proptest_config(common::seeded(300))]
+
+    #[test]
+    fn one_holder_at_a_time_and_terms_of_its_own(
+        steps in prop::collection::vec((0usize..3, 0u8..8, 0u16..200, any::<u16>()), 50..400),
+    ) {
+        let mut store = (0, Stored::default());
+        let mut boxes: Vec<Lease> =
+            (0..3).map(|n| Lease::new(format!("box-{n}.1"), TTL)).collect();
+        let mut calls: Vec<Call> = Vec::new();
+        let mut terms: HashMap<u64, usize> = HashMap::new();
+        let mut now = Duration::ZERO;
+        for (node, luck, wait, pick) in steps {
+            now += Duration::from_millis(u64::from(wait));
+            match boxes[node].tick(now) {
+                Some(Step::Read) => calls.push(Call::Read(node)),
+                Some(Step::Write(version, next)) => calls.push(Call::Write(node, version, next)),
+                None => {}
+            }
+            // A box may be paused for long between asking and the answer.
+            if !calls.is_empty() && luck > 0 {
+                match calls.swap_remove(usize::from(pick) % calls.len()) {
+                    Call::Read(b) => boxes[b].read(now, (luck > 1).then(|| store.clone())),
+                    Call::Write(b, version, next) => {
+                        let result = match luck {
+                            1 => Written::Unknown,
+                            2 => {
+                                write(&mut store, version, &next);
+                                Written::Unknown
+                            }
+                            3 => Written::Refused,
+                            _ => write(&mut store, version, &next),
+                        };
+                        boxes[b].written(now, result);
+                    }
+                }
+            }
+            let holders: Vec<(usize, u64)> =
+                (0..3).filter_map(|b| Some((b, boxes[b].term(now)?))).collect();
+            prop_assert!(holders.len() <= 1, "{holders:?} at {now:?}");
+            for (b, term) in holders {
+                prop_assert_eq!(*terms.entry(term).or_insert(b), b);
+            }
+        }
+    }
+}
--- a/crates/proof/tests/once.rs
+++ b/crates/proof/tests/once.rs
@@ -178,6 +178,45 @@
     Ok(())
 }
 
+/// A write that got lost on its way must not pass for one whose answer was.
+#[tokio::test(flavor = "multi_thread")]
+async fn platform_write_lost_before_it_took_effect() -> Result<()> {
+    let fleet = Fleet::start(three_boxes()).await?;
+    // Without each other, every box claims for itself.
+    for node in &fleet.boxes {
+        node.peer_link
+            .set(Mode {
+                cut: true,
+                ..Mode::default()
+            })
+            .await?;
+    }
+    let lossy = &fleet.boxes[0];
+    lossy
+        .platform
+        .set(Mode {
+            drop_puts: true,
+            ..Mode::default()
+        })
+        .await?;
+    let first = post(&fleet, 0, "k", "note");
+    let rest = async {
+        wait_until("a write on its way", || async {
+            (lossy.desk().status().await.ok()?.stats.writes >= 2).then_some(())
+        })
+        .await?;
+        let other = post(&fleet, 1, "k", "note").await?;
+        lossy.platform.heal().await?;
+        Ok::<Reply, eyre::Report>(other)
+    };
+    let (first, other) = tokio::join!(first, rest);
+    let (first, other) = (first?, other?);
+    assert_eq!(other.outcome, "done", "{}", other.body);
+    assert_eq!(first.status, 409, "{}", first.body);
+    assert_eq!(times(&fleet, "note")?, 1);
+    Ok(())
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn platform_down_means_not_run_and_safe_to_resend() -> Result<()> {
     let fleet = Fleet::start(three_boxes()).await?;
--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -31,6 +31,8 @@
     pub swallow: bool,
     /// The same, for requests that begin with `PUT` only.
     pub swallow_puts: bool,
+    /// Throw requests that begin with `PUT` away and reset.
+    pub drop_puts: bool,
     /// Reset connections after so many bytes of answers; 0 for never.
     pub reset_after: usize,
 }
@@ -102,10 +104,14 @@
         if n == 0 {
             return Ok(());
         }
+        let now = mode.borrow().clone();
         if !answers {
-            put.store(chunk[..n].starts_with(b"PUT"), Ordering::Relaxed);
+            let is_put = chunk[..n].starts_with(b"PUT");
+            put.store(is_put, Ordering::Relaxed);
+            if is_put && now.drop_puts {
+                return Ok(());
+            }
         }
-        let now = mode.borrow().clone();
         if now.delay_ms > 0 {
             tokio::time::sleep(Duration::from_millis(now.delay_ms)).await;
         }
