--- a/crates/ashgauge/src/limit.rs
+++ b/crates/ashgauge/src/limit.rs
@@ -1,10 +1,10 @@
 //! Team limits that hold over the whole fleet.
 //!
-//! Each limited team has a home box, which grants slices of the team's rate to
-//! the boxes that ask. A slice runs out by itself. The slices that have not
-//! run out never sum to more than the limit, and a box that becomes home waits
-//! one slice time before its first grant, until all that an earlier home
-//! granted has run out.
+//! Every box owns an equal share of a team's rate. A box with more demand than
+//! its share borrows from boxes with less; a loan runs out by itself. Nobody
+//! arbitrates, so neither a dead box, a cut nor an outage of the platform can
+//! make the fleet pass the limit: a lender counts a loan until it must have
+//! run out, the borrower only until a little before.
 
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
@@ -12,230 +12,243 @@
 use crate::member::BoxId;
 use crate::policy::TeamId;
 
-/// How long a slice is valid, counted by its holder from before it asked.
-pub const SLICE_TIME: Duration = Duration::from_secs(2);
+/// How long a loan is valid, counted by its borrower from before it asked.
+pub const LOAN_TIME: Duration = Duration::from_secs(2);
 
-/// Allowance on top of [`SLICE_TIME`] for clocks that run at other speeds.
-const SLICE_MARGIN: Duration = Duration::from_millis(200);
+/// Allowance on top of [`LOAN_TIME`] for clocks that run at other speeds.
+const LOAN_MARGIN: Duration = Duration::from_millis(200);
 
-/// Time of rate that an unused slice may save up.
+/// Time between two asks of one team.
+const ASK_TIME: Duration = Duration::from_millis(500);
+
+/// Time of rate that may be saved up.
 const BURST_TIME: f64 = 0.25;
 
-/// Smallest change of a slice, as a share of the limit.
-const LEAST_SHARE: f64 = 0.001;
+/// Span over which demand is learned, in seconds.
+const DEMAND_TIME: f64 = 1.0;
+
+/// What a lender keeps beyond its own demand, as a factor.
+const OWN_FACTOR: f64 = 1.1;
+
+/// What a borrower asks for beyond its need, as some lenders have nothing.
+const ASK_FACTOR: f64 = 1.25;
 
-/// The granting side, for the teams this box is home to.
+/// Limits of one box: its shares, what it lent and what it borrowed.
 #[derive(Debug, Default)]
-pub struct Home {
-    teams: HashMap<TeamId, HomeTeam>,
+pub struct Limits {
+    teams: BTreeMap<TeamId, Team>,
 }
 
 #[derive(Debug)]
-struct HomeTeam {
-    opens: Duration,
-    grants: HashMap<BoxId, Grant>,
+struct Team {
+    share: f64,
+    lent: HashMap<BoxId, Lent>,
+    loans: HashMap<BoxId, Loan>,
+    tokens: f64,
+    at: Duration,
+    demand: f64,
+    seen: Duration,
+    asked: Option<Duration>,
 }
 
-/// Slices of one box: it may still use any that has not run out, since the
+/// What one box may be spending of ours: any loan that has not run out, since
 /// newer ones may be on their way or lost.
 #[derive(Debug, Default)]
-struct Grant {
-    want: f64,
-    slices: Vec<(f64, Duration)>,
+struct Lent {
+    parts: Vec<(f64, Duration)>,
 }
 
-impl Grant {
-    /// The most that the box may be spending.
-    fn rate(&self, now: Duration) -> f64 {
-        let valid = self.slices.iter().filter(|(_, until)| *until > now);
-        valid.map(|(rate, _)| *rate).fold(0.0, f64::max)
-    }
+#[derive(Clone, Copy, Debug)]
+struct Loan {
+    rate: f64,
+    until: Duration,
 }
 
-impl Home {
-    /// Grants a slice of `limit` to a box, in tokens a second.
-    ///
-    /// Returns `None` while an earlier home's slices may still be valid. A
-    /// grant of 0 means that nothing is free now.
-    pub fn grant(
-        &mut self,
-        now: Duration,
-        team: &TeamId,
-        limit: f64,
-        asker: &BoxId,
-        want: f64,
-    ) -> Option<f64> {
-        let entry = self.teams.entry(team.clone()).or_insert_with(|| HomeTeam {
-            opens: now + SLICE_TIME + SLICE_MARGIN,
-            grants: HashMap::new(),
-        });
-        if now < entry.opens {
-            return None;
-        }
-        entry.expire(now);
-        Some(entry.grant(now, limit, asker, want))
-    }
-
-    /// Sum of the slices of a team that have not run out.
-    pub fn granted(&self, now: Duration, team: &str) -> f64 {
-        let Some(entry) = self.teams.get(team) else {
-            return 0.0;
-        };
-        entry.grants.values().map(|g| g.rate(now)).sum()
-    }
-
-    /// Forgets teams whose home is another box now.
+impl Limits {
+    /// Sets the box's own share of a team's rate, in tokens a second.
     ///
-    /// Should this box become home again, it waits like any new home.
-    pub fn retain(&mut self, mut is_home: impl FnMut(&str) -> bool) {
-        self.teams.retain(|team, _| is_home(team));
+    /// A box that has just started may have lent its share before; it must
+    /// leave the share at 0 for [`settle_time`].
+    pub fn set_share(&mut self, now: Duration, team: &TeamId, share: f64) {
+        let t = self.entry(now, team);
+        t.refill(now);
+        t.share = share;
     }
-}
-
-impl HomeTeam {
-    fn expire(&mut self, now: Duration) {
-        for grant in self.grants.values_mut() {
-            grant.slices.retain(|(_, until)| *until > now);
-        }
-        self.grants.retain(|_, g| !g.slices.is_empty());
-    }
-
-    fn grant(&mut self, now: Duration, limit: f64, asker: &BoxId, want: f64) -> f64 {
-        let mine = self.grants.entry(asker.clone()).or_default();
-        mine.want = want;
-        let wanted: f64 = self.grants.values().map(|g| g.want).sum();
-        let fair = if wanted > limit {
-            limit * want / wanted
-        } else {
-            want + (limit - wanted) / self.grants.len() as f64
-        };
-        let others = self.grants.iter().filter(|(id, _)| *id != asker);
-        let taken: f64 = others.map(|(_, g)| g.rate(now)).sum();
-        let rate = fair.min(limit - taken).max(0.0);
-        let rate = if rate < limit * LEAST_SHARE {
-            0.0
-        } else {
-            rate
-        };
-        if let Some(mine) = self.grants.get_mut(asker) {
-            mine.slices.push((rate, now + SLICE_TIME + SLICE_MARGIN));
-        }
-        rate
-    }
-}
-
-/// The spending side, for the teams with requests on this box.
-#[derive(Debug, Default)]
-pub struct Slices {
-    teams: BTreeMap<TeamId, Slice>,
-}
-
-#[derive(Debug)]
-struct Slice {
-    rate: f64,
-    until: Duration,
-    tokens: f64,
-    at: Duration,
-    demand: f64,
-    since: Duration,
-    asked: Option<Duration>,
-}
 
-impl Slices {
-    /// Notes tokens that a team's new request would like to spend.
+    /// Notes tokens that a new request would like to spend.
     pub fn demand(&mut self, now: Duration, team: &TeamId, tokens: f64) {
-        self.entry(now, team).demand += tokens;
+        self.entry(now, team).learn(now, tokens);
     }
 
-    /// Returns true if the team's slice has room for a request now.
+    /// Returns true if there is room for a request now.
     ///
-    /// One request may overdraw the slice; the next waits until that is paid.
+    /// One request may overdraw; the next waits until that is paid.
     pub fn has_room(&mut self, now: Duration, team: &TeamId) -> bool {
-        let s = self.entry(now, team);
-        s.refill(now);
-        now < s.until && s.tokens > 0.0
+        let t = self.entry(now, team);
+        t.refill(now);
+        t.tokens > 0.0
     }
 
-    /// Takes tokens out of the slice; a negative number gives them back.
+    /// Takes tokens; a negative number gives them back.
     pub fn spend(&mut self, now: Duration, team: &TeamId, tokens: f64) {
-        let s = self.entry(now, team);
-        s.refill(now);
-        s.tokens -= tokens;
+        let t = self.entry(now, team);
+        t.refill(now);
+        t.tokens -= tokens;
     }
 
-    /// Time until the slice has room again, if it has a rate.
+    /// Time until there is room again, at the present rate.
     pub fn wait(&mut self, now: Duration, team: &TeamId) -> Option<Duration> {
-        let s = self.entry(now, team);
-        s.refill(now);
-        if now >= s.until || s.rate <= 0.0 {
+        let t = self.entry(now, team);
+        t.refill(now);
+        let rate = t.rate(now);
+        if rate <= 0.0 {
             return None;
         }
-        Some(Duration::from_secs_f64((-s.tokens).max(0.0) / s.rate))
+        Some(Duration::from_secs_f64((-t.tokens).max(0.0) / rate))
     }
 
-    /// Returns the rate to ask for, if it is time to ask.
-    pub fn ask(&mut self, now: Duration, team: &TeamId) -> Option<f64> {
-        let s = self.entry(now, team);
-        let again = if now < s.until {
-            SLICE_TIME / 2
-        } else {
-            SLICE_TIME / 20
+    /// Rate that this box may spend now: what it has left and has borrowed.
+    pub fn rate(&self, now: Duration, team: &str) -> f64 {
+        self.teams.get(team).map_or(0.0, |t| t.rate(now))
+    }
+
+    /// Returns what to ask `lender` for, of those of `lenders` boxes.
+    pub fn want(&self, now: Duration, team: &str, lender: &str, lenders: usize) -> f64 {
+        let Some(t) = self.teams.get(team) else {
+            return 0.0;
         };
-        if s.asked.is_some_and(|t| now < t + again) {
-            return None;
-        }
-        let span = now.saturating_sub(s.since).as_secs_f64();
-        let want = s.demand / span.max(0.5);
-        if span > 1.0 {
-            s.demand /= 2.0;
-            s.since = now - now.saturating_sub(s.since) / 2;
-        }
-        s.asked = Some(now);
-        Some(want)
-    }
-
-    /// Takes over a grant that was asked for at `asked`.
-    pub fn granted(&mut self, now: Duration, team: &TeamId, rate: f64, asked: Duration) {
-        let s = self.entry(now, team);
-        s.refill(now);
-        let fresh = s.until <= now;
-        s.rate = rate;
-        s.until = asked + SLICE_TIME;
-        if fresh {
-            s.tokens = s.tokens.min(0.0) + rate * BURST_TIME;
+        let missing = t.demand_rate(now) - t.rate(now);
+        let has = t.loans.get(lender).filter(|l| now < l.until);
+        let more = missing * ASK_FACTOR / lenders.max(1) as f64;
+        (has.map_or(0.0, |l| l.rate) + more).max(0.0)
+    }
+
+    /// Returns the teams whose demand passes the box's own share and for which
+    /// it is time to ask.
+    pub fn due(&mut self, now: Duration) -> Vec<TeamId> {
+        let mut due = Vec::new();
+        for (id, t) in &mut self.teams {
+            let waits = t.asked.is_some_and(|at| now < at + ASK_TIME);
+            if !waits && t.demand_rate(now) > t.own(now) {
+                t.asked = Some(now);
+                due.push(id.clone());
+            }
         }
+        due
+    }
+
+    /// Takes over a loan that was asked for at `asked`.
+    pub fn borrowed(
+        &mut self,
+        now: Duration,
+        team: &TeamId,
+        lender: &BoxId,
+        rate: f64,
+        asked: Duration,
+    ) {
+        let t = self.entry(now, team);
+        t.refill(now);
+        let until = asked + LOAN_TIME;
+        t.loans.insert(lender.clone(), Loan { rate, until });
+    }
+
+    /// Lends a borrower up to `want` of the box's own share.
+    pub fn lend(&mut self, now: Duration, team: &TeamId, borrower: &BoxId, want: f64) -> f64 {
+        let t = self.entry(now, team);
+        t.refill(now);
+        t.lend(now, borrower, want)
     }
 
-    /// Teams that this box has seen, for renewals.
+    /// Teams that this box keeps track of.
     pub fn teams(&self) -> Vec<TeamId> {
         self.teams.keys().cloned().collect()
     }
 
-    /// Forgets teams without demand whose slice has run out.
+    /// Forgets teams that have been idle for some time.
     pub fn forget(&mut self, now: Duration) {
-        let idle = |s: &Slice| s.until + SLICE_TIME <= now && s.demand < 1.0;
-        self.teams.retain(|_, s| !idle(s));
+        let idle = |t: &Team| now > t.seen + LOAN_TIME * 10 && t.lent_rate(now) == 0.0;
+        self.teams.retain(|_, t| !idle(t));
     }
 
-    fn entry(&mut self, now: Duration, team: &TeamId) -> &mut Slice {
-        self.teams.entry(team.clone()).or_insert(Slice {
-            rate: 0.0,
-            until: Duration::ZERO,
+    fn entry(&mut self, now: Duration, team: &TeamId) -> &mut Team {
+        self.teams.entry(team.clone()).or_insert_with(|| Team {
+            share: 0.0,
+            lent: HashMap::new(),
+            loans: HashMap::new(),
             tokens: 0.0,
             at: now,
             demand: 0.0,
-            since: now,
+            seen: now,
             asked: None,
         })
     }
 }
 
-impl Slice {
+/// Time after a start in which loans of an earlier process may be valid.
+pub fn settle_time() -> Duration {
+    LOAN_TIME + LOAN_MARGIN
+}
+
+impl Lent {
+    fn rate(&self, now: Duration) -> f64 {
+        let valid = self.parts.iter().filter(|(_, until)| *until > now);
+        valid.map(|(rate, _)| *rate).fold(0.0, f64::max)
+    }
+}
+
+impl Team {
+    /// What is left of the own share.
+    fn own(&self, now: Duration) -> f64 {
+        (self.share - self.lent_rate(now)).max(0.0)
+    }
+
+    fn rate(&self, now: Duration) -> f64 {
+        let valid = self.loans.values().filter(|l| now < l.until);
+        self.own(now) + valid.map(|l| l.rate).sum::<f64>()
+    }
+
+    fn lent_rate(&self, now: Duration) -> f64 {
+        self.lent.values().map(|l| l.rate(now)).sum()
+    }
+
+    fn demand_rate(&self, now: Duration) -> f64 {
+        let idle = now.saturating_sub(self.seen).as_secs_f64();
+        self.demand * (-idle / DEMAND_TIME).exp() / DEMAND_TIME
+    }
+
+    fn learn(&mut self, now: Duration, tokens: f64) {
+        self.demand = self.demand_rate(now) * DEMAND_TIME + tokens;
+        self.seen = now;
+    }
+
     fn refill(&mut self, now: Duration) {
-        let end = now.min(self.until);
-        let span = end.saturating_sub(self.at).as_secs_f64();
-        let most = self.rate * BURST_TIME;
-        self.tokens = (self.tokens + self.rate * span).min(most.max(self.tokens));
+        let span = now.saturating_sub(self.at).as_secs_f64();
+        let borrowed = self.loans.values().map(|l| {
+            let end = now.min(l.until);
+            l.rate * end.saturating_sub(self.at).as_secs_f64()
+        });
+        let gained = self.own(now) * span + borrowed.sum::<f64>();
+        let most = (self.rate(now) * BURST_TIME).max(self.tokens);
+        self.tokens = (self.tokens + gained).min(most);
         self.at = now;
+        self.loans.retain(|_, l| now < l.until);
+    }
+
+    fn lend(&mut self, now: Duration, borrower: &BoxId, want: f64) -> f64 {
+        for lent in self.lent.values_mut() {
+            lent.parts.retain(|(_, until)| *until > now);
+        }
+        self.lent.retain(|_, l| !l.parts.is_empty());
+        let others = self.lent.iter().filter(|(id, _)| *id != borrower);
+        let taken: f64 = others.map(|(_, l)| l.rate(now)).sum();
+        let spare = self.share - self.demand_rate(now) * OWN_FACTOR - taken;
+        let rate = want.min(spare).max(0.0);
+        let part = (rate, now + LOAN_TIME + LOAN_MARGIN);
+        self.lent
+            .entry(borrower.clone())
+            .or_default()
+            .parts
+            .push(part);
+        rate
     }
 }
--- a/crates/ashgauge/src/load.rs
+++ b/crates/ashgauge/src/load.rs
@@ -38,8 +38,41 @@
     pub queued: Duration,
     /// Time that it ran.
     pub ran: Duration,
-    /// Layers times positions that it ran.
+    /// Layers that it ran.
     pub layers: u32,
+    /// Positions that it ran through them.
+    pub positions: u32,
+}
+
+/// Mean of a time and its mean distance from it, as for retransmission timers
+/// (RFC 6298).
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Spread {
+    mean: f64,
+    far: f64,
+}
+
+impl Spread {
+    pub(crate) fn learn(&mut self, x: f64) {
+        if self.mean == 0.0 {
+            *self = Spread {
+                mean: x,
+                far: x / 2.0,
+            };
+            return;
+        }
+        self.far += 0.25 * ((x - self.mean).abs() - self.far);
+        self.mean += 0.125 * (x - self.mean);
+    }
+
+    pub(crate) fn mean(&self) -> f64 {
+        self.mean
+    }
+
+    /// A time that is seldom passed.
+    fn late(&self) -> f64 {
+        self.mean + 4.0 * self.far
+    }
 }
 
 /// One upstream as this box sees it.
@@ -51,6 +84,8 @@
     layer: f64,
     link: f64,
     ratio: f64,
+    one: Spread,
+    many: Spread,
     seen: Duration,
     until: Duration,
     fails: u32,
@@ -71,6 +106,8 @@
             layer: LAYER_FIRST,
             link: 0.0,
             ratio: 0.0,
+            one: Spread::default(),
+            many: Spread::default(),
             seen: Duration::ZERO,
             until: Duration::ZERO,
             fails: 0,
@@ -99,9 +136,7 @@
     }
 
     fn learn(&mut self, now: Duration, t: &Timing) {
-        let layers = f64::from(t.layers.max(1));
-        let per_layer = t.ran.as_secs_f64() / layers;
-        self.layer += GAIN * (per_layer - self.layer);
+        self.learn_speed(t);
         let link = t.total.saturating_sub(t.queued + t.ran).as_secs_f64();
         self.learn_link(link);
         let ratio = t.queued.as_secs_f64() / t.ran.as_secs_f64().max(1e-6);
@@ -112,6 +147,23 @@
         self.probing = false;
     }
 
+    /// Orders of one position and of many differ in time for one layer, as
+    /// engines run the positions of an order together.
+    fn learn_speed(&mut self, t: &Timing) {
+        let per_layer = t.ran.as_secs_f64() / f64::from(t.layers.max(1));
+        let total = t.total.as_secs_f64();
+        if t.positions > 1 {
+            self.many.learn(total / f64::from(t.positions));
+        } else if self.one.mean == 0.0 {
+            self.layer = per_layer;
+        } else {
+            self.layer += GAIN * (per_layer - self.layer);
+        }
+        if t.positions <= 1 {
+            self.one.learn(total);
+        }
+    }
+
     fn learn_link(&mut self, link: f64) {
         if self.link == 0.0 {
             self.link = link;
@@ -193,13 +245,20 @@
         }
     }
 
-    /// Learned time in which an order of so many layers should be answered.
-    pub fn expect(&self, now: Duration, id: &str, layers: u32) -> Duration {
-        let Some(l) = self.map.get(id) else {
-            return Duration::ZERO;
+    /// Seconds that an order of one position takes, as learned.
+    pub fn pace(&self, id: &str) -> f64 {
+        self.map.get(id).map_or(0.0, |l| l.one.mean)
+    }
+
+    /// Time that an order of so many positions seldom takes, as learned;
+    /// `None` if nothing was learned of such orders.
+    pub fn late(&self, id: &str, positions: u32) -> Option<Duration> {
+        let l = self.map.get(id)?;
+        let late = match positions {
+            0 | 1 => l.one.late(),
+            n => (l.many.late() * f64::from(n)).max(l.one.late()),
         };
-        let run = l.layer * f64::from(layers) * (1.0 + l.ratio);
-        Duration::from_secs_f64(run + l.link(now))
+        (late > 0.0).then(|| Duration::from_secs_f64(late))
     }
 
     /// Forgets upstreams that are no longer listed and hold nothing.
--- a/crates/ashgauge/src/message.rs
+++ b/crates/ashgauge/src/message.rs
@@ -34,21 +34,17 @@
         /// Whether the receiver should answer with a heartbeat of its own.
         answer: bool,
     },
-    /// Asks a team's home box for a slice of its rate.
-    AskSlice {
-        /// The team.
-        team: TeamId,
-        /// Tokens a second that the sender could use.
-        want: f64,
+    /// Asks for loans of team rates.
+    AskLoans {
+        /// Teams and the tokens a second wanted.
+        wants: Vec<(TeamId, f64)>,
         /// Asker's clock when it asked, in microseconds; given back.
         asked: u64,
     },
-    /// Grants a slice.
-    GrantSlice {
-        /// The team.
-        team: TeamId,
-        /// Tokens a second.
-        rate: f64,
+    /// Lends parts of team rates.
+    GrantLoans {
+        /// Teams and tokens a second.
+        rates: Vec<(TeamId, f64)>,
         /// The asker's clock, as it came.
         asked: u64,
     },
--- a/crates/ashgauge/src/node/admit.rs
+++ b/crates/ashgauge/src/node/admit.rs
@@ -4,6 +4,7 @@
 
 use super::*;
 use crate::claim::{Stage, Verdict};
+use crate::load::Spread;
 use crate::message::Message;
 use crate::policy::Target;
 use crate::queue::Job;
@@ -17,6 +18,10 @@
 /// Longest key that is stored, in bytes.
 const KEY_MOST: usize = 128;
 
+/// Factor on an expected wait, which is only an estimate, before a request is
+/// taken in: one that would be given up later is better refused at once.
+const WAIT_MARGIN: f64 = 2.0;
+
 /// Cost of a service call in the queue, in tokens.
 const CALL_COST: f64 = 100.0;
 
@@ -54,6 +59,7 @@
         for id in late {
             self.refuse(id, Kind::Deadline, "the deadline has passed", None);
         }
+        self.refuse_hopeless();
         let slow = |r: &Request| {
             let c = r.claim.as_ref().filter(|c| c.home.is_some());
             matches!(r.phase, Phase::Claiming) && c.is_some_and(|c| now > c.asked + HOME_TIME)
@@ -65,6 +71,20 @@
         }
     }
 
+    /// Refuses what still waits and could no longer end in time.
+    fn refuse_hopeless(&mut self) {
+        let hopeless = |r: &Request| {
+            let waits = matches!(r.phase, Phase::Waiting) && !r.ran;
+            waits && self.now + self.run_time(r) > r.deadline
+        };
+        let late = self.requests.iter().filter(|(_, r)| hopeless(r));
+        let late: Vec<RequestId> = late.map(|(id, _)| *id).collect();
+        for id in late {
+            let message = "the deadline would pass before the end";
+            self.refuse(id, Kind::Overloaded, message, Some(COME_BACK));
+        }
+    }
+
     /// Takes a claim's verdict, from this box's shards or the key's home.
     pub(super) fn claim_told(&mut self, claim: &str, verdict: Verdict) {
         let Some(id) = self.claiming.remove(claim) else {
@@ -247,6 +267,7 @@
             before: false,
             claim: None,
             produced: Vec::new(),
+            began: Duration::ZERO,
             phase: Phase::Waiting,
             route: name,
             team,
@@ -265,14 +286,17 @@
         }
         let team = &request.team;
         let queue = self.queues.entry(request.route.clone()).or_default();
-        let (wait, len) = (queue.wait(team.rank), queue.team_len(team.rank, &team.id));
+        let (wait, len) = (
+            queue.wait(team.rank, &team.id, team.weight),
+            queue.team_len(team.rank, &team.id),
+        );
         if len >= team.queue || self.requests.len() >= self.config.requests {
             let after = wait.max(COME_BACK);
             return Err(no(Kind::QueueFull, "the team's queue is full", after));
         }
-        let patience = request.deadline - self.now;
-        if wait > patience {
-            let after = wait - patience / 2;
+        let patience = (request.deadline - self.now).saturating_sub(self.run_time(request));
+        if wait.mul_f64(WAIT_MARGIN) > patience {
+            let after = (wait - patience / 2).max(COME_BACK / 10);
             return Err(no(
                 Kind::Overloaded,
                 "the wait would pass the deadline",
@@ -287,10 +311,30 @@
         Ok(())
     }
 
+    /// Time that a request will run, as far as others of its route tell.
+    pub(super) fn run_time(&self, request: &Request) -> Duration {
+        let pace = self.paces.get(&request.route).map_or(0.0, Spread::mean);
+        Duration::from_secs_f64(pace * f64::from(request.left()))
+    }
+
+    /// Learns from a request that ran to its end.
+    pub(super) fn learn_pace(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        let ran = self.now.saturating_sub(request.began).as_secs_f64();
+        let pace = ran / request.produced.len().max(1) as f64;
+        self.paces
+            .entry(request.route.clone())
+            .or_default()
+            .learn(pace);
+    }
+
     fn limit_wait(&mut self, team: &Team, ahead: f64) -> Option<Duration> {
-        let rate = team.rate?;
-        let own = self.slices.wait(self.now, &team.id)?;
-        Some(own + Duration::from_secs_f64(ahead / rate))
+        team.rate?;
+        let own = self.limits.wait(self.now, &team.id)?;
+        let rate = self.limits.rate(self.now, &team.id);
+        Some(own + Duration::from_secs_f64(ahead / rate.max(1e-3)))
     }
 
     fn route_name(&self, work: &Work) -> Option<String> {
@@ -313,7 +357,7 @@
         };
         // Keys of different teams never meet.
         let key = format!("{}/{key}", request.team.id);
-        let name = format!("{}.{:x}.{id}", self.config.id, self.config.incarnation);
+        let name = format!("{}.{id}", self.config.owner());
         let home = self
             .members
             .home(self.now, &self.claims.shard(&key).to_string());
@@ -410,8 +454,8 @@
         let job = self.job(id, request);
         let (team, cost, route) = (request.team.clone(), request.cost, request.route.clone());
         if team.rate.is_some() {
-            self.slices.demand(self.now, &team.id, cost);
-            self.ask_slice(&team.id);
+            self.limits.demand(self.now, &team.id, cost);
+            self.set_share(&team.id);
         }
         let queue = self.queues.entry(route.clone()).or_default();
         queue.push(job);
@@ -434,7 +478,7 @@
         }
         if request.team.rate.is_some() {
             let more = actual - request.cost;
-            self.slices.spend(self.now, &request.team.id, more);
+            self.limits.spend(self.now, &request.team.id, more);
         }
     }
 }
--- a/crates/ashgauge/src/node/call.rs
+++ b/crates/ashgauge/src/node/call.rs
@@ -80,6 +80,7 @@
             total: self.now - since,
             ran: self.now - since,
             layers: 1,
+            positions: 1,
             ..Default::default()
         };
         self.loads.learn(self.now, &upstream, &timing);
--- a/crates/ashgauge/src/node/fleet.rs
+++ b/crates/ashgauge/src/node/fleet.rs
@@ -5,6 +5,7 @@
 use rand::seq::IteratorRandom;
 
 use super::*;
+use crate::limit;
 use crate::message::{Envelope, Message};
 use crate::order::{Command, Reply as OrderReply};
 use crate::policy::TeamId;
@@ -12,9 +13,12 @@
 /// Peers that a fresh box asks for their table version before it is ready.
 const GREETED: usize = 5;
 
-/// Time between two looks at the slices that are due for renewal.
+/// Time between two looks at the loans that are due.
 const RENEW_TIME: Duration = Duration::from_millis(50);
 
+/// Boxes that one ask for loans goes to at most.
+const LENDERS_MOST: usize = 16;
+
 /// How long a claim given up is remembered.
 const GIVEN_UP_TIME: Duration = Duration::from_secs(60);
 
@@ -26,9 +30,9 @@
             self.send_heartbeats();
             self.given_up.retain(|_, (_, at)| now < *at + GIVEN_UP_TIME);
         }
-        if now >= self.fleet.slept {
-            self.fleet.slept = now + RENEW_TIME;
-            self.renew_slices();
+        if now >= self.fleet.renewed {
+            self.fleet.renewed = now + RENEW_TIME;
+            self.ask_loans();
         }
     }
 
@@ -39,9 +43,6 @@
         self.members.update(listing);
         let members = &self.members;
         self.loads.retain(|id| members.upstream(id).is_some());
-        let (now, me) = (self.now, self.config.id.clone());
-        self.home
-            .retain(|team| members.home(now, team).as_ref() == Some(&me));
         for id in self.leaving_ids() {
             if !before.contains(&id) {
                 let source = "platform".into();
@@ -84,14 +85,8 @@
                     self.send(from, addr, heartbeat);
                 }
             }
-            Message::AskSlice { team, want, asked } => {
-                self.grant_slice(&from, &addr, &team, want, asked)
-            }
-            Message::GrantSlice { team, rate, asked } => {
-                let asked = Duration::from_micros(asked);
-                self.slices.granted(self.now, &team, rate, asked);
-                self.dispatch_all();
-            }
+            Message::AskLoans { wants, asked } => self.lend(from, addr, wants, asked),
+            Message::GrantLoans { rates, asked } => self.borrow(&from, rates, asked),
             Message::AskClaim { key, id } => {
                 self.asked_for.insert(id.clone(), (from, addr));
                 let steps = self.claims.ask(self.now, self.wall() / 1000, &key, &id);
@@ -172,28 +167,14 @@
         }
     }
 
-    pub(super) fn ask_slice(&mut self, team: &TeamId) {
-        let Some(rate) = self.policy.team(team).and_then(|t| t.rate) else {
-            return;
-        };
-        if !self.config.tactics.slices {
-            return self.take_equal_part(team, rate);
-        }
-        let Some(want) = self.slices.ask(self.now, team) else {
-            return;
-        };
-        let asked = self.now.as_micros() as u64;
-        let Some(home) = self.members.home(self.now, team) else {
-            return;
-        };
-        if home == self.config.id {
-            if let Some(rate) = self.home.grant(self.now, team, rate, &home, want) {
-                self.slices.granted(self.now, team, rate, self.now);
-            }
-        } else if let Some(addr) = self.addr(&home) {
-            let team = team.clone();
-            self.send(home, addr, Message::AskSlice { team, want, asked });
-        }
+    /// Sets this box's own share of a team's rate, if the team has one.
+    pub(super) fn set_share(&mut self, team: &TeamId) {
+        let rate = self.policy.team(team).and_then(|t| t.rate).unwrap_or(0.0);
+        let boxes = self.members.boxes().count().max(1) as f64;
+        // An earlier process of this box may have lent the share.
+        let opens = self.config.tactics.loans && self.now < limit::settle_time();
+        let share = if opens { 0.0 } else { rate / boxes };
+        self.limits.set_share(self.now, team, share);
     }
 
     /// Sends the orders that are due, if this box holds the lease.
@@ -293,33 +274,49 @@
         self.send(to, addr, state);
     }
 
-    fn renew_slices(&mut self) {
-        for team in self.slices.teams() {
-            self.ask_slice(&team);
+    /// Asks other boxes for what teams want beyond this box's share.
+    fn ask_loans(&mut self) {
+        for team in self.limits.teams() {
+            self.set_share(&team);
         }
-        self.slices.forget(self.now);
-    }
-
-    fn grant_slice(&mut self, from: &BoxId, addr: &str, team: &TeamId, want: f64, asked: u64) {
-        let Some(limit) = self.policy.team(team).and_then(|t| t.rate) else {
-            return;
-        };
-        // Two boxes may disagree on who is home; only one that sees itself as
-        // home grants.
-        if self.members.home(self.now, team).as_ref() != Some(&self.config.id) {
+        self.limits.forget(self.now);
+        if !self.config.tactics.loans {
             return;
         }
-        let Some(rate) = self.home.grant(self.now, team, limit, from, want) else {
+        let due = self.limits.due(self.now);
+        if due.is_empty() {
             return;
-        };
-        let team = team.clone();
-        let message = Message::GrantSlice { team, rate, asked };
-        self.send(from.clone(), addr.into(), message);
+        }
+        let me = &self.config.id;
+        let others = self.members.live(self.now).filter(|b| b.id != *me);
+        let others = others.map(|b| (b.id.clone(), b.peer.clone()));
+        let lenders = others.choose_multiple(&mut self.rng, LENDERS_MOST);
+        let asked = self.now.as_micros() as u64;
+        for (id, addr) in &lenders {
+            let want = |t: &TeamId| self.limits.want(self.now, t, id, lenders.len());
+            let wants = due.iter().map(|t| (t.clone(), want(t)));
+            let wants: Vec<(TeamId, f64)> = wants.filter(|(_, w)| *w > 0.0).collect();
+            if !wants.is_empty() {
+                self.send(id.clone(), addr.clone(), Message::AskLoans { wants, asked });
+            }
+        }
     }
 
-    /// The plain baseline: the limit divided by the number of boxes.
-    fn take_equal_part(&mut self, team: &TeamId, limit: f64) {
-        let boxes = self.members.boxes().count().max(1) as f64;
-        self.slices.granted(self.now, team, limit / boxes, self.now);
+    fn lend(&mut self, to: BoxId, addr: String, wants: Vec<(TeamId, f64)>, asked: u64) {
+        let mut rates = Vec::with_capacity(wants.len());
+        for (team, want) in wants {
+            self.set_share(&team);
+            let rate = self.limits.lend(self.now, &team, &to, want);
+            rates.push((team, rate));
+        }
+        self.send(to, addr, Message::GrantLoans { rates, asked });
+    }
+
+    fn borrow(&mut self, from: &BoxId, rates: Vec<(TeamId, f64)>, asked: u64) {
+        let asked = Duration::from_micros(asked);
+        for (team, rate) in rates {
+            self.limits.borrowed(self.now, &team, from, rate, asked);
+        }
+        self.dispatch_all();
     }
 }
--- a/crates/ashgauge/src/node/flow.rs
+++ b/crates/ashgauge/src/node/flow.rs
@@ -11,8 +11,17 @@
 /// Stages that may be replaced for one request.
 const REPLACED_MOST: u32 = 16;
 
-/// A silent stage counts as lost after this many times its learned time.
-const SILENCE_FACTOR: u32 = 8;
+/// A silent stage counts as lost after this many times the time that its
+/// orders seldom take.
+const SILENCE_FACTOR: u32 = 2;
+
+/// As long as nothing was learned of an upstream, silence may last this many
+/// times the setting.
+const FIRST_FACTOR: u32 = 6;
+
+/// Factor on the expected run time of a request before it is started: one that
+/// is cut by its deadline has cost its engines' time for nothing.
+const RUN_MARGIN: f64 = 1.3;
 
 /// Time to come back after, when no stage can be replaced.
 const COME_BACK: Duration = Duration::from_secs(1);
@@ -27,6 +36,14 @@
     /// Whether the request may have run before the current order went out.
     before: bool,
     stalled: bool,
+    past: Vec<Past>,
+}
+
+/// A stage that was given up while its order was out.
+struct Past {
+    session: Session,
+    stage: Stage,
+    sent: Duration,
 }
 
 /// One stage with the inputs it was given.
@@ -110,14 +127,19 @@
                     let Some(stages) = self.choose(route, 0, layers, None, false) else {
                         return self.refuse_unserved(route);
                     };
-                    let Some(id) = self.take(route) else { return };
+                    let pace = stages.iter().map(|s| self.loads.pace(&s.upstream)).sum();
+                    let Some(id) = self.take(route, pace) else {
+                        return;
+                    };
                     self.start(id, stages);
                 }
                 Target::Service(_) => {
                     let Some(upstream) = self.choose_service(route) else {
                         return self.refuse_unserved(route);
                     };
-                    let Some(id) = self.take(route) else { return };
+                    let Some(id) = self.take(route, 0.0) else {
+                        return;
+                    };
                     self.start_call(id, upstream);
                 }
             }
@@ -166,8 +188,10 @@
             return;
         };
         let live = flow.live();
-        let expected = live.session == ran.session
-            && live.sent.is_some()
+        if live.session != ran.session {
+            return self.ran_late(&ran);
+        }
+        let expected = live.sent.is_some()
             && live.ran == ran.start
             && live.inputs().len() == ran.outputs.len();
         if !expected {
@@ -177,19 +201,32 @@
             return;
         }
         let sent = live.sent.take().unwrap_or(self.now);
-        let layers = live.stage.end - live.stage.first;
-        let timing = Timing {
-            total: self.now - sent,
-            queued: ran.queued,
-            ran: ran.ran,
-            layers: layers * ran.outputs.len() as u32,
-        };
+        let timing = timing(self.now - sent, &live.stage, &ran);
         let upstream = live.stage.upstream.clone();
         self.loads.learn(self.now, &upstream, &timing);
         self.stats.orders += 1;
         self.pass_on(ran);
     }
 
+    /// An answer of a stage that was given up is dropped, but it tells how
+    /// slow the upstream is.
+    fn ran_late(&mut self, ran: &Ran) {
+        self.stats.dropped += 1;
+        let Some(request) = self.requests.get(&ran.id) else {
+            return;
+        };
+        let Phase::Running(flow) = &request.phase else {
+            return;
+        };
+        let Some(past) = flow.past.iter().find(|p| p.session == ran.session) else {
+            return;
+        };
+        let timing = timing(self.now - past.sent, &past.stage, ran);
+        let upstream = past.stage.upstream.clone();
+        self.loads.learn(self.now, &upstream, &timing);
+        self.note(Some(ran.id), What::Dropped { upstream });
+    }
+
     pub(super) fn run_failed(&mut self, id: RequestId, session: Session, start: u32, fault: Fault) {
         let Some(request) = self.requests.get_mut(&id) else {
             return;
@@ -250,9 +287,13 @@
                 continue;
             }
             let live = flow.live();
-            let layers = (live.stage.end - live.stage.first) * live.inputs().len() as u32;
-            let learned = self.loads.expect(self.now, &live.stage.upstream, layers);
-            let limit = self.config.silence.max(learned * SILENCE_FACTOR);
+            let positions = live.inputs().len() as u32;
+            let late = self.loads.late(&live.stage.upstream, positions);
+            let silence = self.config.silence;
+            let limit = match late {
+                Some(late) => silence.max(late * SILENCE_FACTOR),
+                None => silence * FIRST_FACTOR,
+            };
             if live.sent.is_some_and(|t| self.now > t + limit) {
                 silent.push(*id);
             }
@@ -276,18 +317,24 @@
         }
     }
 
-    fn take(&mut self, route: &str) -> Option<RequestId> {
+    /// Takes the next request that may go, and that would end in time if each
+    /// token takes `pace` seconds; others wait for a quicker chain.
+    fn take(&mut self, route: &str, pace: f64) -> Option<RequestId> {
         let queue = self.queues.get_mut(route)?;
-        let (policy, slices) = (&self.policy, &mut self.slices);
+        let (policy, limits) = (&self.policy, &mut self.limits);
         let (now, requests) = (self.now, &self.requests);
         let job = queue.pop(now, &policy.floors, |job| {
-            let team = requests.get(&job.id).map(|r| &r.team);
-            team.is_none_or(|t| t.rate.is_none() || slices.has_room(now, &t.id))
+            let Some(r) = requests.get(&job.id) else {
+                return true;
+            };
+            let run = Duration::from_secs_f64(pace * RUN_MARGIN * f64::from(r.left()));
+            let fits = r.ran || now + run <= job.deadline;
+            fits && (r.team.rate.is_none() || limits.has_room(now, &r.team.id))
         })?;
         let request = self.requests.get(&job.id)?;
         if request.team.rate.is_some() {
             let team = request.team.id.clone();
-            self.slices.spend(now, &team, request.cost);
+            self.limits.spend(now, &team, request.cost);
         }
         Some(job.id)
     }
@@ -302,6 +349,7 @@
         if request.attempt == 0 {
             self.budget.earn();
             self.stats.started += 1;
+            request.began = self.now;
         }
         request.attempt += 1;
         let mut flow = Flow {
@@ -313,6 +361,7 @@
             replaced: 0,
             before: false,
             stalled: false,
+            past: Vec::new(),
         };
         let mut first = prompt.clone();
         first.extend(&request.produced);
@@ -408,6 +457,7 @@
         self.stats.tokens += 1;
         self.reply(id, Reply::Token(token));
         if last {
+            self.learn_pace(id);
             self.reply(id, Reply::End { prompt, generated });
             self.close(id, Outcome::Done, "done");
             self.dispatch_all();
@@ -435,8 +485,16 @@
             return;
         };
         let live = flow.live();
-        live.sent = None;
+        let sent = live.sent.take();
         let upstream = live.stage.upstream.clone();
+        if let Some(sent) = sent {
+            let (session, stage) = (live.session, live.stage.clone());
+            flow.past.push(Past {
+                session,
+                stage,
+                sent,
+            });
+        }
         if failed {
             self.loads.fail(self.now, &upstream);
         }
@@ -560,7 +618,7 @@
         let job = self.job(id, request);
         let (route, team) = (request.route.clone(), request.team.clone());
         if team.rate.is_some() {
-            self.slices.spend(self.now, &team.id, -job.cost);
+            self.limits.spend(self.now, &team.id, -job.cost);
         }
         self.queues.entry(route).or_default().unpop(job);
     }
@@ -615,6 +673,16 @@
     }
 }
 
+fn timing(total: Duration, stage: &Stage, ran: &Ran) -> Timing {
+    Timing {
+        total,
+        queued: ran.queued,
+        ran: ran.ran,
+        layers: stage.end - stage.first,
+        positions: ran.outputs.len() as u32,
+    }
+}
+
 /// The plain baseline: of the engines that hold the next layer, take each in
 /// turn, and all that it holds.
 fn in_turn(first: Layer, end: Layer, edges: &[Edge], turn: usize) -> Option<Vec<Stage>> {
--- a/crates/ashgauge/src/node/mod.rs
+++ b/crates/ashgauge/src/node/mod.rs
@@ -14,13 +14,14 @@
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use serde::{Deserialize, Serialize};
 
 use crate::claim::{self, ClaimId, Claims};
 use crate::clock::Clock;
 use crate::editor::Editor;
 use crate::lease::Lease;
-use crate::limit::{Home, Slices};
-use crate::load::Loads;
+use crate::limit::Limits;
+use crate::load::{Loads, Spread};
 use crate::member::{BoxId, Listing, Members, UpstreamId};
 use crate::order::Orders;
 use crate::policy::{Policy, Team};
@@ -75,15 +76,17 @@
     pub tactics: Tactics,
 }
 
-/// Ways of deciding. The default is what a fleet should run.
-#[derive(Clone, Copy, Debug)]
+/// Ways of deciding. The default is what a fleet should run; the others are
+/// plain baselines to measure against.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
 pub struct Tactics {
     /// Choose the cheapest chain; else take engines in turn.
     pub cheapest: bool,
     /// Weighted fair order; else first come, first served.
     pub fair: bool,
-    /// Slices by demand; else every box takes an equal part of a limit.
-    pub slices: bool,
+    /// Borrow rate from other boxes; else use the own share only.
+    pub loans: bool,
     /// Replay a lost stage; else start the whole request anew.
     pub replay: bool,
 }
@@ -93,13 +96,18 @@
         Tactics {
             cheapest: true,
             fair: true,
-            slices: true,
+            loans: true,
             replay: true,
         }
     }
 }
 
 impl Config {
+    /// The box with its incarnation, unique over all boxes and starts.
+    pub fn owner(&self) -> String {
+        format!("{}.{:x}", self.id, self.incarnation)
+    }
+
     /// Makes settings with the defaults of the daemon.
     pub fn new(id: &str, incarnation: u64) -> Self {
         Config {
@@ -143,13 +151,15 @@
     members: Members,
     loads: Loads,
     queues: BTreeMap<String, Queue>,
+    /// Seconds that a running request takes for each token it generates, by
+    /// route.
+    paces: HashMap<String, Spread>,
     requests: BTreeMap<RequestId, Request>,
     claiming: HashMap<ClaimId, RequestId>,
     /// Claims asked for and never to be sent under, with their keys.
     given_up: HashMap<ClaimId, (String, Duration)>,
     budget: Budget,
-    home: Home,
-    slices: Slices,
+    limits: Limits,
     claims: Claims,
     asked_for: HashMap<ClaimId, (BoxId, String)>,
     editor: Editor,
@@ -172,7 +182,7 @@
     newest_from: Option<(BoxId, String)>,
     greeted: bool,
     awaited: Vec<BoxId>,
-    slept: Duration,
+    renewed: Duration,
 }
 
 /// One request of a caller.
@@ -190,6 +200,7 @@
     before: bool,
     claim: Option<Claim>,
     produced: Vec<Value>,
+    began: Duration,
     phase: Phase,
 }
 
@@ -211,6 +222,14 @@
 }
 
 impl Request {
+    /// Tokens that are still to be generated.
+    fn left(&self) -> u32 {
+        match &self.order.work {
+            Work::Generate { most, .. } => most.saturating_sub(self.produced.len() as u32),
+            Work::Call { .. } => 0,
+        }
+    }
+
     /// What a caller must be told if no result comes.
     fn outcome(&self) -> Outcome {
         if self.ran {
@@ -224,7 +243,6 @@
 impl Node {
     /// Makes a node that knows nothing yet.
     pub fn new(config: Config) -> Self {
-        let me = format!("{}.{}", config.id, config.incarnation);
         Node {
             now: Duration::ZERO,
             clock: Clock::default(),
@@ -236,16 +254,16 @@
             members: Members::default(),
             loads: Loads::default(),
             queues: BTreeMap::new(),
+            paces: HashMap::new(),
             requests: BTreeMap::new(),
             claiming: HashMap::new(),
             given_up: HashMap::new(),
             budget: Budget::new(config.retries),
-            home: Home::default(),
-            slices: Slices::default(),
+            limits: Limits::default(),
             claims: Claims::new(config.claims.clone()),
             asked_for: HashMap::new(),
             editor: Editor::default(),
-            lease: Lease::new(me, config.lease),
+            lease: Lease::new(config.owner(), config.lease),
             orders: Orders::default(),
             fleet: Fleet::default(),
             turn: 0,
--- a/crates/ashgauge/src/node/status.rs
+++ b/crates/ashgauge/src/node/status.rs
@@ -106,9 +106,9 @@
         &self.stats
     }
 
-    /// Tokens a second that this box, as a team's home, has granted.
-    pub fn granted(&self, team: &str) -> f64 {
-        self.home.granted(self.now, team)
+    /// Tokens a second of a limited team that this box may spend now.
+    pub fn rate(&self, team: &str) -> f64 {
+        self.limits.rate(self.now, team)
     }
 
     /// All boxes of the platform's list.
--- a/crates/ashgauge/src/queue.rs
+++ b/crates/ashgauge/src/queue.rs
@@ -145,13 +145,17 @@
         tier.forget();
     }
 
-    /// Expected wait of a new request of tier `rank`, from the drain rate.
-    pub fn wait(&self, rank: u32) -> Duration {
+    /// Expected wait of a team's new request, from the drain rate.
+    ///
+    /// Ahead are the higher tiers, and of its own tier what is served while
+    /// the team's own requests are, by its weight.
+    pub fn wait(&self, rank: u32, team: &str, weight: f64) -> Duration {
         if self.rate <= 0.0 {
             return Duration::ZERO;
         }
-        let ahead: f64 = self.tiers.range(..=rank).map(|(_, t)| t.cost()).sum();
-        Duration::from_secs_f64((ahead / self.rate).min(3600.0))
+        let higher: f64 = self.tiers.range(..rank).map(|(_, t)| t.cost()).sum();
+        let own = self.tiers.get(&rank).map_or(0.0, |t| t.ahead(team, weight));
+        Duration::from_secs_f64(((higher + own) / self.rate).min(3600.0))
     }
 
     fn order(&self, floors: &HashMap<u32, f64>) -> Vec<u32> {
@@ -237,6 +241,25 @@
         Some(job)
     }
 
+    /// Cost that is served before a new request of the team.
+    fn ahead(&self, team: &str, weight: f64) -> f64 {
+        let mut weights = weight;
+        let (mut own, mut all) = (0.0, 0.0);
+        for (id, lane) in &self.teams {
+            let Some(first) = lane.jobs.front() else {
+                continue;
+            };
+            let cost: f64 = lane.jobs.iter().map(|j| j.cost).sum();
+            all += cost;
+            if **id == *team {
+                own = cost;
+            } else {
+                weights += first.weight;
+            }
+        }
+        (own * weights / weight).min(all)
+    }
+
     fn cost(&self) -> f64 {
         let jobs = self.teams.values().flat_map(|l| &l.jobs);
         jobs.map(|j| j.cost).sum()
--- a/crates/ashgauge/tests/limit.rs
+++ b/crates/ashgauge/tests/limit.rs
@@ -1,82 +1,103 @@
-//! Slices of a limit never sum to more than it, whoever is home.
+//! What the boxes may spend never sums to more than the limit.
 
 mod common;
 
 use std::time::Duration;
 
-use ashgauge::limit::{Home, SLICE_TIME};
+use ashgauge::limit::Limits;
+use ashgauge::member::BoxId;
+use ashgauge::policy::TeamId;
 use proptest::prelude::*;
 
 const LIMIT: f64 = 1000.0;
+const BOXES: usize = 4;
 
-/// A slice as its holder counts it: from before it asked.
-#[derive(Clone, Copy, Default)]
-struct Held {
-    rate: f64,
-    until: Duration,
+fn id(n: usize) -> BoxId {
+    format!("box-{n}").into()
+}
+
+fn fleet(now: Duration, team: &TeamId) -> Vec<Limits> {
+    let mut boxes: Vec<Limits> = (0..BOXES).map(|_| Limits::default()).collect();
+    for limits in &mut boxes {
+        limits.set_share(now, team, LIMIT / BOXES as f64);
+    }
+    boxes
 }
 
 proptest! {
     #![proptest_config(common::seeded(300))]
 
-    /// Boxes disagree on who is home and change their minds; grants arrive
-    /// late, in any order, or never.
+    /// Loans arrive late, in any order, or never; demand moves about.
     #[test]
-    fn valid_slices_sum_to_no_more_than_the_limit(
-        steps in prop::collection::vec((0usize..4, 0usize..3, 1u32..2000, 0u16..300, 0u8..10), 10..200),
+    fn boxes_together_never_pass_the_limit(
+        steps in prop::collection::vec((0..BOXES, 0..BOXES, 1u32..2000, 0u16..300, 0u8..10), 10..200),
     ) {
-        let team = "team".into();
-        let mut homes = [Home::default(), Home::default(), Home::default()];
-        // Which home is the true one; the two others refuse, as they see
-        // themselves as not home and forget what they had granted.
-        let mut home = 0;
+        let team: TeamId = "team".into();
         let mut now = Duration::from_secs(10);
-        let mut held = [Held::default(); 4];
-        let mut flying: Vec<(usize, f64, Duration)> = Vec::new();
-        for (asker, next, want, wait, luck) in steps {
+        let mut boxes = fleet(now, &team);
+        let mut flying: Vec<(usize, usize, f64, Duration)> = Vec::new();
+        for (asker, lender, want, wait, luck) in steps {
             now += Duration::from_millis(u64::from(wait));
-            if luck == 0 && next != home {
-                homes[home].retain(|_| false);
-                home = next;
-            }
+            boxes[asker].demand(now, &team, f64::from(want));
             let asked = now;
-            let id = format!("box-{asker}").into();
-            let delay = Duration::from_millis(u64::from(luck) * 10);
-            if let Some(rate) = homes[home].grant(now + delay, &team, LIMIT, &id, f64::from(want)) {
-                flying.push((asker, rate, asked));
+            now += Duration::from_millis(u64::from(luck) * 10);
+            if asker != lender {
+                let rate = boxes[lender].lend(now, &team, &id(asker), f64::from(want));
+                flying.push((asker, lender, rate, asked));
             }
-            now += delay;
-            // The newest grant on its way arrives, or is lost.
-            if luck % 3 != 2 && let Some((asker, rate, asked)) = flying.pop() {
-                held[asker] = Held { rate, until: asked + SLICE_TIME };
+            // Some grant on its way arrives, or all are lost.
+            if luck % 3 != 2 && !flying.is_empty() {
+                let n = usize::from(wait) % flying.len();
+                let (asker, lender, rate, asked) = flying.swap_remove(n);
+                boxes[asker].borrowed(now, &team, &id(lender), rate, asked);
             } else if luck == 8 {
                 flying.clear();
             }
-            let valid = held.iter().filter(|h| now < h.until);
-            let sum: f64 = valid.map(|h| h.rate).sum();
+            let sum: f64 = boxes.iter().map(|b| b.rate(now, &team)).sum();
             prop_assert!(sum <= LIMIT * 1.000_001, "{sum} at {now:?}");
         }
     }
+
+    /// What a box lets through over any time is at most its rate's sum plus
+    /// the burst and one request.
+    #[test]
+    fn spending_follows_the_rate(costs in prop::collection::vec(1u32..200, 50..200)) {
+        let team: TeamId = "team".into();
+        let mut limits = Limits::default();
+        limits.set_share(Duration::ZERO, &team, LIMIT);
+        let (mut spent, mut now) = (0.0, Duration::ZERO);
+        for cost in costs {
+            now += Duration::from_millis(20);
+            if limits.has_room(now, &team) {
+                limits.spend(now, &team, f64::from(cost));
+                spent += f64::from(cost);
+            }
+            let most = LIMIT * (now.as_secs_f64() + 0.25) + 200.0;
+            prop_assert!(spent <= most, "{spent} of {most}");
+        }
+    }
 }
 
 #[test]
-fn shares_follow_demand_after_some_renewals() {
-    let team = "team".into();
-    let mut home = Home::default();
-    let (a, b) = ("a".into(), "b".into());
-    let mut now = Duration::ZERO;
-    let mut rates = (0.0, 0.0);
-    for _ in 0..40 {
-        now += SLICE_TIME / 2;
-        if let Some(rate) = home.grant(now, &team, LIMIT, &a, 3000.0) {
-            rates.0 = rate;
+fn skewed_demand_gathers_most_of_the_limit() {
+    let team: TeamId = "team".into();
+    let mut now = Duration::from_secs(1);
+    let mut boxes = fleet(now, &team);
+    for _ in 0..100 {
+        now += Duration::from_millis(100);
+        boxes[0].demand(now, &team, 300.0);
+        if boxes[0].due(now).is_empty() {
+            continue;
         }
-        if let Some(rate) = home.grant(now, &team, LIMIT, &b, 1000.0) {
-            rates.1 = rate;
+        for lender in 1..BOXES {
+            let want = boxes[0].want(now, &team, &id(lender), BOXES - 1);
+            let rate = boxes[lender].lend(now, &team, &id(0), want);
+            boxes[0].borrowed(now, &team, &id(lender), rate, now);
         }
     }
-    assert!(
-        (rates.0 - 750.0).abs() < 1.0 && (rates.1 - 250.0).abs() < 1.0,
-        "{rates:?}"
-    );
+    let rate = boxes[0].rate(now, &team);
+    assert!(rate > 0.95 * LIMIT, "{rate}");
+    // Once the demand moves, the loans run out and the shares are back.
+    now += Duration::from_secs(3);
+    assert_eq!(boxes[1].rate(now, &team), LIMIT / BOXES as f64);
 }
--- a/crates/ashgauged/src/io.rs
+++ b/crates/ashgauged/src/io.rs
@@ -34,13 +34,12 @@
     /// Makes the connections' clients.
     pub fn new(node: ActorRef<Msg>, start: &Start) -> Self {
         let settings = &start.settings;
-        let owner = format!("{}.{:x}", start.config.id, start.config.incarnation);
         Io {
             node,
             platform: Platform::new(&settings.platform, settings.platform_calls),
             peers: start.peers.clone(),
             client: Client::new(CONNECT_TIME),
-            owner: owner.into(),
+            owner: start.config.owner().into(),
             list_time: Duration::from_millis(settings.timing.list_ms),
         }
     }
--- a/crates/ashgauged/src/main.rs
+++ b/crates/ashgauged/src/main.rs
@@ -75,15 +75,17 @@
     let take = move |envelope| taker.hear(envelope);
     let served = peer::serve(&settings.peer, &peer_credential, take).await;
     let (peer_addr, server) = served.map_err(|e| eyre!("{e}"))?;
+    let config = settings.node(&peer_addr.to_string());
+    let owner = config.owner();
     let start = Start {
-        config: settings.node(&peer_addr.to_string()),
+        config,
         settings: settings.clone(),
         peers: peer::Peers::new(&peer_credential),
         timeline: timeline.clone(),
     };
     let (node, task) = Actor::spawn(None, NodeActor, start).await?;
     mailbox.connect(node.clone());
-    let ports = Arc::new(Ports::new(node.clone(), timeline));
+    let ports = Arc::new(Ports::new(node.clone(), owner, timeline));
     let (stop, stopped) = watch::channel(false);
     announce(&settings, &callers, &operators, &peer_addr.to_string())?;
     let bounds = settings.bounds();
--- a/crates/ashgauged/src/ports.rs
+++ b/crates/ashgauged/src/ports.rs
@@ -21,6 +21,7 @@
 /// The node's actor as the ports see it.
 pub struct Ports {
     node: ActorRef<Msg>,
+    owner: String,
     timeline: Arc<Timeline>,
 }
 
@@ -82,8 +83,14 @@
 
 impl Ports {
     /// Makes the ports' view of an actor.
-    pub fn new(node: ActorRef<Msg>, timeline: Arc<Timeline>) -> Self {
-        Ports { node, timeline }
+    ///
+    /// `owner` is the box with its incarnation.
+    pub fn new(node: ActorRef<Msg>, owner: String, timeline: Arc<Timeline>) -> Self {
+        Ports {
+            node,
+            owner,
+            timeline,
+        }
     }
 }
 
@@ -108,6 +115,7 @@
             id,
         };
         Some(Answer {
+            name: format!("{}.{id}", self.owner),
             parts,
             guard: Box::new(guard),
         })
--- a/crates/ashgauged/src/settings.rs
+++ b/crates/ashgauged/src/settings.rs
@@ -5,6 +5,7 @@
 
 use ashgauge::Config;
 use ashgauge::claim;
+use ashgauge::node::Tactics;
 use caller::Bounds;
 use eyre::{Result, WrapErr, bail, eyre};
 use http::Limits;
@@ -54,6 +55,9 @@
     /// File to which the time line is written as JSON lines, if any.
     #[serde(default)]
     pub events: Option<PathBuf>,
+    /// Ways of deciding, for comparison with plain baselines.
+    #[serde(default)]
+    pub tactics: Tactics,
     /// Threads.
     #[serde(default = "default_threads")]
     pub threads: usize,
@@ -239,6 +243,7 @@
         config.lease = ms(t.lease_ms);
         config.keep = self.limits.keep_inputs;
         config.retries = self.retry_share;
+        config.tactics = self.tactics;
         config.claims = claim::Config {
             shards: self.claims.shards,
             keep: Duration::from_secs(self.claims.keep_s),
--- /dev/null
+++ b/crates/bench/src/bin/policy.rs
@@ -0,0 +1,93 @@
+//! Measures the policy against plain baselines.
+//!
+//! `cargo run --release -p ashgauge-bench --bin policy -- [EXPERIMENT ...]`
+//! prints a line of JSON for each run. docs/MEASUREMENTS.md keeps the figures.
+
+use bench::experiment::{limit, recovery, saturation};
+use eyre::{Result, bail};
+use serde_json::{Value, json};
+use standin::link::Mode;
+
+const SEED: u64 = 20_261_202;
+
+const EXPERIMENTS: [&str; 3] = ["saturation", "recovery", "limit"];
+
+#[tokio::main]
+async fn main() -> Result<()> {
+    let mut wanted: Vec<String> = std::env::args().skip(1).collect();
+    if wanted.is_empty() {
+        wanted = EXPERIMENTS.map(String::from).to_vec();
+    }
+    for experiment in wanted {
+        match experiment.as_str() {
+            "saturation" => all_saturation().await?,
+            "peak" => {
+                let figures = saturation(&json!({}), 60, 1.3, SEED).await?;
+                print("saturation", "ours", figures);
+            }
+            "recovery" => all_recovery().await?,
+            "limit" => all_limit().await?,
+            other => bail!("no experiment `{other}`; there are {EXPERIMENTS:?} and peak"),
+        }
+    }
+    Ok(())
+}
+
+async fn all_saturation() -> Result<()> {
+    let ways = [
+        ("ours", json!({})),
+        ("round robin", json!({"cheapest": false})),
+        ("first come first served", json!({"fair": false})),
+    ];
+    for (name, tactics) in ways {
+        print(
+            "saturation",
+            name,
+            saturation(&tactics, 60, 1.3, SEED).await?,
+        );
+    }
+    Ok(())
+}
+
+async fn all_recovery() -> Result<()> {
+    let reset = Mode {
+        cut: true,
+        ..Mode::default()
+    };
+    let silent = Mode {
+        freeze: true,
+        ..Mode::default()
+    };
+    let ways = [
+        ("replay one stage", json!({})),
+        ("restart whole", json!({"replay": false})),
+    ];
+    for (name, tactics) in ways {
+        let figures = recovery(&tactics, &reset, 4, SEED).await?;
+        print("recovery, reset", name, figures);
+        let figures = recovery(&tactics, &silent, 4, SEED).await?;
+        print("recovery, silence", name, figures);
+    }
+    Ok(())
+}
+
+async fn all_limit() -> Result<()> {
+    let ways = [
+        ("loans", json!({})),
+        ("equal parts", json!({"loans": false})),
+    ];
+    for (name, tactics) in ways {
+        for fault in ["none", "kill", "cut"] {
+            let figures = limit(&tactics, fault, 30, SEED).await?;
+            print(&format!("limit, {fault}"), name, figures);
+        }
+    }
+    Ok(())
+}
+
+fn print(experiment: &str, way: &str, figures: Value) {
+    println!(
+        "{}",
+        json!({"experiment": experiment, "way": way, "figures": figures})
+    );
+}
--- a/crates/caller/src/answer.rs
+++ b/crates/caller/src/answer.rs
@@ -19,6 +19,9 @@
 /// Header that carries the outcome.
 pub const OUTCOME: &str = "ashgauge-outcome";
 
+/// Header that carries the request's name.
+const REQUEST: &str = "ashgauge-request";
+
 /// An error answer.
 #[derive(Clone, Debug)]
 pub struct Problem {
@@ -83,7 +86,16 @@
 }
 
 /// Waits for the first part and answers in the wanted form.
-pub(crate) async fn respond(mut answer: Answer, shape: Shape) -> Response<Body> {
+pub(crate) async fn respond(answer: Answer, shape: Shape) -> Response<Body> {
+    let name = HeaderValue::from_str(&answer.name);
+    let mut response = begin(answer, shape).await;
+    if let Ok(name) = name {
+        response.headers_mut().insert(REQUEST, name);
+    }
+    response
+}
+
+async fn begin(mut answer: Answer, shape: Shape) -> Response<Body> {
     let Some(first) = answer.parts.recv().await else {
         return Problem::stopped().response();
     };
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -40,6 +40,8 @@
 
 /// An answer on its way: its parts, and what ends the request if dropped.
 pub struct Answer {
+    /// Name of the request in the time line and in the engines' records.
+    pub name: String,
     /// Parts; bounded in number by the tokens asked for.
     pub parts: UnboundedReceiver<Reply>,
     /// Dropped when the caller is gone or the answer is whole.
--- a/crates/proof/tests/layers.rs
+++ b/crates/proof/tests/layers.rs
@@ -81,6 +81,22 @@
     check(&fleet, &[], 20)
 }
 
+/// A slow engine is entered behind its first layer, as a quick one runs those.
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_engine_is_entered_late() -> Result<()> {
+    let mut plan = plan(&[(0, 5), (3, 8)]);
+    plan.engines[1].layer_time = std::time::Duration::from_millis(2);
+    let fleet = Fleet::start(plan).await?;
+    let expected = reference(fleet.layers, PROMPT, 6);
+    for _ in 0..6 {
+        let reply = fleet.boxes[0].complete(PROMPT, 6, &[]).await?;
+        assert_eq!(text_of(&reply), expected, "{}", reply.body);
+    }
+    let entered = |r: &Record| matches!(r, Record::Ran { first: 5, .. });
+    assert!(fleet.engines[1].records()?.iter().any(entered));
+    check(&fleet, &[], 6)
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn engine_killed_at_a_random_token() -> Result<()> {
     let mut rng = SmallRng::seed_from_u64(7);
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -41,6 +41,8 @@
     pub fenced: bool,
     /// File for its records.
     pub records: Option<PathBuf>,
+    /// Microseconds that its slots were busy, counted here.
+    pub busy: Arc<AtomicU64>,
 }
 
 /// One line of an engine's records.
@@ -109,7 +111,6 @@
     last: Mutex<Option<RunReply>>,
     orders: Mutex<u64>,
     fence: Mutex<(u64, u64)>,
-    busy: AtomicBool,
 }
 
 struct Session {
@@ -127,7 +128,6 @@
         last: Mutex::default(),
         orders: Mutex::default(),
         fence: Mutex::default(),
-        busy: AtomicBool::new(false),
         options,
     });
     run(listener, move |head, body| {
@@ -170,9 +170,6 @@
         if order.model != o.model || order.first < o.first || order.end > o.end {
             return refuse(Reason::NoLayers);
         }
-        if self.busy.load(Ordering::Relaxed) {
-            return refuse(Reason::Busy);
-        }
         let known = lock(&self.sessions).get(&order.session).cloned();
         let session = match known {
             Some(session) => session,
@@ -229,6 +226,8 @@
             .iter()
             .map(|x| session.layers.run(*x))
             .collect();
+        let ran = started.elapsed().as_micros() as u64;
+        self.options.busy.fetch_add(ran, Ordering::Relaxed);
         session.next = order.start + order.inputs.len() as u32;
         self.record(&order);
         let last = order.end == self.options.layers;
@@ -246,7 +245,7 @@
             outputs,
             token,
             queued_us: queued.as_micros() as u64,
-            ran_us: started.elapsed().as_micros() as u64,
+            ran_us: ran,
         };
         session.kept = Some((order, reply.clone()));
         reply
--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -41,6 +41,11 @@
 pub async fn serve(listener: TcpListener, control: TcpListener, to: SocketAddr) {
     let mode = Arc::new(watch::Sender::new(Mode::default()));
     tokio::spawn(serve_control(control, mode.clone()));
+    relay_all(listener, to, mode).await;
+}
+
+/// Relays connections from `listener` to `to`, as `mode` says, for ever.
+pub async fn relay_all(listener: TcpListener, to: SocketAddr, mode: Arc<watch::Sender<Mode>>) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             continue;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -57,6 +57,7 @@
             slots: 8,
             fenced: false,
             records: None,
+            busy: Default::default(),
         },
     };
     let mut parser = lexopt::Parser::from_env();
