Send changes instead of whole tables and lists

Ruled out: the watch (one call in 20 s).

Change: the list is watched by version; the table's watch brings the version only, and the edits behind it come from a peer, checked by a hash of the result, with the platform's whole table as the way back; heartbeats go out at once on news and else every 3 s.

Found by the tests, red before: an edit could be refused for a value long replaced (2 tests of table and lease), since the editor kept a reading that had been made for another purpose; it now judges by its own readings only.

--- a/crates/ashgauge/src/editor.rs
+++ b/crates/ashgauge/src/editor.rs
@@ -52,6 +52,7 @@
     waiting: VecDeque<(Ticket, Edit, Duration)>,
     base: Option<(Version, Table)>,
     busy: bool,
+    reading: bool,
     unsure: bool,
     next: Duration,
 }
@@ -73,6 +74,11 @@
         least: Version,
         answer: Option<(Version, Table)>,
     ) -> Vec<Step> {
+        // The table is also read for other reasons; an edit judged by such an
+        // older reading could be refused for a value long replaced.
+        if !std::mem::replace(&mut self.reading, false) {
+            return Vec::new();
+        }
         self.busy = false;
         match answer.filter(|(v, _)| *v >= least) {
             Some(base) => self.base = Some(base),
@@ -127,6 +133,7 @@
         }
         let Some((version, table)) = &self.base else {
             self.busy = true;
+            self.reading = true;
             return Some(Step::Read);
         };
         let version = *version;
--- a/crates/ashgauge/src/member.rs
+++ b/crates/ashgauge/src/member.rs
@@ -88,6 +88,9 @@
 /// The platform's lagging list.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Listing {
+    /// Grows with each change of the list.
+    #[serde(default)]
+    pub version: u64,
     /// Boxes.
     pub boxes: Vec<BoxEntry>,
     /// Upstreams.
--- a/crates/ashgauge/src/message.rs
+++ b/crates/ashgauge/src/message.rs
@@ -6,7 +6,7 @@
 use crate::clock::Stamp;
 use crate::member::{BoxId, Listing, UpstreamId};
 use crate::policy::TeamId;
-use crate::table::{Table, Version};
+use crate::table::{Edit, Table, Version};
 
 /// A message with its sender and the sender's clock.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -71,9 +71,21 @@
         /// How far the request came.
         stage: crate::claim::Stage,
     },
-    /// Asks for table and member list, while the platform is out of reach.
-    FetchState,
-    /// Answers [`Message::FetchState`].
+    /// Asks for what is newer than a table version; 0 asks for everything.
+    FetchState {
+        /// Version that the sender has.
+        since: Version,
+    },
+    /// Answers [`Message::FetchState`] with the edits that led to a version.
+    Edits {
+        /// Version after the last edit.
+        version: Version,
+        /// The edits, oldest first; each made one version.
+        edits: Vec<Edit>,
+        /// Hash of the table at that version.
+        hash: u64,
+    },
+    /// Answers [`Message::FetchState`] whole.
     State {
         /// Version of the table.
         version: Version,
--- a/crates/ashgauge/src/node/admit.rs
+++ b/crates/ashgauge/src/node/admit.rs
@@ -285,6 +285,12 @@
             return Err(no(Kind::NoUpstream, message, COME_BACK));
         }
         let team = &request.team;
+        if team.rate.is_some() {
+            // Refused requests are demand too, else loans would shrink with
+            // every refusal.
+            self.set_share(&team.id);
+            self.limits.demand(self.now, &team.id, request.cost);
+        }
         let queue = self.queues.entry(request.route.clone()).or_default();
         let (wait, len) = (
             queue.wait(team.rank, &team.id, team.weight),
@@ -452,11 +458,7 @@
         request.phase = Phase::Waiting;
         let request = &self.requests[&id];
         let job = self.job(id, request);
-        let (team, cost, route) = (request.team.clone(), request.cost, request.route.clone());
-        if team.rate.is_some() {
-            self.limits.demand(self.now, &team.id, cost);
-            self.set_share(&team.id);
-        }
+        let route = request.route.clone();
         let queue = self.queues.entry(route.clone()).or_default();
         queue.push(job);
         let waiting = queue.len();
--- a/crates/ashgauge/src/node/fleet.rs
+++ b/crates/ashgauge/src/node/fleet.rs
@@ -94,7 +94,12 @@
             }
             Message::TellClaim { id, verdict } => self.claim_told(&id, verdict),
             Message::EndClaim { key, id, stage } => self.claims.finish(&key, &id, stage),
-            Message::FetchState => self.tell_state(from, addr),
+            Message::FetchState { since } => self.tell_state(from, addr, since),
+            Message::Edits {
+                version,
+                edits,
+                hash,
+            } => self.take_edits(version, &edits, hash, &from),
             Message::State {
                 version,
                 table,
@@ -147,6 +152,7 @@
     /// Notes that an upstream is leaving and wants no new work.
     pub(super) fn note_leaving(&mut self, id: &UpstreamId, source: &str) {
         if self.members.leave(self.now, id) {
+            self.tell_news();
             let what = What::Leaving {
                 upstream: id.clone(),
                 source: source.into(),
@@ -231,6 +237,12 @@
         }
     }
 
+    /// Sends heartbeats soon, as there is something new to tell.
+    pub(super) fn tell_news(&mut self) {
+        let soon = self.now + store::NEWS_TIME;
+        self.fleet.heartbeat = self.fleet.heartbeat.min(soon);
+    }
+
     fn send_heartbeats(&mut self) {
         let me = self.config.id.clone();
         let others = self.members.boxes().filter(|b| b.id != me);
@@ -262,10 +274,26 @@
         }
     }
 
-    fn tell_state(&mut self, to: BoxId, addr: String) {
-        if self.policy.version == 0 {
+    /// Sends what is newer than `since`: the edits if they are still held.
+    fn tell_state(&mut self, to: BoxId, addr: String, since: Version) {
+        let version = self.policy.version;
+        if version <= since {
             return;
         }
+        if since > 0
+            && let Some(edits) = self.table.last_edits(version - since)
+        {
+            let (edits, hash) = (edits.to_vec(), self.table.hash());
+            return self.send(
+                to,
+                addr,
+                Message::Edits {
+                    version,
+                    edits,
+                    hash,
+                },
+            );
+        }
         let state = Message::State {
             version: self.policy.version,
             table: Box::new(Table::clone(&self.table)),
--- a/crates/ashgauge/src/node/store.rs
+++ b/crates/ashgauge/src/node/store.rs
@@ -7,18 +7,21 @@
 use crate::editor;
 use crate::lease;
 use crate::message::Message;
+use crate::table::Edit;
 
-/// Pause between tries to read the table while none is held.
+/// Pause between tries to read the table while the box is behind.
 const TABLE_PAUSE: Duration = Duration::from_millis(500);
 
+/// Time in which peers may bring a newer table, which costs less than the
+/// platform's whole one.
+const PEER_TIME: Duration = Duration::from_millis(500);
+
+/// Time after news in which they are told to peers.
+pub(super) const NEWS_TIME: Duration = Duration::from_millis(50);
+
 impl Node {
     pub(super) fn tick_store(&mut self) {
-        let behind = self.policy.version == 0 || self.policy.version < self.fleet.newest;
-        let paused = self
-            .fleet
-            .read_at
-            .is_some_and(|t| self.now < t + TABLE_PAUSE);
-        if behind && !paused {
+        if self.is_behind() && self.now >= self.fleet.read_at {
             self.read_table();
         }
         let steps = self.claims.tick(self.now, self.wall() / 1000);
@@ -90,17 +93,56 @@
             source: source.into(),
         };
         self.note(None, what);
+        self.tell_news();
         self.dispatch_all();
     }
 
-    /// Notes a version that a peer has in force, and fetches it if it is newer.
+    /// Notes a version that the platform has.
+    pub(super) fn see_version(&mut self, version: Version) {
+        self.fleet.heard = Some(self.now);
+        self.await_version(version);
+    }
+
+    /// Notes a version that a peer has in force, and asks it for the edits.
     pub(super) fn hear_version(&mut self, version: Version, from: &BoxId, addr: &str) {
-        if version <= self.fleet.newest {
+        if version <= self.policy.version {
             return;
         }
-        self.fleet.newest = version;
-        self.fleet.newest_from = Some((from.clone(), addr.into()));
-        self.read_table();
+        self.await_version(version);
+        let since = self.policy.version;
+        self.send(from.clone(), addr.into(), Message::FetchState { since });
+    }
+
+    /// Takes over the edits that a peer sent.
+    pub(super) fn take_edits(&mut self, version: Version, edits: &[Edit], hash: u64, from: &str) {
+        let known = self.policy.version;
+        let missing = version.saturating_sub(known) as usize;
+        if missing == 0 || known == 0 || missing > edits.len() {
+            return;
+        }
+        let mut table = Table::clone(&self.table);
+        for edit in &edits[edits.len() - missing..] {
+            match table.apply(edit) {
+                Ok(next) => table = next,
+                Err(_) => return,
+            }
+        }
+        // A version that no edit made, such as one restored by hand, shows
+        // here; the whole table is then read from the platform.
+        if table.hash() == hash {
+            self.install(version, Arc::new(table), from);
+        }
+    }
+
+    fn await_version(&mut self, version: Version) {
+        if version > self.fleet.newest {
+            self.fleet.newest = version;
+            self.fleet.read_at = self.fleet.read_at.max(self.now + PEER_TIME);
+        }
+    }
+
+    fn is_behind(&self) -> bool {
+        self.policy.version == 0 || self.policy.version < self.fleet.newest
     }
 
     pub(super) fn claim_steps(&mut self, steps: Vec<claim::Step>) {
@@ -191,7 +233,7 @@
         if std::mem::replace(&mut self.fleet.reading, true) {
             return;
         }
-        self.fleet.read_at = Some(self.now);
+        self.fleet.read_at = self.now + TABLE_PAUSE;
         self.stats.reads += 1;
         self.out.push(Action::Read(Object::Table));
     }
@@ -205,9 +247,6 @@
         if let Some((version, table)) = &answer {
             self.install(*version, table.clone(), "platform");
         }
-        if self.policy.version < self.fleet.newest {
-            self.fetch_newest();
-        }
         if self.policy.version == 0 && answer.is_none() {
             self.fetch_first();
         }
@@ -216,17 +255,10 @@
         self.edit_steps(steps);
     }
 
-    /// Asks the peer that has a newer table, as the platform did not give it.
-    fn fetch_newest(&mut self) {
-        if let Some((to, addr)) = self.fleet.newest_from.clone() {
-            self.send(to, addr, Message::FetchState);
-        }
-    }
-
     /// Asks the boxes named in the settings, for a start during an outage.
     fn fetch_first(&mut self) {
         for addr in self.config.seeds.clone() {
-            self.send("".into(), addr, Message::FetchState);
+            self.send("".into(), addr, Message::FetchState { since: 0 });
         }
     }
 }
--- a/crates/ashgauge/src/node/types.rs
+++ b/crates/ashgauge/src/node/types.rs
@@ -290,9 +290,11 @@
     /// A conditional write of this content ended.
     Written(Object, Content, Written),
     /// The table's watch showed a version.
-    Watched(Version, Arc<Table>),
-    /// The platform's list was read.
+    Watched(Version),
+    /// The platform's list was read and has changed.
     Listed(Listing),
+    /// A watch ended without a change; the platform is there.
+    Unchanged,
     /// Another box's message.
     Heard(Envelope),
     /// A message to another box could not be delivered.
--- a/crates/ashgauge/src/table.rs
+++ b/crates/ashgauge/src/table.rs
@@ -145,6 +145,18 @@
         self.rows.get(row)?.get(column)
     }
 
+    /// Hash of the whole table, the same on every box.
+    pub fn hash(&self) -> u64 {
+        let bytes = serde_json::to_vec(self).unwrap_or_default();
+        xxhash_rust::xxh3::xxh3_64(&bytes)
+    }
+
+    /// The last `n` edits, oldest first; `None` if they are no longer held.
+    pub fn last_edits(&self, n: u64) -> Option<&[Edit]> {
+        let from = self.edits.len().checked_sub(usize::try_from(n).ok()?)?;
+        Some(&self.edits[from..])
+    }
+
     /// Returns true if the edit is part of this table's history.
     pub fn holds(&self, id: &str) -> bool {
         self.edits.iter().any(|e| e.id == id)
--- a/crates/ashgauge/tests/golden.rs
+++ b/crates/ashgauge/tests/golden.rs
@@ -77,6 +77,7 @@
         state: State::Live,
     };
     Listing {
+        version: 1,
         boxes: vec![node(0), node(1)],
         upstreams: vec![engine("a", 0, 2), engine("b", 2, 4), engine("c", 2, 4)],
     }
@@ -99,9 +100,13 @@
             log: String::new(),
         };
         for n in 0..boxes {
-            world
-                .events
-                .push_back((n, Event::Watched(1, Arc::new(table()))));
+            world.events.push_back((
+                n,
+                Event::Read(
+                    Object::Table,
+                    Some((1, Some(Content::Table(Arc::new(table()))))),
+                ),
+            ));
             world.events.push_back((n, Event::Listed(listing())));
         }
         world.run();
--- a/crates/ashgauged/src/io.rs
+++ b/crates/ashgauged/src/io.rs
@@ -127,36 +127,55 @@
     let mut version = 0;
     let mut pause = PAUSE_FIRST;
     loop {
-        match platform.watch_table(version).await {
-            Ok(Some((newer, table))) => {
+        let event = match platform.watch_table(version).await {
+            Ok(Some(newer)) => {
                 version = newer;
-                pause = PAUSE_FIRST;
                 info!("platform: table version {newer}");
-                if node.cast(Msg::Event(Event::Watched(newer, table))).is_err() {
-                    return;
-                }
+                Event::Watched(newer)
             }
-            Ok(None) => pause = PAUSE_FIRST,
-            Err(()) => {
-                warn!("platform: no answer to the watch, trying again");
-                tokio::time::sleep(jittered(pause)).await;
-                pause = (pause * 2).min(PAUSE_MOST);
+            Ok(None) => Event::Unchanged,
+            Err(_) => {
+                pause = wait_out("table", pause).await;
+                continue;
             }
+        };
+        pause = PAUSE_FIRST;
+        if node.cast(Msg::Event(event)).is_err() {
+            return;
         }
     }
 }
 
 async fn follow_list(node: ActorRef<Msg>, platform: Platform, every: Duration) {
+    let mut version = 0;
+    let mut pause = PAUSE_FIRST;
     loop {
-        if let Some(listing) = platform.list().await
-            && node.cast(Msg::Event(Event::Listed(listing))).is_err()
-        {
+        let event = match platform.watch_list(version).await {
+            Ok(Some(listing)) => {
+                version = listing.version;
+                Event::Listed(listing)
+            }
+            Ok(None) => Event::Unchanged,
+            Err(_) => {
+                pause = wait_out("list", pause).await;
+                continue;
+            }
+        };
+        pause = PAUSE_FIRST;
+        if node.cast(Msg::Event(event)).is_err() {
             return;
         }
         tokio::time::sleep(jittered(every)).await;
     }
 }
 
+/// Sleeps after a watch that brought no answer; returns the next pause.
+async fn wait_out(what: &str, pause: Duration) -> Duration {
+    warn!("platform: no answer to the watch of the {what}, trying again");
+    tokio::time::sleep(jittered(pause)).await;
+    (pause * 2).min(PAUSE_MOST)
+}
+
 /// The pause, give or take a quarter, so that boxes do not fall into step.
 fn jittered(pause: Duration) -> Duration {
     pause.mul_f64(rand::random_range(0.75..1.25))
--- a/crates/ashgauged/src/settings.rs
+++ b/crates/ashgauged/src/settings.rs
@@ -111,7 +111,7 @@
     pub isolation_ms: u64,
     /// Time to live of the lease for orders.
     pub lease_ms: u64,
-    /// Between reads of the platform's list.
+    /// Least time between two reads of the platform's list.
     pub list_ms: u64,
     /// How long a planned stop may take.
     pub drain_ms: u64,
@@ -150,12 +150,12 @@
 impl Default for Timing {
     fn default() -> Self {
         Timing {
-            heartbeat_ms: 1000,
+            heartbeat_ms: 3000,
             silence_ms: 500,
             call_silence_ms: 5000,
             isolation_ms: 30_000,
             lease_ms: 5000,
-            list_ms: 1000,
+            list_ms: 500,
             drain_ms: 60_000,
         }
     }
--- /dev/null
+++ b/crates/bench/src/bin/slopes.rs
@@ -0,0 +1,62 @@
+//! Measures what each part costs as the fleet grows, and fits lines.
+//!
+//! `cargo run --release -p ashgauge-bench --bin slopes` prints a line of JSON
+//! for each. docs/CAPACITY.md works from them.
+
+use bench::fit::line;
+use bench::slopes::{
+    Point, claims, dispatch, idle_box, limits, listing, order_cost, table, tick, wire,
+};
+use eyre::Result;
+use serde_json::json;
+
+#[tokio::main]
+async fn main() -> Result<()> {
+    let wanted: Vec<String> = std::env::args().skip(1).collect();
+    let want = |name: &str| wanted.is_empty() || wanted.iter().any(|w| w == name);
+    if want("node") {
+        print(
+            "request, microseconds, by engines of its model",
+            &dispatch(),
+        );
+        print(
+            "stage order in the node, microseconds, by orders",
+            &order_cost(),
+        );
+        print("tick, microseconds, by requests in flight", &tick());
+        print("list, bytes, by members", &listing().0);
+        print("list, microseconds to take, by members", &listing().1);
+        print("table, bytes, by teams", &table().0);
+        print("table, microseconds to compile, by teams", &table().1);
+        print("claims, bytes of a shard, by keys", &claims().0);
+        print(
+            "claims, microseconds a commit, by keys in the shard",
+            &claims().1,
+        );
+        print("loans, bytes of an ask, by teams", &limits());
+    }
+    if want("wire") {
+        print(
+            "peer message, bytes on the wire, by bytes of the message",
+            &wire().await?,
+        );
+    }
+    if want("box") {
+        for (name, points) in idle_box().await? {
+            print(&name, &points);
+        }
+    }
+    Ok(())
+}
+
+fn print(name: &str, points: &[Point]) {
+    let fitted = line(points);
+    let value = json!({
+        "slope of": name,
+        "base": (fitted.base * 1000.0).round() / 1000.0,
+        "slope": (fitted.slope * 10_000.0).round() / 10_000.0,
+        "fit": (fitted.fit * 1000.0).round() / 1000.0,
+        "points": points,
+    });
+    println!("{value}");
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod experiment;
 pub mod fit;
 pub mod load;
+pub mod slopes;
 pub mod world;
--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -331,7 +331,8 @@
     table
 }
 
-async fn put(addr: &str, path: &str, value: &impl serde::Serialize) -> Result<()> {
+/// Sends a stand-in a JSON value.
+pub async fn put(addr: &str, path: &str, value: &impl serde::Serialize) -> Result<()> {
     let request = Request::builder()
         .method(Method::PUT)
         .uri(path)
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -19,6 +19,7 @@
 use bytes::Bytes;
 use http::{Client, Failure, Full};
 use hyper::{Method, Request, Response, StatusCode};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
 pub use pace::Pace;
@@ -45,6 +46,10 @@
     pub version: Version,
 }
 
+/// The platform gave no answer, or none that can be used.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Unanswered;
+
 /// The platform, as one box calls it. Clones share the budget.
 #[derive(Clone)]
 pub struct Platform {
@@ -108,29 +113,33 @@
     /// # Errors
     ///
     /// Fails if the platform gives no answer.
-    pub async fn watch_table(
-        &self,
-        version: Version,
-    ) -> Result<Option<(Version, Arc<table::Table>)>, ()> {
-        self.pace.wait().await;
-        let wait = WATCH_TIME.as_secs();
-        let path = format!("/v1/objects/table?after={version}&wait={wait}");
-        let limit = WATCH_TIME + CALL_TIME;
-        let answer = self.get(&path, limit).await.ok_or(())?;
-        if answer.status() != StatusCode::OK {
-            let calm = [StatusCode::NOT_MODIFIED, StatusCode::NOT_FOUND];
-            return calm.contains(&answer.status()).then_some(None).ok_or(());
-        }
-        let stored: Stored = serde_json::from_slice(answer.body()).map_err(|_| ())?;
-        let table = table::from_value(&stored.value).map_err(|_| ())?;
-        Ok(Some((stored.version, Arc::new(table))))
+    pub async fn watch_table(&self, version: Version) -> Result<Option<Version>, Unanswered> {
+        let path = format!("/v1/objects/table?value=0&{}", after(version));
+        let answer: Option<WriteReply> = self.watch(&path).await?;
+        Ok(answer.map(|a| a.version))
     }
 
-    /// Reads the lagging list of members.
-    pub async fn list(&self) -> Option<Listing> {
+    /// Waits until the list of members passes `version`, or some time is over.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform gives no answer.
+    pub async fn watch_list(&self, version: Version) -> Result<Option<Listing>, Unanswered> {
+        let path = format!("/v1/members?{}", after(version));
+        self.watch(&path).await
+    }
+
+    async fn watch<T: DeserializeOwned>(&self, path: &str) -> Result<Option<T>, Unanswered> {
         self.pace.wait().await;
-        let answer = self.get("/v1/members", CALL_TIME).await?;
-        serde_json::from_slice(answer.body()).ok()
+        let answer = self
+            .get(path, WATCH_TIME + CALL_TIME)
+            .await
+            .ok_or(Unanswered)?;
+        match answer.status() {
+            StatusCode::OK => serde_json::from_slice(answer.body()).map_err(|_| Unanswered),
+            StatusCode::NOT_MODIFIED | StatusCode::NOT_FOUND => Ok(None),
+            _ => Err(Unanswered),
+        }
     }
 
     async fn get(&self, path: &str, limit: Duration) -> Option<Response<Bytes>> {
@@ -141,6 +150,10 @@
     }
 }
 
+fn after(version: Version) -> String {
+    format!("after={version}&wait={}", WATCH_TIME.as_secs())
+}
+
 fn host(mut request: Request<Full<Bytes>>) -> Request<Full<Bytes>> {
     let value = hyper::header::HeaderValue::from_static("platform");
     request.headers_mut().insert(hyper::header::HOST, value);
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -16,6 +16,9 @@
 
 use crate::web::{query, run, status_only};
 
+/// Time between two looks at the list for those who wait for a change.
+const LIST_POLL: Duration = Duration::from_millis(20);
+
 /// Largest value, in bytes.
 const VALUE_MOST: usize = 1 << 20;
 
@@ -110,14 +113,18 @@
             return status_only(StatusCode::TOO_MANY_REQUESTS);
         }
         if path == "/v1/members" {
-            return self.members();
+            let after = query(&head, "after").unwrap_or(0);
+            return self.members(after, query(&head, "wait")).await;
         }
         let Some(name) = path.strip_prefix("/v1/objects/") else {
             return status_only(StatusCode::NOT_FOUND);
         };
         match (head.method.clone(), query(&head, "after")) {
             (Method::PUT, _) => self.write(name, query(&head, "version"), &body),
-            (_, Some(after)) => self.watch(name, after, query(&head, "wait")).await,
+            (_, Some(after)) => {
+                let bare = query(&head, "value") == Some(0);
+                self.watch(name, after, query(&head, "wait"), bare).await
+            }
             _ => self.read(name),
         }
     }
@@ -157,7 +164,7 @@
         json(StatusCode::OK, &WriteReply { version })
     }
 
-    async fn watch(&self, name: &str, after: u64, wait: Option<u64>) -> Response<Body> {
+    async fn watch(&self, name: &str, after: u64, wait: Option<u64>, bare: bool) -> Response<Body> {
         let until = Instant::now() + Duration::from_secs(wait.unwrap_or(10));
         let mut changed = self.changed.subscribe();
         loop {
@@ -173,6 +180,10 @@
                     .cloned();
                 if let Some(stored) = newer.filter(|_| !state.mode.stale) {
                     state.counts.watches += 1;
+                    if bare {
+                        let version = stored.version;
+                        return json(StatusCode::OK, &WriteReply { version });
+                    }
                     return json(StatusCode::OK, &stored);
                 }
             }
@@ -185,14 +196,27 @@
         }
     }
 
-    /// The list as it was some time ago.
-    fn members(&self) -> Response<Body> {
-        let mut state = self.lock();
-        state.counts.reads += 1;
-        let lag = Duration::from_millis(state.mode.lag_ms);
-        let old = state.lists.iter().rev().find(|(at, _)| at.elapsed() >= lag);
-        let listing = old.or(state.lists.first()).map(|(_, l)| l.clone());
-        json(StatusCode::OK, &listing.unwrap_or_default())
+    /// Waits for a list newer than `after`; it lags behind what was set.
+    async fn members(&self, after: u64, wait: Option<u64>) -> Response<Body> {
+        let until = Instant::now() + Duration::from_secs(wait.unwrap_or(0));
+        loop {
+            {
+                let mut state = self.lock();
+                if state.mode.down {
+                    return status_only(StatusCode::SERVICE_UNAVAILABLE);
+                }
+                let listing = state.shown();
+                if listing.version > after {
+                    state.counts.reads += 1;
+                    return json(StatusCode::OK, &listing);
+                }
+                if Instant::now() >= until {
+                    state.counts.watches += 1;
+                    return status_only(StatusCode::NOT_MODIFIED);
+                }
+            }
+            tokio::time::sleep(LIST_POLL).await;
+        }
     }
 
     fn admin(&self, what: &str, method: &Method, body: &[u8]) -> Response<Body> {
@@ -211,9 +235,10 @@
                 status_only(StatusCode::OK)
             }
             ("members", &Method::PUT) => {
-                let Ok(listing) = serde_json::from_slice(body) else {
+                let Ok(mut listing) = serde_json::from_slice::<Listing>(body) else {
                     return status_only(StatusCode::BAD_REQUEST);
                 };
+                listing.version = state.lists.len() as u64 + 1;
                 state.lists.push((Instant::now(), listing));
                 status_only(StatusCode::OK)
             }
@@ -229,6 +254,14 @@
 }
 
 impl State {
+    /// The list as it was some time ago.
+    fn shown(&self) -> Listing {
+        let lag = Duration::from_millis(self.mode.lag_ms);
+        let old = self.lists.iter().rev().find(|(at, _)| at.elapsed() >= lag);
+        let shown = old.or(self.lists.first());
+        shown.map(|(_, l)| l.clone()).unwrap_or_default()
+    }
+
     /// A bucket of one second's calls, for writes and for reads.
     fn admit(&mut self, write: bool) -> bool {
         let rate = if write {
