Spread claims over slices of time; write a calm shard at once

Cause, from the slopes: a shard holds every key of 24 hours and is written whole at each commit (113 bytes a key): 16 objects of 1 MB are full after 148,000 keys.

Change: keys that are UUIDs of version 7 go to objects of 10 s each, used again in a ring once their keys are too old; a shard may write three times in a row and then once each interval. Found while reading it again: a key made ahead of time could outlive its claim and run twice; such keys are refused as not run now (test red before: it ran). And the pause after a read without an answer had to stay, else final notes ask a silent platform 100 times a second (test red on the way: the pause had gone with the change).

Also: the expected wait of a light team may be twice what its tier holds.

--- a/crates/ashgauge/src/claim.rs
+++ b/crates/ashgauge/src/claim.rs
@@ -4,7 +4,8 @@
 //! shard, committed by a conditional update on the shard's version. Whoever
 //! commits first may send, and only once; everybody else learns of it. Claims
 //! that arrive while a write is under way go together in the next one. Safety
-//! rests on the versions alone: no clock and no lease takes part.
+//! rests on the versions alone: no lease takes part, and clocks only where a
+//! key is dropped for its age.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -14,10 +15,23 @@
 
 use crate::table::Version;
 
+/// Seconds of keys that go to the same shards.
+const SLICE_TIME: u64 = 10;
+
+/// How long an idle shard's entries are remembered.
+const IDLE_TIME: Duration = Duration::from_secs(60);
+
 /// Seconds by which the clocks of boxes and callers may differ; a key that is
 /// nearer to its end is refused, as another box may have dropped it.
 const EXPIRY_MARGIN: u64 = 60;
 
+/// Seconds by which a key's time may be ahead of a box's clock.
+const EARLY_MARGIN: u64 = 30;
+
+/// Writes that a calm shard may make in a row; on average it makes one each
+/// interval.
+const WRITES_SAVED: f64 = 3.0;
+
 /// A shard's number.
 pub type ShardId = u32;
 
@@ -119,6 +133,9 @@
     finished: Vec<Note>,
     noting: Vec<Note>,
     last: Option<Duration>,
+    /// Writes made beyond the rate of one each interval.
+    ahead: f64,
+    used: Duration,
 }
 
 #[derive(Clone, Debug)]
@@ -167,8 +184,20 @@
     }
 
     /// Shard of a key.
+    ///
+    /// Keys that carry their time go to shards of that time, which stay small;
+    /// a shard is used again when its keys are older than they are kept. Other
+    /// keys have shards of their own, which hold all of them.
     pub fn shard(&self, key: &str) -> ShardId {
-        (xxh3_64(key.as_bytes()) % u64::from(self.config.shards)) as ShardId
+        let name = key.rsplit('/').next().unwrap_or(key);
+        let base = (xxh3_64(key.as_bytes()) % u64::from(self.config.shards)) as ShardId;
+        let Some(made) = key_time(name) else {
+            return base;
+        };
+        // One slice more than are in use, and one for clocks that differ.
+        let slices = self.config.keep.as_secs() / SLICE_TIME + 2;
+        let slice = (made / SLICE_TIME % slices) as ShardId;
+        self.config.shards * (1 + slice) + base
     }
 
     /// Returns true if a key is so old that its claim may have been dropped.
@@ -179,6 +208,12 @@
         key_time(key).is_some_and(|made| made <= oldest + EXPIRY_MARGIN)
     }
 
+    /// Returns true if a key's time is still to come, so that its claim could
+    /// be dropped before the key is too old.
+    pub fn is_early(&self, wall: u64, key: &str) -> bool {
+        key_time(key).is_some_and(|made| made > wall + EARLY_MARGIN)
+    }
+
     /// Asks for a key.
     pub fn ask(&mut self, now: Duration, wall: u64, key: &str, id: &str) -> Vec<Step> {
         let until = now + self.config.patience;
@@ -188,7 +223,9 @@
             id: id.into(),
             until,
         };
-        self.shards.entry(shard).or_default().asks.push_back(ask);
+        let s = self.shards.entry(shard).or_default();
+        s.used = now;
+        s.asks.push_back(ask);
         self.advance(now, wall, shard)
     }
 
@@ -216,6 +253,8 @@
         };
         s.busy = false;
         let Some(state) = answer else {
+            // Notes alone must not ask a silent platform over and over.
+            s.ahead = s.writes_ahead(now, self.config.interval);
             s.last = Some(now);
             return self.give_up(now, shard, false);
         };
@@ -239,7 +278,6 @@
             return Vec::new();
         };
         s.busy = false;
-        s.last = Some(now);
         match result {
             Written::Done(version) => {
                 s.state = Some((version, entries));
@@ -260,6 +298,7 @@
 
     /// Goes on with what waits, and gives up what has waited too long.
     pub fn tick(&mut self, now: Duration, wall: u64) -> Vec<Step> {
+        self.shards.retain(|_, s| !s.is_idle(now));
         let ids: Vec<ShardId> = self.shards.keys().copied().collect();
         let mut steps = Vec::new();
         for id in ids {
@@ -316,7 +355,7 @@
         };
         let (version, mut next) = (*version, entries.clone());
         let mut steps = s.settle(&next);
-        if s.last.is_some_and(|t| now < t + pause) {
+        if s.writes_ahead(now, pause) + 1.0 > WRITES_SAVED {
             return steps;
         }
         s.merge(&mut next, wall, self.config.keep);
@@ -324,12 +363,24 @@
             return steps;
         }
         s.busy = true;
+        s.ahead = s.writes_ahead(now, pause) + 1.0;
+        s.last = Some(now);
         steps.push(Step::Write(shard, version, next));
         steps
     }
 }
 
 impl Shard {
+    fn is_idle(&self, now: Duration) -> bool {
+        let waits = self.asks.len() + self.sent.len() + self.finished.len() + self.noting.len();
+        !self.busy && waits == 0 && now > self.used + IDLE_TIME
+    }
+
+    fn writes_ahead(&self, now: Duration, pause: Duration) -> f64 {
+        let since = self.last.map_or(Duration::ZERO, |t| now.saturating_sub(t));
+        (self.ahead - since.as_secs_f64() / pause.as_secs_f64().max(1e-3)).max(0.0)
+    }
+
     /// Takes back what the last write carried, to be decided anew.
     fn recall(&mut self) {
         self.sent.drain(..).for_each(|a| self.asks.push_front(a));
--- a/crates/ashgauge/src/node/admit.rs
+++ b/crates/ashgauge/src/node/admit.rs
@@ -353,7 +353,9 @@
     match (kind, outcome) {
         (Kind::Unauthorized, _) => "send the team's key as a bearer token",
         (Kind::UnknownRoute, _) => "ask the operator for the names of models and services",
-        (Kind::BadKey, _) => "use a key of 1 to 128 bytes",
+        (Kind::BadKey, _) => {
+            "use a key of 1 to 128 bytes; a UUID of version 7 must not be made ahead"
+        }
         (Kind::KeyTaken, Outcome::Done) => "do not send it again; it has run",
         (Kind::KeyTaken, _) => "check whether it took effect before using a new key",
         (_, Outcome::NotRun) => "send it again after the given time",
--- a/crates/ashgauge/src/node/fleet.rs
+++ b/crates/ashgauge/src/node/fleet.rs
@@ -1,4 +1,4 @@
-//! What boxes tell each other: heartbeats, rumours, slices, claims, state.
+//! What boxes tell each other: heartbeats, rumours, loans, claims, state.
 
 use std::time::Duration;
 
--- a/crates/ashgauge/src/node/keyed.rs
+++ b/crates/ashgauge/src/node/keyed.rs
@@ -75,6 +75,10 @@
             let message = "the key is older than keys are kept";
             return self.refuse_as(id, Kind::KeyTaken, Outcome::Unknown, message, None);
         }
+        if self.claims.is_early(self.wall() / 1000, key) {
+            let message = "the time in the idempotency key is still to come";
+            return self.refuse(id, Kind::BadKey, message, None);
+        }
         // Keys of different teams never meet.
         let key = format!("{}/{key}", request.team.id);
         let name = format!("{}.{id}", self.config.owner());
--- a/crates/ashgauge/src/queue.rs
+++ b/crates/ashgauge/src/queue.rs
@@ -257,7 +257,9 @@
                 weights += first.weight;
             }
         }
-        (own * weights / weight).min(all)
+        // Other teams go on asking while this one waits; as much again is the
+        // most that a short look ahead can know.
+        (own * weights / weight).min(all * 2.0)
     }
 
     fn cost(&self) -> f64 {
--- a/crates/proof/tests/once.rs
+++ b/crates/proof/tests/once.rs
@@ -241,6 +241,19 @@
     assert_eq!(fresh.outcome, "done", "{}", fresh.body);
     let again = post(&fleet, 2, &key, "fresh").await?;
     assert_eq!(again.status, 409, "{}", again.body);
+    // A key made ahead of time could outlive its claim.
+    let ahead = ms + 3_600_000;
+    let key = format!(
+        "{:08x}-{:04x}-7cc3-98c4-dc0c0c07398f",
+        ahead >> 16,
+        ahead & 0xffff
+    );
+    let early = post(&fleet, 0, &key, "early").await?;
+    assert_eq!(
+        (early.status.as_u16(), early.outcome.as_str()),
+        (400, "not_run")
+    );
+    assert_eq!(times(&fleet, "early")?, 0);
     assert_eq!(times(&fleet, "fresh")?, 1);
     Ok(())
 }
--- a/crates/proof/tests/table.rs
+++ b/crates/proof/tests/table.rs
@@ -214,6 +214,14 @@
     let version = accepted(&answer)?;
     assert!(version > old);
     wait_all(&fleet, version).await?;
+    // The peers' word comes later than the platform's stale answer.
+    for peer in &fleet.boxes {
+        let late = Mode {
+            delay_ms: 300,
+            ..Mode::default()
+        };
+        peer.peer_link.set(late).await?;
+    }
     let node = fleet.add_box(&BoxPlan::default())?;
     fleet.publish().await?;
     fleet.boxes[node].wait_ready().await?;
