Answer requests that wait for a changed route; prove two mechanisms better

Change: they are refused at once. The small table of two library tests is written once.

The load tool has a peak experiment now, run next.

--- a/crates/ashgauge/src/node/call.rs
+++ b/crates/ashgauge/src/node/call.rs
@@ -44,7 +44,7 @@
             body,
         } = &request.order.work
         else {
-            return;
+            return self.refuse_changed(id);
         };
         if request.attempt == 0 {
             self.budget.earn();
--- a/crates/ashgauge/src/node/dispatch.rs
+++ b/crates/ashgauge/src/node/dispatch.rs
@@ -27,7 +27,7 @@
     /// Starts waiting requests of one route while there is room.
     pub(super) fn dispatch(&mut self, route: &str) {
         let Some(target) = self.policy.routes.get(route).map(|r| r.target.clone()) else {
-            return;
+            return self.refuse_unserved(route);
         };
         while self.queues.get(route).is_some_and(|q| !q.is_empty()) {
             match target {
@@ -68,6 +68,12 @@
         }
     }
 
+    /// Refuses a request whose route leads to something else by now.
+    pub(super) fn refuse_changed(&mut self, id: RequestId) {
+        let message = "the route was changed while the request waited";
+        self.refuse(id, Kind::UnknownRoute, message, Some(COME_BACK));
+    }
+
     /// Returns true if live upstreams could serve the route, busy or not.
     pub(super) fn is_served(&self, route: &str) -> bool {
         let now = self.now;
--- a/crates/ashgauge/src/node/flow.rs
+++ b/crates/ashgauge/src/node/flow.rs
@@ -150,7 +150,7 @@
             return;
         };
         let Work::Generate { model, prompt, .. } = &request.order.work else {
-            return;
+            return self.refuse_changed(id);
         };
         if request.attempt == 0 {
             self.budget.earn();
--- a/crates/ashgauge/tests/golden.rs
+++ b/crates/ashgauge/tests/golden.rs
@@ -3,6 +3,8 @@
 //! `GOLDEN_WRITE=1 cargo test -p ashgauge --test golden` writes the files anew;
 //! read their change before committing it.
 
+mod starter;
+
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,6 +16,8 @@
 use ashgauge::table::{Cell, Change, Edit, Table, Version};
 use ashgauge::{Action, Config, Event, Node};
 
+use starter::table;
+
 const STEP: Duration = Duration::from_millis(1);
 
 /// Some boxes, a store, and engines that answer at once.
@@ -26,35 +30,6 @@
     log: String,
 }
 
-fn hash(key: &str) -> Cell {
-    Cell::Text(hash_key(key).iter().map(|b| format!("{b:02x}")).collect())
-}
-
-fn table() -> Table {
-    let text = |s: &str| Cell::Text(s.into());
-    let rows = [
-        ("tier/gold", vec![("rank", Cell::Number(0.0))]),
-        (
-            "team/payroll",
-            vec![
-                ("tier", text("gold")),
-                ("weight", Cell::Number(3.0)),
-                ("key", hash("k")),
-            ],
-        ),
-        (
-            "route/chat",
-            vec![("kind", text("model")), ("layers", Cell::Number(4.0))],
-        ),
-    ];
-    let mut table = Table::default();
-    for (row, cells) in rows {
-        let cells = cells.into_iter().map(|(c, v)| (c.to_string(), v));
-        table.rows.insert(row.into(), cells.collect());
-    }
-    table
-}
-
 fn listing() -> Listing {
     let node = |n: usize| BoxEntry {
         id: format!("box-{n}").into(),
@@ -94,7 +69,7 @@
         let mut world = World {
             nodes: (0..boxes).map(node).collect(),
             now: Duration::from_millis(1),
-            store: (1, Arc::new(table())),
+            store: (1, Arc::new(table(4))),
             events: VecDeque::new(),
             dead: None,
             log: String::new(),
@@ -104,7 +79,7 @@
                 n,
                 Event::Read(
                     Object::Table,
-                    Some((1, Some(Content::Table(Arc::new(table()))))),
+                    Some((1, Some(Content::Table(Arc::new(table(4)))))),
                 ),
             ));
             world.events.push_back((n, Event::Listed(listing())));
--- a/crates/ashgauge/tests/node.rs
+++ b/crates/ashgauge/tests/node.rs
@@ -2,6 +2,7 @@
 //! true, every token comes from each layer once, and nothing is held on to.
 
 mod common;
+mod starter;
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -12,10 +13,12 @@
     Content, Fault, Object, Order, Outcome, Ran, Reason, Reply, Run, Token, Value, Work,
 };
 use ashgauge::policy::hash_key;
-use ashgauge::table::{Cell, Table};
+use ashgauge::table::Cell;
 use ashgauge::{Action, Config, Event, Node};
 use proptest::prelude::*;
 
+use starter::table;
+
 const LAYERS: u32 = 6;
 const RANGES: [(u32, u32); 5] = [(0, 3), (3, 6), (0, 6), (2, 5), (1, 6)];
 const TOKENS: u32 = 4;
@@ -136,7 +139,7 @@
             late: Vec::new(),
             callers: BTreeMap::new(),
         };
-        let content = Content::Table(Arc::new(table()));
+        let content = Content::Table(Arc::new(table(LAYERS)));
         world.feed(Event::Read(Object::Table, Some((1, Some(content)))));
         world.feed(Event::Listed(listing()));
         world
@@ -259,35 +262,6 @@
     }
 }
 
-fn table() -> Table {
-    let text = |s: &str| Cell::Text(s.into());
-    let hash: String = hash_key("k").iter().map(|b| format!("{b:02x}")).collect();
-    let rows = [
-        ("tier/gold", vec![("rank", Cell::Number(0.0))]),
-        (
-            "team/payroll",
-            vec![
-                ("tier", text("gold")),
-                ("weight", Cell::Number(1.0)),
-                ("key", text(&hash)),
-            ],
-        ),
-        (
-            "route/chat",
-            vec![
-                ("kind", text("model")),
-                ("layers", Cell::Number(f64::from(LAYERS))),
-            ],
-        ),
-    ];
-    let mut table = Table::default();
-    for (row, cells) in rows {
-        let cells = cells.into_iter().map(|(c, v)| (c.to_string(), v));
-        table.rows.insert(row.into(), cells.collect());
-    }
-    table
-}
-
 fn listing() -> Listing {
     let engine = |(n, (first, end)): (usize, (u32, u32))| UpstreamEntry {
         id: format!("engine-{n}").into(),
@@ -309,6 +283,34 @@
     }
 }
 
+/// A route goes, or leads to a service now, while requests wait for it.
+#[test]
+fn requests_that_wait_for_a_changed_route_are_answered_at_once() {
+    for kind in [None, Some("service")] {
+        let mut world = World::new();
+        for id in 1..=30 {
+            world.arrive(id, true);
+        }
+        let waiting = world.node.status(world.now).waiting["chat"];
+        assert!(waiting > 0);
+        let mut next = table(LAYERS);
+        match kind {
+            Some(kind) => {
+                let cells = next.rows.get_mut("route/chat").unwrap();
+                cells.insert("kind".into(), Cell::Text(kind.into()));
+            }
+            None => drop(next.rows.remove("route/chat")),
+        }
+        let content = Content::Table(Arc::new(next));
+        world.feed(Event::Read(Object::Table, Some((2, Some(content)))));
+        let told = world.callers.values().filter(|c| match &c.last {
+            Some(Reply::Refused(r)) => r.outcome == Outcome::NotRun && r.retry_after.is_some(),
+            _ => false,
+        });
+        assert_eq!(told.count(), waiting, "{kind:?}");
+    }
+}
+
 proptest! {
     #![proptest_config(common::seeded(400))]
 
--- a/crates/bench/src/bin/policy.rs
+++ b/crates/bench/src/bin/policy.rs
@@ -4,14 +4,14 @@
 //! prints a line of JSON for each run. docs/MEASUREMENTS.md keeps the figures.
 
 use bench::claim::claims;
-use bench::experiment::{limit, recovery, saturation};
+use bench::experiment::{limit, peak, recovery, saturation};
 use eyre::{Result, bail};
 use serde_json::{Value, json};
 use standin::link::Mode;
 
 const SEED: u64 = 20_261_202;
 
-const EXPERIMENTS: [&str; 4] = ["saturation", "recovery", "limit", "claims"];
+const EXPERIMENTS: [&str; 5] = ["saturation", "peak", "recovery", "limit", "claims"];
 
 #[tokio::main]
 async fn main() -> Result<()> {
@@ -22,14 +22,11 @@
     for experiment in wanted {
         match experiment.as_str() {
             "saturation" => all_saturation().await?,
-            "peak" => {
-                let figures = saturation(&json!({}), 60, 2.2, SEED).await?;
-                print("saturation", "ours", figures);
-            }
+            "peak" => all_peak().await?,
             "recovery" => all_recovery().await?,
             "limit" => all_limit().await?,
             "claims" => all_claims().await?,
-            other => bail!("no experiment `{other}`; there are {EXPERIMENTS:?} and peak"),
+            other => bail!("no experiment `{other}`; there are {EXPERIMENTS:?}"),
         }
     }
     Ok(())
@@ -51,6 +48,16 @@
     Ok(())
 }
 
+async fn all_peak() -> Result<()> {
+    for (name, tactics) in [
+        ("ours", json!({})),
+        ("first come first served", json!({"fair": false})),
+    ] {
+        print("peak", name, peak(&tactics, 60, SEED).await?);
+    }
+    Ok(())
+}
+
 async fn all_recovery() -> Result<()> {
     let reset = Mode {
         cut: true,
--- a/crates/bench/src/experiment.rs
+++ b/crates/bench/src/experiment.rs
@@ -44,6 +44,7 @@
         team,
         key: key.into(),
         rate,
+        span: None,
         skew: 0.0,
         prompt: PROMPT,
         tokens: TOKENS,
@@ -96,6 +97,53 @@
     }))
 }
 
+/// A calm third, a third in which harvest doubles the load and the bank cut-off
+/// triples gold's, and a calm third again.
+pub async fn peak(tactics: &Value, time: u64, seed: u64) -> Result<Value> {
+    let teams = [
+        team("gold", 0, 1.0),
+        team("harvest", 1, 3.0),
+        team("other", 1, 1.0),
+    ];
+    let world = World::start(8, &teams, &json!({"tactics": tactics})).await?;
+    let requests = world.bound / units();
+    let third = Duration::from_secs(time / 3);
+    let rush = Some((third, third * 2));
+    let mut sources = vec![
+        source(0, "gold", 0.1 * requests, 10),
+        source(1, "harvest", 0.25 * requests, 10),
+        source(2, "other", 0.25 * requests, 10),
+    ];
+    for (n, rate) in [(0, 0.2), (1, 0.8)] {
+        let mut more = source(n, &teams[n].name, rate * requests, 10);
+        more.span = rush;
+        sources.push(more);
+    }
+    let began = Instant::now();
+    let outcome = run(&world, &sources, third * 3, seed).await;
+    let mut parts = Vec::new();
+    for n in 0..3 {
+        let (from, to) = (began + third * n, began + third * (n + 1));
+        let part = Outcome {
+            seen: outcome
+                .seen
+                .iter()
+                .filter(|s| s.asked >= from && s.asked < to)
+                .cloned()
+                .collect(),
+            tokens: Vec::new(),
+        };
+        parts.push(json!({
+            "throughput_of_bound": round(throughput(&outcome, (from, to)) / world.bound),
+            "gold_first_token_ms": first_token(&part, |t| t == 0),
+            "low_first_token_ms": first_token(&part, |t| t > 0),
+            "refused_share": round(refused_share(&part)),
+            "refusal_ms": refusals(&part),
+        }));
+    }
+    Ok(json!({"before": parts[0], "in peak": parts[1], "after": parts[2]}))
+}
+
 /// The busiest engine is lost under light load: the longest wait for a token
 /// after that, of the streams that ran through it and of the others.
 pub async fn recovery(tactics: &Value, mode: &Mode, rounds: usize) -> Result<Value> {
--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -18,6 +18,8 @@
     pub key: String,
     /// Requests a second.
     pub rate: f64,
+    /// When it starts and ends; all the time if not given.
+    pub span: Option<(Duration, Duration)>,
     /// Share of its requests that go to box 0; the rest go anywhere.
     pub skew: f64,
     /// Bytes of the prompt.
@@ -88,7 +90,10 @@
             if at >= time.as_secs_f64() {
                 break;
             }
-            all.push((Duration::from_secs_f64(at), n));
+            let at = Duration::from_secs_f64(at);
+            if source.span.is_none_or(|(from, to)| at >= from && at < to) {
+                all.push((at, n));
+            }
         }
     }
     all.sort_unstable();
--- a/crates/proof/tests/table.rs
+++ b/crates/proof/tests/table.rs
@@ -236,6 +236,43 @@
     Ok(())
 }
 
+/// A box in force of a version reads an older one, over and over.
+#[tokio::test(flavor = "multi_thread")]
+async fn stale_reads_do_not_revert_a_box() -> Result<()> {
+    let fleet = Fleet::start(Plan::default()).await?;
+    let stale = platform::Mode {
+        stale: true,
+        ..platform::Mode::default()
+    };
+    fleet.set_platform(stale).await?;
+    let desk = fleet.boxes[0].desk();
+    let first = desk
+        .edit(&weight("one", "ana", "payroll", 3.0, 4.0))
+        .await?;
+    let version = accepted(&first)?;
+    let before = fleet.platform_counts().await?.reads;
+    let edit = weight("two", "ana", "payroll", 4.0, 5.0);
+    let second = desk.edit(&edit);
+    let watch = async {
+        loop {
+            let status = desk.status().await?;
+            assert!(status.version >= version, "reverted to {}", status.version);
+            if fleet.platform_counts().await?.reads > before + 3 {
+                break;
+            }
+        }
+        assert_eq!(
+            weight_at(&fleet, 0, "payroll").await?,
+            Some(Cell::Number(4.0))
+        );
+        fleet.set_platform(platform::Mode::default()).await
+    };
+    let (second, watch) = tokio::join!(second, watch);
+    watch?;
+    assert_eq!(accepted(&second?)?, version + 1);
+    Ok(())
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn box_that_starts_in_an_outage_takes_the_peers_table() -> Result<()> {
     let mut fleet = Fleet::start(Plan::default()).await?;
