--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -204,19 +204,10 @@
             };
             let (listener, addr) = listen().await?;
             tokio::spawn(engine::serve(listener, options));
-            listing.upstreams.push(UpstreamEntry {
-                id: format!("engine-{n}").into(),
-                addr: addr.to_string(),
-                data_centre: "talca".into(),
-                holds: vec![Hold {
-                    model: "chat".into(),
-                    first: n * 8,
-                    end: n * 8 + 8,
-                }],
-                service: None,
-                fenced: true,
-                state: State::Live,
-            });
+            let range = Some((n * 8, n * 8 + 8));
+            listing
+                .upstreams
+                .push(entry(&format!("engine-{n}"), addr, range));
         }
         let team = Team {
             name: "team-0".into(),
@@ -306,19 +297,9 @@
         };
         let (front, link) = relay(addr, mode).await?;
         let id = format!("engine-{n}");
-        listing.upstreams.push(UpstreamEntry {
-            id: id.as_str().into(),
-            addr: front.to_string(),
-            data_centre: "talca".into(),
-            holds: vec![Hold {
-                model: "chat".into(),
-                first,
-                end,
-            }],
-            service: None,
-            fenced: true,
-            state: State::Live,
-        });
+        listing
+            .upstreams
+            .push(entry(&id, front, Some((first, end))));
         let time = (speed + over).as_secs_f64();
         let rate = SLOTS as f64 * 8.0 / time;
         engines.push(Engine {
@@ -337,19 +318,31 @@
     for n in 0..3 {
         let (listener, addr) = listen().await?;
         tokio::spawn(service::serve(listener, None));
-        listing.upstreams.push(UpstreamEntry {
-            id: format!("service-{n}").into(),
-            addr: addr.to_string(),
-            data_centre: "talca".into(),
-            holds: Vec::new(),
-            service: Some("notes".into()),
-            fenced: false,
-            state: State::Live,
-        });
+        listing
+            .upstreams
+            .push(entry(&format!("service-{n}"), addr, None));
     }
     Ok(())
 }
 
+/// An engine that holds a range of layers, or a service if there is no range.
+fn entry(id: &str, addr: SocketAddr, range: Option<(u32, u32)>) -> UpstreamEntry {
+    let hold = |(first, end)| Hold {
+        model: "chat".into(),
+        first,
+        end,
+    };
+    UpstreamEntry {
+        id: id.into(),
+        addr: addr.to_string(),
+        data_centre: "talca".into(),
+        holds: range.map(hold).into_iter().collect(),
+        service: range.is_none().then(|| "notes".into()),
+        fenced: range.is_some(),
+        state: State::Live,
+    }
+}
+
 async fn listen() -> Result<(TcpListener, SocketAddr)> {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let addr = listener.local_addr()?;
