Move the slopes' sample data to a module of its own

Change: moved, not rewritten. Ruled out: splitting by what is measured, which would spread one list of sizes over files.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod experiment;
 pub mod fit;
 pub mod load;
+pub mod sample;
 pub mod slopes;
 pub mod world;
--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -5,13 +5,13 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-use ashgauge::chain::Layer;
+use crate::sample::{LAYERS, envelope, list_of, node, order, table_of, uuid};
 use ashgauge::claim::{self, Claims, Entries, Step, Written};
-use ashgauge::member::{BoxEntry, Hold, Listing, State, UpstreamEntry};
+use ashgauge::member::Listing;
 use ashgauge::message::{Envelope, Message};
-use ashgauge::node::{Content, Object, Order, Ran, Run, Token, Work};
-use ashgauge::policy::{Policy, hash_key};
-use ashgauge::table::{Cell, Change, Edit, HISTORY, Table};
+use ashgauge::node::{Ran, Run, Token};
+use ashgauge::policy::Policy;
+use ashgauge::table::Table;
 use ashgauge::{Action, Config, Event, Node};
 use eyre::{Result, eyre};
 use proof::{OPERATOR, PEER, Process};
@@ -22,7 +22,6 @@
 /// A size and what it costs.
 pub type Point = (f64, f64);
 
-const LAYERS: Layer = 32;
 const ENGINES_OF_MODEL: [usize; 5] = [12, 24, 43, 86, 172];
 const ORDERS: [u32; 4] = [16, 64, 256, 1024];
 const INFLIGHT: [usize; 5] = [10, 100, 300, 1000, 3000];
@@ -421,125 +420,6 @@
     })
 }
 
-fn node(list: Listing, teams: usize) -> Node {
-    let mut config = Config::new("box-0", 1);
-    config.requests = 100_000;
-    let mut node = Node::new(config);
-    let content = Content::Table(Arc::new(table_of(teams)));
-    node.handle(
-        Duration::ZERO,
-        Event::Read(Object::Table, Some((1, Some(content)))),
-    );
-    node.handle(Duration::ZERO, Event::Listed(list));
-    node
-}
-
-fn order(id: u64, tokens: u32) -> Order {
-    Order {
-        id,
-        key_hash: hash_key("team-0"),
-        work: Work::Generate {
-            model: "model-0".into(),
-            prompt: vec![1; 32],
-            most: tokens,
-        },
-        key: None,
-        repeatable: true,
-        timeout: None,
-    }
-}
-
-/// Engines of `models` models, each holding a quarter of the layers.
-fn list_of(boxes: usize, engines: usize, models: usize, peer: &str) -> Listing {
-    let node = |n: usize| BoxEntry {
-        id: format!("box-{n}").into(),
-        peer: peer.into(),
-        operator: "10.200.100.100:7100".into(),
-        data_centre: "ebene-a".into(),
-        state: State::Live,
-    };
-    let engine = |n: usize| UpstreamEntry {
-        id: format!("engine-{n}").into(),
-        addr: "10.200.100.100:8000".into(),
-        data_centre: "ebene-a".into(),
-        holds: vec![Hold {
-            model: format!("model-{}", n / 4 % models),
-            first: n as u32 % 4 * 8,
-            end: n as u32 % 4 * 8 + 8,
-        }],
-        service: None,
-        fenced: true,
-        state: State::Live,
-    };
-    Listing {
-        version: 1,
-        boxes: (0..boxes).map(node).collect(),
-        upstreams: (0..engines).map(engine).collect(),
-    }
-}
-
-/// A table with a full history.
-fn table_of(teams: usize) -> Table {
-    let text = |s: &str| Cell::Text(s.into());
-    let mut table = Table::default();
-    let mut add = |row: String, cells: Vec<(&str, Cell)>| {
-        let cells = cells.into_iter().map(|(c, v)| (c.to_string(), v));
-        table.rows.insert(row, cells.collect());
-    };
-    add("tier/gold".into(), vec![("rank", Cell::Number(0.0))]);
-    for n in 0..teams {
-        let hash: String = hash_key(&format!("team-{n}"))
-            .iter()
-            .map(|b| format!("{b:02x}"))
-            .collect();
-        add(
-            format!("team/team-{n}"),
-            vec![
-                ("tier", text("gold")),
-                ("weight", Cell::Number(3.0)),
-                ("queue", Cell::Number(100_000.0)),
-                ("key", text(&hash)),
-            ],
-        );
-    }
-    for n in 0..20 {
-        let layers = Cell::Number(f64::from(LAYERS));
-        add(
-            format!("route/model-{n}"),
-            vec![("kind", text("model")), ("layers", layers)],
-        );
-    }
-    for n in 0..HISTORY {
-        let change = Change {
-            row: "team/team-0".into(),
-            column: "weight".into(),
-            seen: Some(Cell::Number(3.0)),
-            value: Some(Cell::Number(3.0)),
-        };
-        table.edits.push(Edit {
-            id: format!("ana-18ed6eb49a3970fc-{n}"),
-            who: "ana".into(),
-            at: 1_796_213_548_351,
-            cells: vec![change],
-        });
-    }
-    table
-}
-
-fn envelope(body: Message) -> usize {
-    let message = Envelope {
-        from: "box-123".into(),
-        addr: "10.200.100.100:7200".into(),
-        at: Default::default(),
-        body,
-    };
-    serde_json::to_vec(&message).map_or(0, |v| v.len())
-}
-
-fn uuid(n: u64) -> String {
-    format!("payroll/0193b7a1-7c1e-7000-8000-{n:012x}")
-}
-
 /// Microseconds of one call, the median of three rounds.
 fn timed(repeats: usize, mut call: impl FnMut()) -> f64 {
     let mut rounds: Vec<f64> = (0..3)
