Let the proofs of leaving upstreams fail on the upstreams' records

Cause: read again as a newcomer: a leaving stand-in refused new sessions without a record of it, so "no new work" could not fail on its records, only on our own status; the service's test made the service refuse by itself. Change: the engine records each refusal and the test counts it as work that was given; the service would take the calls, and only the list says that it leaves.

--- a/crates/proof/src/fleet.rs
+++ b/crates/proof/src/fleet.rs
@@ -316,8 +316,7 @@
     pub fn service_bodies(&self) -> Result<Vec<String>> {
         let mut all = Vec::new();
         for service in &self.services {
-            let records: Vec<standin::service::Record> = read(&service.records)?;
-            all.extend(records.into_iter().map(|r| r.body));
+            all.extend(service.bodies()?);
         }
         Ok(all)
     }
@@ -398,6 +397,12 @@
         read(&self.records)
     }
 
+    /// Bodies of the calls that the service ran.
+    pub fn bodies(&self) -> Result<Vec<String>> {
+        let records: Vec<standin::service::Record> = read(&self.records)?;
+        Ok(records.into_iter().map(|r| r.body).collect())
+    }
+
     /// Sets the stand-in's own faults and states.
     pub async fn set(&self, mode: &impl serde::Serialize) -> Result<()> {
         put(&self.addr, "/admin/mode", mode).await
--- a/crates/proof/tests/leaving.rs
+++ b/crates/proof/tests/leaving.rs
@@ -4,9 +4,10 @@
 use ashgauge::member::State;
 use eyre::Result;
 use proof::{BoxPlan, EnginePlan, Fleet, Plan, Reply, outcome, runs, text_of, wait_until};
+use standin::engine::Record;
 use standin::link::Mode;
 use standin::model::reference;
-use standin::{engine, platform, service};
+use standin::{engine, platform};
 
 async fn stream(fleet: &Fleet, node: usize, prompt: &str, tokens: u32) -> Result<Reply> {
     fleet.boxes[node].stream(prompt, tokens, &[]).await
@@ -22,6 +23,15 @@
     .await
 }
 
+/// Requests and refusals in an engine's records.
+fn asked(fleet: &Fleet, n: usize) -> Result<usize> {
+    let records = fleet.engines[n].records()?;
+    let refused = records
+        .iter()
+        .filter(|r| matches!(r, Record::Refused { .. }));
+    Ok(runs(&records).len() + refused.count())
+}
+
 fn mark_leaving(fleet: &mut Fleet, id: &str) {
     let found = fleet.listing.upstreams.iter_mut().find(|u| &*u.id == id);
     found.expect("it is listed").state = State::Leaving;
@@ -74,12 +84,13 @@
     }
     wait_leaving(&fleet, 0, &id).await?;
     wait_leaving(&fleet, 1, &id).await?;
-    let before = runs(&fleet.engines[leaver].records()?).len();
+    // Work that the engine was given shows as a run or as its refusal.
+    let before = asked(&fleet, leaver)?;
     for n in 0..6 {
         let reply = stream(&fleet, n % 2, "later", 5).await?;
         assert_whole(&reply, fleet.layers, "later", 5);
     }
-    assert_eq!(runs(&fleet.engines[leaver].records()?).len(), before);
+    assert_eq!(asked(&fleet, leaver)?, before);
     let reply = running.await??;
     assert_whole(&reply, fleet.layers, "long", 600);
     Ok(())
@@ -121,11 +132,7 @@
         ..Plan::default()
     })
     .await?;
-    let mode = service::Mode {
-        leaving: true,
-        ..service::Mode::default()
-    };
-    fleet.services[0].set(&mode).await?;
+    // The service itself would take the calls; only the list says it leaves.
     let id = fleet.services[0].id.clone();
     mark_leaving(&mut fleet, &id);
     fleet.publish().await?;
@@ -136,7 +143,8 @@
             .await?;
         assert_eq!(reply.outcome, "done", "{}", reply.body);
     }
-    assert_eq!(fleet.service_bodies()?.len(), 6);
+    assert_eq!(fleet.services[0].bodies()?.len(), 0);
+    assert_eq!(fleet.services[1].bodies()?.len(), 6);
     Ok(())
 }
 
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -68,6 +68,11 @@
         /// How many of them only rebuilt state.
         rebuild: u32,
     },
+    /// It refused a new session, as it is leaving.
+    Refused {
+        /// Session.
+        session: String,
+    },
     /// It gave kept outputs again and ran nothing.
     Kept {
         /// Session.
@@ -174,7 +179,7 @@
         let session = match known {
             Some(session) => session,
             None if order.start > 0 => return refuse(Reason::NoSession),
-            None if mode.leaving => return refuse(Reason::Leaving),
+            None if mode.leaving => return self.refuse_leaving(order.session),
             None => self.open(&order),
         };
         let mut session = session.lock().await;
@@ -199,6 +204,14 @@
         json(StatusCode::OK, &self.cross(mode.crossed, reply))
     }
 
+    fn refuse_leaving(&self, session: String) -> Response<Body> {
+        append(
+            self.options.records.as_deref(),
+            &Record::Refused { session },
+        );
+        refuse(Reason::Leaving)
+    }
+
     fn open(&self, order: &RunBody) -> Arc<TaskMutex<Session>> {
         let session = Arc::new(TaskMutex::new(Session {
             layers: Layers::new(order.first, order.end),
