End with an error if the node's task ended by itself

Cause: read again: a box whose actor had died left as after a planned stop, with exit code 0, so whoever watches it saw nothing wrong. Ruled out: starting the task again in the same process, as its state is lost with it.

Not shown by a test: nothing makes the task end from outside.

--- a/crates/ashgauge/src/node/admit.rs
+++ b/crates/ashgauge/src/node/admit.rs
@@ -135,7 +135,7 @@
             Phase::Claiming => {}
         }
         self.end_claim(&request, outcome);
-        self.stats.end(outcome, kind);
+        self.stats.end(outcome);
         let what = What::Ended {
             outcome: format!("{outcome:?}"),
             kind: kind.into(),
--- a/crates/ashgauge/src/node/status.rs
+++ b/crates/ashgauge/src/node/status.rs
@@ -90,7 +90,7 @@
         *self.refused.entry(format!("{kind:?}")).or_default() += 1;
     }
 
-    pub(super) fn end(&mut self, outcome: Outcome, _kind: &str) {
+    pub(super) fn end(&mut self, outcome: Outcome) {
         *self.ended.entry(format!("{outcome:?}")).or_default() += 1;
     }
 }
--- a/crates/ashgauged/src/main.rs
+++ b/crates/ashgauged/src/main.rs
@@ -11,9 +11,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use eyre::{Result, WrapErr, eyre};
+use eyre::{Result, WrapErr, bail, eyre};
 use lexopt::prelude::*;
-use ractor::Actor;
+use ractor::{Actor, ActorStatus};
 use spdlog::sink::{StdStream, StdStreamSink};
 use spdlog::{LevelFilter, Logger, info, warn};
 use tokio::net::TcpListener;
@@ -98,6 +98,10 @@
     let desk = operator::listen(operators, operator_credential, stopped, ports);
     let desk = tokio::spawn(desk);
     wait_for_stop(&node, Duration::from_millis(settings.timing.drain_ms)).await;
+    let failed = matches!(
+        node.get_status(),
+        ActorStatus::Stopping | ActorStatus::Stopped
+    );
     let _ = stop.send(true);
     // Answers that are ready still have to get out.
     let _ = tokio::time::timeout(Duration::from_secs(2), serving).await;
@@ -105,6 +109,9 @@
     let _ = server.stop();
     node.stop(None);
     let _ = task.await;
+    if failed {
+        bail!("the node's task ended by itself; start the box again and report the log");
+    }
     info!("box: stopped");
     Ok(())
 }
