--- a/crates/ashgauge/src/chain.rs
+++ b/crates/ashgauge/src/chain.rs
@@ -31,6 +31,8 @@
     pub fixed: f64,
     /// Seconds that each layer costs.
     pub layer: f64,
+    /// Number of the place where it stands, from 0, for [`cheapest_across`].
+    pub place: usize,
 }
 
 /// Finds the cheapest chain over `first..end`.
@@ -46,7 +48,7 @@
 /// use ashgauge::chain::{cheapest, Edge};
 ///
 /// let edge = |id: &str, first, end| Edge {
-///     upstream: id.into(), first, end, fixed: 0.001, layer: 0.01,
+///     upstream: id.into(), first, end, fixed: 0.001, layer: 0.01, place: 0,
 /// };
 /// let chain = cheapest(0, 4, &[edge("a", 0, 3), edge("b", 2, 4)]).unwrap();
 /// assert_eq!((chain[0].first, chain[1].end), (0, 4));
@@ -54,22 +56,44 @@
 /// assert!(cheapest(0, 5, &[edge("a", 0, 3)]).is_none());
 /// ```
 pub fn cheapest(first: Layer, end: Layer, edges: &[Edge]) -> Option<Vec<Stage>> {
+    cheapest_across(first, end, edges, |_, _| 0.0)
+}
+
+/// As [`cheapest`], with a cost in seconds for going on from one edge to
+/// another; `None` as the first stands for the start of the chain.
+///
+/// The cost may only depend on what places the edges stand in: edges of one
+/// place must be alike to it. `place` numbers are those of [`Edge::place`].
+pub fn cheapest_across(
+    first: Layer,
+    end: Layer,
+    edges: &[Edge],
+    crossing: impl Fn(Option<usize>, usize) -> f64,
+) -> Option<Vec<Stage>> {
     let cuts = boundaries(first, end, edges);
-    let mut best: Vec<Option<(f64, usize, usize)>> = vec![None; cuts.len()];
+    let places = edges.iter().map(|e| e.place + 1).max().unwrap_or(0);
+    let mut best: Vec<Vec<Option<Step>>> = vec![vec![None; places]; cuts.len()];
     for to in 1..cuts.len() {
         for (e, edge) in edges.iter().enumerate() {
-            for from in 0..to {
-                if edge.first > cuts[from] || edge.end < cuts[to] {
+            if edge.first >= cuts[to] || edge.end < cuts[to] {
+                continue;
+            }
+            let from = cuts.partition_point(|c| *c < edge.first);
+            for from in from..to {
+                let layers = f64::from(cuts[to] - cuts[from]);
+                let own = edge.fixed + edge.layer * layers;
+                let Some((base, via)) = entry(&best[from], from, edge.place, &crossing) else {
                     continue;
-                }
-                let base = match best[from] {
-                    Some((cost, ..)) => cost,
-                    None if from == 0 => 0.0,
-                    None => continue,
                 };
-                let cost = base + edge.fixed + edge.layer * f64::from(cuts[to] - cuts[from]);
-                if best[to].is_none_or(|(c, ..)| cost < c) {
-                    best[to] = Some((cost, from, e));
+                let cost = base + own;
+                let slot = &mut best[to][edge.place];
+                if slot.is_none_or(|s| cost < s.cost) {
+                    *slot = Some(Step {
+                        cost,
+                        from,
+                        via,
+                        edge: e,
+                    });
                 }
             }
         }
@@ -77,6 +101,31 @@
     walk_back(&cuts, &best, edges)
 }
 
+/// The cheapest known way to a boundary and place, by its last edge.
+#[derive(Clone, Copy)]
+struct Step {
+    cost: f64,
+    from: usize,
+    /// Place at which the boundary `from` was reached; `None` at the start.
+    via: Option<usize>,
+    edge: usize,
+}
+
+/// Cheapest cost of standing at a boundary and going on at `place`.
+fn entry(
+    reached: &[Option<Step>],
+    cut: usize,
+    place: usize,
+    crossing: &impl Fn(Option<usize>, usize) -> f64,
+) -> Option<(f64, Option<usize>)> {
+    if cut == 0 {
+        return Some((crossing(None, place), None));
+    }
+    let ways = reached.iter().enumerate();
+    let ways = ways.filter_map(|(p, s)| s.map(|s| (s.cost + crossing(Some(p), place), Some(p))));
+    ways.min_by(|a, b| a.0.total_cmp(&b.0))
+}
+
 /// Returns true if the stages cover `first..end` with no gap and no overlap.
 pub fn covers(first: Layer, end: Layer, stages: &[Stage]) -> bool {
     let mut at = first;
@@ -98,21 +147,21 @@
     cuts
 }
 
-fn walk_back(
-    cuts: &[Layer],
-    best: &[Option<(f64, usize, usize)>],
-    edges: &[Edge],
-) -> Option<Vec<Stage>> {
+fn walk_back(cuts: &[Layer], best: &[Vec<Option<Step>>], edges: &[Edge]) -> Option<Vec<Stage>> {
     let mut stages = Vec::new();
     let mut to = cuts.len() - 1;
+    let ends = best[to].iter().enumerate();
+    let ends = ends.filter_map(|(p, s)| s.map(|s| (s.cost, p)));
+    let mut place = ends.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, p)| p)?;
     while to > 0 {
-        let (_, from, e) = best[to]?;
+        let step = best[to][place]?;
         stages.push(Stage {
-            upstream: edges[e].upstream.clone(),
-            first: cuts[from],
+            upstream: edges[step.edge].upstream.clone(),
+            first: cuts[step.from],
             end: cuts[to],
         });
-        to = from;
+        to = step.from;
+        place = step.via.unwrap_or(place);
     }
     stages.reverse();
     Some(stages)
--- /dev/null
+++ b/crates/ashgauge/src/events.rs
@@ -0,0 +1,61 @@
+//! Streams of events (`text/event-stream`), cut into whole events.
+
+/// Whole events at the start of some bytes.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Whole {
+    /// Bytes that they take; what follows is the start of another event.
+    pub len: usize,
+    /// How many they are.
+    pub count: usize,
+    /// Id of the first, if it has one.
+    pub first: Option<u64>,
+    /// Id of the last that has one.
+    pub last: Option<u64>,
+}
+
+/// Finds the whole events at the start of `bytes`.
+///
+/// An event ends with an empty line. Lines end with `\n` or `\r\n`.
+///
+/// # Example
+///
+/// ```
+/// use ashgauge::events::cut;
+///
+/// let whole = cut(b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda");
+/// assert_eq!((whole.count, whole.first, whole.last), (2, Some(1), Some(2)));
+/// assert_eq!(whole.len, 30);
+/// ```
+pub fn cut(bytes: &[u8]) -> Whole {
+    let mut whole = Whole::default();
+    let mut start = 0;
+    let mut id = None;
+    let mut filled = false;
+    while let Some(at) = bytes[start..].iter().position(|b| *b == b'\n') {
+        let line = trim(&bytes[start..start + at]);
+        start += at + 1;
+        if !line.is_empty() {
+            filled = true;
+            id = parse_id(line).or(id);
+            continue;
+        }
+        whole.len = start;
+        if filled {
+            whole.count += 1;
+            whole.first = if whole.count == 1 { id } else { whole.first };
+            whole.last = id.or(whole.last);
+        }
+        id = None;
+        filled = false;
+    }
+    whole
+}
+
+fn trim(line: &[u8]) -> &[u8] {
+    line.strip_suffix(b"\r").unwrap_or(line)
+}
+
+fn parse_id(line: &[u8]) -> Option<u64> {
+    let value = line.strip_prefix(b"id:")?;
+    std::str::from_utf8(value).ok()?.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/ashgauge/src/fresh.rs
@@ -0,0 +1,105 @@
+//! How sure a box may be of what it read last.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// Revisions kept while one before them is missing.
+const AHEAD_MOST: usize = 4096;
+
+/// Age of a box's knowledge, counted from before it asked for it.
+///
+/// A store's answer shows the state at some moment between the question and
+/// the answer, so only the moment of the question may be counted from. The
+/// clock must go on while the process stands still.
+///
+/// # Example
+///
+/// ```
+/// use std::time::Duration;
+/// use ashgauge::fresh::Freshness;
+///
+/// let second = Duration::from_secs(1);
+/// let mut fresh = Freshness::new(second * 3);
+/// assert!(!fresh.holds(second));
+/// fresh.confirm(second);
+/// assert!(fresh.holds(second * 4));
+/// assert!(!fresh.holds(second * 4 + Duration::from_millis(1)));
+/// ```
+#[derive(Clone, Copy, Debug)]
+pub struct Freshness {
+    most: Duration,
+    asked: Option<Duration>,
+}
+
+impl Freshness {
+    /// Makes one that holds for `most` after a question that was answered.
+    pub fn new(most: Duration) -> Self {
+        Freshness { most, asked: None }
+    }
+
+    /// Notes that a question asked at `asked` was answered.
+    pub fn confirm(&mut self, asked: Duration) {
+        self.asked = self.asked.max(Some(asked));
+    }
+
+    /// Whether what is known may still be acted on at `now`.
+    pub fn holds(&self, now: Duration) -> bool {
+        self.age(now).is_some_and(|age| age <= self.most)
+    }
+
+    /// Time since the last answered question; `None` before the first.
+    pub fn age(&self, now: Duration) -> Option<Duration> {
+        self.asked.map(|at| now.saturating_sub(at))
+    }
+}
+
+/// Which of a store's revisions a box has read.
+///
+/// A store counts all its changes in one number. Watches bring some of them;
+/// a number that none brought may be a change that a watch has missed.
+///
+/// # Example
+///
+/// ```
+/// use ashgauge::fresh::Ledger;
+///
+/// let mut ledger = Ledger::default();
+/// ledger.read_all(10);
+/// ledger.add(12);
+/// assert!(!ledger.covers(12));
+/// ledger.add(11);
+/// assert!(ledger.covers(12));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Ledger {
+    base: u64,
+    ahead: BTreeSet<u64>,
+}
+
+impl Ledger {
+    /// Notes that everything up to `revision` was read.
+    pub fn read_all(&mut self, revision: u64) {
+        self.base = self.base.max(revision);
+        self.close_up();
+    }
+
+    /// Notes that the change with this number was read.
+    pub fn add(&mut self, revision: u64) {
+        if revision > self.base && self.ahead.len() < AHEAD_MOST {
+            self.ahead.insert(revision);
+        }
+        self.close_up();
+    }
+
+    /// Whether every change up to `revision` was read.
+    pub fn covers(&self, revision: u64) -> bool {
+        revision <= self.base
+    }
+
+    fn close_up(&mut self) {
+        self.ahead = self.ahead.split_off(&(self.base + 1));
+        while self.ahead.remove(&(self.base + 1)) {
+            self.base += 1;
+        }
+    }
+}
--- a/crates/ashgauge/src/lib.rs
+++ b/crates/ashgauge/src/lib.rs
@@ -25,7 +25,7 @@
 //! use ashgauge::chain::{cheapest, Edge};
 //!
 //! let edge = |id: &str, first, end, layer| Edge {
-//!     upstream: id.into(), first, end, fixed: 0.0, layer,
+//!     upstream: id.into(), first, end, fixed: 0.0, layer, place: 0,
 //! };
 //! let edges = [edge("slow", 0, 8, 0.02), edge("fast", 0, 4, 0.01), edge("rest", 4, 8, 0.01)];
 //! let chain = cheapest(0, 8, &edges).unwrap();
@@ -41,15 +41,22 @@
 //! - [`member`], [`message`]: boxes and upstreams, and what boxes tell each
 //!   other.
 //! - [`clock`], [`record`]: the time line.
+//! - [`routing`], [`roster`], [`placement`], [`handoff`], [`events`],
+//!   [`fresh`]: what a box decides where engines pass activations on among
+//!   themselves and a request is handed on whole.
 
 #![warn(missing_docs)]
 #![forbid(unsafe_code)]
 
 pub mod chain;
+pub mod choice;
 pub mod claim;
 pub mod clock;
 pub mod editor;
 mod error;
+pub mod events;
+pub mod fresh;
+pub mod handoff;
 pub mod lease;
 pub mod limit;
 pub mod load;
@@ -57,10 +64,13 @@
 pub mod message;
 pub mod node;
 pub mod order;
+pub mod placement;
 pub mod policy;
 pub mod queue;
 pub mod record;
 pub mod retry;
+pub mod roster;
+pub mod routing;
 pub mod table;
 
 pub use error::{Category, Error, Result};
--- a/crates/ashgauge/src/load.rs
+++ b/crates/ashgauge/src/load.rs
@@ -237,6 +237,7 @@
         let l = self.map.get(id).unwrap_or(&fresh);
         let busy = f64::from(l.held) / l.window.max(1.0);
         Edge {
+            place: 0,
             upstream: id.clone(),
             first,
             end,
--- /dev/null
+++ b/crates/ashgauge/src/roster.rs
@@ -0,0 +1,265 @@
+//! What a box knows of the upstreams: who is there, who is leaving, which
+//! layers each holds, and what this box has learned by using them.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::chain::Layer;
+use crate::member::UpstreamId;
+use crate::routing::ServiceId;
+
+/// How long an upstream that failed is left out before it is tried again.
+///
+/// Longer than the platform takes to drop the entry of one that is gone
+/// (three heartbeats of a second or so), so that a dead one is tried once at
+/// most.
+const SUSPECT_TIME: Duration = Duration::from_secs(4);
+
+/// How long an upstream that vanished from the list while the store was away
+/// may take to come back before it counts as gone; the users' figure.
+const RETURN_TIME: Duration = Duration::from_secs(2);
+
+/// Weight of the newest answer in the learned time.
+const LEARN: f64 = 0.2;
+
+/// Weight of the newest outcome in the learned share of failures.
+const LEARN_FAILURE: f64 = 0.25;
+
+/// An upstream as it announces itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Upstream {
+    /// Its id, new with every start.
+    pub id: UpstreamId,
+    /// Service that it belongs to.
+    pub service: ServiceId,
+    /// Address.
+    pub addr: String,
+    /// Data centre.
+    pub place: Arc<str>,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Whether it is leaving and takes nothing new.
+    pub leaving: bool,
+    /// Kind of accelerator, if it is a model engine.
+    pub card: Option<String>,
+    /// Layers that it holds.
+    pub layers: Option<Span>,
+    /// Models that it holds.
+    pub models: Vec<String>,
+}
+
+/// A range of layers, `first..end`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
+pub struct Span {
+    /// First layer.
+    pub first: Layer,
+    /// Layer after the last.
+    pub end: Layer,
+}
+
+/// An upstream with what this box has learned of it.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// What it announces.
+    pub upstream: Upstream,
+    /// Requests of this box that it works on.
+    pub inflight: u32,
+    /// Learned time of an answer, in seconds; 0 if unknown.
+    pub seconds: f64,
+    /// Learned share of requests that failed.
+    pub failures: f64,
+    /// Load that it last told: requests running and waiting.
+    pub load: Option<(u32, u32)>,
+    suspect: Option<Duration>,
+    missing: Option<Duration>,
+}
+
+/// All upstreams.
+#[derive(Clone, Debug, Default)]
+pub struct Roster {
+    entries: HashMap<UpstreamId, Entry>,
+    /// Counts changes of what upstreams announce.
+    edition: u64,
+}
+
+impl Span {
+    /// Number of layers.
+    pub fn len(&self) -> Layer {
+        self.end.saturating_sub(self.first)
+    }
+
+    /// Whether it holds no layer.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Whether the ranges share a layer.
+    pub fn overlaps(&self, other: &Span) -> bool {
+        self.first < other.end && other.first < self.end
+    }
+}
+
+impl Entry {
+    /// Whether new work may go to it at `now`.
+    pub fn is_usable(&self, now: Duration) -> bool {
+        !self.upstream.leaving && self.missing.is_none() && !self.is_suspect(now)
+    }
+
+    /// Whether it failed a short while ago.
+    pub fn is_suspect(&self, now: Duration) -> bool {
+        self.suspect.is_some_and(|until| now < until)
+    }
+}
+
+impl Roster {
+    /// Takes a whole list. Upstreams that it lacks are gone, at once if
+    /// `sure`, else after [`RETURN_TIME`]; until then they get no new work.
+    pub fn replace(&mut self, now: Duration, list: Vec<Upstream>, sure: bool) {
+        let listed: std::collections::HashSet<_> = list.iter().map(|u| u.id.clone()).collect();
+        for (id, entry) in &mut self.entries {
+            if !listed.contains(id) {
+                entry.missing.get_or_insert(now);
+            }
+        }
+        if sure {
+            self.entries.retain(|_, e| e.missing.is_none());
+        }
+        for upstream in list {
+            self.put(upstream);
+        }
+        self.edition += 1;
+    }
+
+    /// Takes a new or changed upstream.
+    pub fn put(&mut self, upstream: Upstream) {
+        self.edition += 1;
+        if let Some(entry) = self.entries.get_mut(&upstream.id) {
+            entry.upstream = upstream;
+            entry.missing = None;
+            return;
+        }
+        let entry = Entry {
+            upstream,
+            inflight: 0,
+            seconds: 0.0,
+            failures: 0.0,
+            load: None,
+            suspect: None,
+            missing: None,
+        };
+        self.entries.insert(entry.upstream.id.clone(), entry);
+    }
+
+    /// Forgets an upstream that is gone.
+    pub fn remove(&mut self, id: &str) {
+        self.entries.remove(id);
+        self.edition += 1;
+    }
+
+    /// Notes that an upstream vanished from the list while the store was away;
+    /// it gets no new work and may still come back.
+    pub fn miss(&mut self, now: Duration, id: &str) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.missing.get_or_insert(now);
+        }
+    }
+
+    /// Forgets those that vanished and did not come back in time.
+    pub fn expire(&mut self, now: Duration) {
+        let late = |e: &Entry| e.missing.is_some_and(|at| now >= at + RETURN_TIME);
+        let before = self.entries.len();
+        self.entries.retain(|_, e| !late(e));
+        if self.entries.len() != before {
+            self.edition += 1;
+        }
+    }
+
+    /// Number that changes whenever an upstream comes, goes or changes.
+    pub fn edition(&self) -> u64 {
+        self.edition
+    }
+
+    /// The upstream with this id.
+    pub fn get(&self, id: &str) -> Option<&Entry> {
+        self.entries.get(id)
+    }
+
+    /// The upstream at this address.
+    pub fn at(&self, addr: &str) -> Option<&Entry> {
+        self.entries.values().find(|e| e.upstream.addr == addr)
+    }
+
+    /// All upstreams of a service.
+    pub fn of<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Entry> {
+        let all = self.entries.values();
+        all.filter(move |e| &*e.upstream.service == service)
+    }
+
+    /// All upstreams.
+    pub fn all(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.values()
+    }
+
+    /// Number of upstreams.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether none is known.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Notes that a request of this box went to an upstream.
+    pub fn begin(&mut self, id: &str) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.inflight += 1;
+        }
+    }
+
+    /// Notes that a request of this box is no longer there.
+    pub fn end(&mut self, id: &str) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.inflight = entry.inflight.saturating_sub(1);
+        }
+    }
+
+    /// Learns from an answer that took `took`.
+    pub fn learn(&mut self, id: &str, took: Duration) {
+        let Some(entry) = self.entries.get_mut(id) else {
+            return;
+        };
+        let seconds = took.as_secs_f64();
+        entry.seconds = match entry.seconds {
+            0.0 => seconds,
+            old => old + LEARN * (seconds - old),
+        };
+        entry.failures *= 1.0 - LEARN_FAILURE;
+        entry.suspect = None;
+    }
+
+    /// Learns from a request that brought no answer or a faulty one.
+    pub fn fail(&mut self, id: &str) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.failures += LEARN_FAILURE * (1.0 - entry.failures);
+        }
+    }
+
+    /// Leaves an upstream out for some time; returns true if that is new.
+    pub fn suspect(&mut self, now: Duration, id: &str) -> bool {
+        let Some(entry) = self.entries.get_mut(id) else {
+            return false;
+        };
+        let new = !entry.is_suspect(now);
+        entry.suspect = Some(now + SUSPECT_TIME);
+        new
+    }
+
+    /// Notes an upstream's own word on its load.
+    pub fn report(&mut self, id: &str, running: u32, waiting: u32) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.load = Some((running, waiting));
+        }
+    }
+}
--- /dev/null
+++ b/crates/ashgauge/src/routing.rs
@@ -0,0 +1,268 @@
+//! The operators' configuration as the boxes use it: routes by host and path,
+//! services, teams by key, bounds for clients.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng;
+
+use crate::chain::Layer;
+
+/// Name of a service.
+pub type ServiceId = Arc<str>;
+
+/// Version of a configuration; versions only rise.
+pub type ConfigVersion = u64;
+
+/// What a configuration allows, in one version.
+#[derive(Clone, Debug, Default)]
+pub struct Routing {
+    /// Its version.
+    pub version: ConfigVersion,
+    /// Routes of each host, longest prefix first.
+    hosts: HashMap<String, Vec<Arc<Route>>>,
+    /// Services by name.
+    pub services: HashMap<ServiceId, Arc<Service>>,
+    /// Teams by key, if requests need one.
+    keys: Option<HashMap<String, Arc<Team>>>,
+    /// Bounds for clients.
+    pub bounds: Bounds,
+}
+
+/// One route.
+#[derive(Clone, Debug)]
+pub struct Route {
+    /// Name.
+    pub name: String,
+    /// Host that it belongs to.
+    pub host: String,
+    /// Prefix of the path, beginning and ending with a slash.
+    pub prefix: String,
+    /// Whether a request may run more than once.
+    pub repeat: bool,
+    /// Set if the answer is a stream of events.
+    pub stream: Option<StreamRule>,
+    /// Longest time that a request may be held.
+    pub timeout: Duration,
+    /// Time within which an answer is worth most; for a stream, its first
+    /// event.
+    pub aim: Duration,
+    /// Rank, 0 goes first.
+    pub rank: u32,
+    /// Services with their weights.
+    pub split: Vec<(ServiceId, f64)>,
+    /// Upstreams that one request may be sent to.
+    pub attempts: u32,
+    /// Whether no key is needed.
+    pub open: bool,
+}
+
+/// What holds for the events of a route's answers.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct StreamRule {
+    /// Whether another upstream may go on after the last event.
+    pub resume: bool,
+    /// Longest pause between events that still counts as in time.
+    pub pause: Duration,
+}
+
+/// A service, by what the configuration tells of it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Service {
+    /// Name.
+    pub name: ServiceId,
+    /// Connections that one upstream accepts over all boxes.
+    pub connections: u32,
+    /// Set if the upstreams are model engines.
+    pub model: Option<Model>,
+}
+
+/// A model whose layers are spread over engines.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Model {
+    /// Layers; 0 if each engine holds the whole model.
+    pub layers: Layer,
+    /// Memory of one layer's weights, in megabytes.
+    pub layer_mb: f64,
+    /// Memory of one token's state over all layers, in megabytes.
+    pub token_mb: f64,
+    /// Requests that one engine accepts as a chain's first.
+    pub slots: u32,
+    /// Time of a step through all layers at speed 1.
+    pub step: Duration,
+    /// More time of a step for each request in it, at speed 1.
+    pub step_request: Duration,
+    /// Prompt tokens read in a second through all layers at speed 1.
+    pub read_rate: f64,
+    /// Time to load all layers of the model.
+    pub load: Duration,
+    /// Loads that run at a time without slowing each other.
+    pub loads: u32,
+    /// Tokens of a usual prompt.
+    pub prompt: u32,
+    /// Tokens of a usual answer.
+    pub answer: u32,
+    /// Megabytes that one token's activation takes on a link.
+    pub activation_mb: f64,
+    /// Megabytes a second between two data centres, over all requests.
+    pub pipe_mb: f64,
+    /// Kinds of accelerators.
+    pub cards: HashMap<String, Card>,
+}
+
+/// A kind of accelerator.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Card {
+    /// Memory for weights and requests, in megabytes.
+    pub memory_mb: f64,
+    /// Factor on the time of a step.
+    pub step_factor: f64,
+    /// Factor on the time to read a prompt.
+    pub read_factor: f64,
+}
+
+/// A team, as a key leads to it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Team {
+    /// Name.
+    pub name: String,
+    /// Rank that goes before the route's.
+    pub rank: Option<u32>,
+    /// Its keys.
+    pub keys: Vec<String>,
+}
+
+/// What clients may send, and for how long.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bounds {
+    /// Bytes of a request's head.
+    pub head: usize,
+    /// Bytes of a request's body.
+    pub body: usize,
+    /// Time for a request's head.
+    pub head_time: Duration,
+    /// Time that a connection may rest between requests.
+    pub idle_time: Duration,
+}
+
+impl Default for Bounds {
+    /// Bounds until a configuration brings others.
+    fn default() -> Self {
+        Bounds {
+            head: 16 << 10,
+            body: 1 << 20,
+            head_time: Duration::from_secs(3),
+            idle_time: Duration::from_secs(15),
+        }
+    }
+}
+
+/// What a request's key says.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Access {
+    /// The key belongs to this team.
+    Team(Arc<Team>),
+    /// No key is needed.
+    Open,
+    /// The key is missing, or no team has it.
+    Denied,
+}
+
+impl Routing {
+    /// Puts a configuration together; `teams` is `None` if no key is needed.
+    pub fn new(
+        version: ConfigVersion,
+        routes: Vec<Route>,
+        services: Vec<Service>,
+        teams: Option<Vec<Team>>,
+        bounds: Bounds,
+    ) -> Self {
+        let mut hosts: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
+        for route in routes {
+            hosts
+                .entry(route.host.clone())
+                .or_default()
+                .push(Arc::new(route));
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
+        }
+        let services = services.into_iter().map(|s| (s.name.clone(), Arc::new(s)));
+        Routing {
+            version,
+            hosts,
+            services: services.collect(),
+            keys: teams.map(by_key),
+            bounds,
+        }
+    }
+
+    /// Finds the route with the longest prefix of `path` on `host`.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use ashgauge::routing::Routing;
+    ///
+    /// assert!(Routing::default().find("a.example", "/notes/1").is_none());
+    /// ```
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let routes = self.hosts.get(host)?;
+        routes.iter().find(|r| path.starts_with(&r.prefix))
+    }
+
+    /// Checks a request's key on a route.
+    pub fn access(&self, route: &Route, key: Option<&str>) -> Access {
+        let Some(keys) = &self.keys else {
+            return Access::Open;
+        };
+        match key.and_then(|k| keys.get(k)) {
+            Some(team) => Access::Team(team.clone()),
+            None if route.open => Access::Open,
+            None => Access::Denied,
+        }
+    }
+
+    /// Whether requests need keys at all.
+    pub fn is_keyed(&self) -> bool {
+        self.keys.is_some()
+    }
+
+    /// Services that some route leads to.
+    pub fn routed(&self) -> impl Iterator<Item = &ServiceId> {
+        let routes = self.hosts.values().flatten();
+        routes.flat_map(|r| r.split.iter().map(|(s, _)| s))
+    }
+}
+
+impl Route {
+    /// Chooses a service by the route's weights.
+    pub fn choose_service(&self, rng: &mut impl Rng) -> Option<&ServiceId> {
+        let total: f64 = self.split.iter().map(|(_, w)| w).sum();
+        let mut at = rng.random_range(0.0..1.0) * total;
+        for (service, weight) in &self.split {
+            if at < *weight {
+                return Some(service);
+            }
+            at -= weight;
+        }
+        self.split.last().map(|(s, _)| s)
+    }
+
+    /// Whether a request that may have run may be sent again.
+    pub fn may_repeat(&self) -> bool {
+        self.stream.map_or(self.repeat, |s| s.resume)
+    }
+}
+
+fn by_key(teams: Vec<Team>) -> HashMap<String, Arc<Team>> {
+    let mut keys = HashMap::new();
+    for team in teams {
+        let team = Arc::new(team);
+        for key in &team.keys {
+            keys.insert(key.clone(), team.clone());
+        }
+    }
+    keys
+}
--- a/crates/ashgauge/tests/chain.rs
+++ b/crates/ashgauge/tests/chain.rs
@@ -9,6 +9,7 @@
     let edge = (0u32..12, 1u32..12, 0.0f64..0.1, 0.001f64..0.05);
     prop::collection::vec(edge, 1..10).prop_map(|all| {
         let make = |(n, (first, len, fixed, layer)): (usize, (u32, u32, f64, f64))| Edge {
+            place: 0,
             upstream: format!("engine-{n}").into(),
             first,
             end: first + len,
--- a/crates/ashgauged/src/main.rs
+++ b/crates/ashgauged/src/main.rs
@@ -4,6 +4,7 @@
 mod io;
 mod metrics;
 mod ports;
+mod relay;
 mod settings;
 mod timeline;
 
@@ -25,8 +26,10 @@
 use crate::timeline::Timeline;
 
 const HELP: &str = "\
-usage: ashgauged --settings FILE [--check]
+usage: ashgauged [relay] --settings FILE [--check]
 
+  relay            hand requests on whole, on the users' platform; without it
+                   the box drives each stage itself
   --settings FILE  settings in JSON; docs/OPERATING.md lists them
   --check          check the settings and exit: 0 if they are fine, 2 if not
   --version        print the version
@@ -34,6 +37,7 @@
 On SIGTERM the box takes no more requests, ends those in flight and exits.";
 
 struct Args {
+    relay: bool,
     settings: PathBuf,
     check: bool,
 }
@@ -51,6 +55,9 @@
 
 fn start() -> Result<()> {
     let args = parse()?;
+    if args.relay {
+        return start_relay(&args);
+    }
     let settings = Settings::load(&args.settings)?;
     if args.check {
         println!("settings are fine: {}", settings.summary());
@@ -64,6 +71,15 @@
     runtime.block_on(run(settings))
 }
 
+fn start_relay(args: &Args) -> Result<()> {
+    if args.check {
+        let settings = relay::Settings::load(&args.settings)?;
+        println!("settings are fine: {}", settings.summary());
+        return Ok(());
+    }
+    relay::run(&args.settings)
+}
+
 async fn run(settings: Settings) -> Result<()> {
     let callers = bind(&settings.caller).await?;
     let operators = bind(&settings.operator).await?;
@@ -171,11 +187,13 @@
 fn parse() -> Result<Args> {
     let mut settings = None;
     let mut check = false;
+    let mut relay = false;
     let mut parser = lexopt::Parser::from_env();
     while let Some(arg) = parser.next()? {
         match arg {
             Long("settings") => settings = Some(PathBuf::from(parser.value()?)),
             Long("check") => check = true,
+            Value(word) if word == "relay" => relay = true,
             Long("help") | Short('h') => {
                 println!("{HELP}");
                 std::process::exit(0);
@@ -188,5 +206,9 @@
         }
     }
     let settings = settings.ok_or_else(|| eyre!("--settings FILE is missing\n{HELP}"))?;
-    Ok(Args { settings, check })
+    Ok(Args {
+        relay,
+        settings,
+        check,
+    })
 }
--- /dev/null
+++ b/crates/ashgauged/src/relay/desk.rs
@@ -0,0 +1,208 @@
+//! What the tasks of one box share: what it knows, and its budgets.
+//!
+//! All tasks run on one thread. A decision borrows the state, decides and
+//! lets go without waiting in between, so what it decided on still holds when
+//! the bytes go out.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use ashgauge::chain::Stage;
+use ashgauge::choice::{self, Scene};
+use ashgauge::fresh::Freshness;
+use ashgauge::member::UpstreamId;
+use ashgauge::retry::{Allowance, Window};
+use ashgauge::roster::{Roster, Span};
+use ashgauge::routing::{Model, Routing, ServiceId};
+use http::Client;
+use platform::Store;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use serde_json::json;
+use spdlog::Level;
+use tokio::sync::watch;
+
+use super::log;
+use super::metrics::Metrics;
+use super::probe::Probes;
+use super::settings::Settings;
+
+/// Boxes assumed before their number is known; more than there are, so that
+/// the part of the retry budget is small.
+const BOXES_ASSUMED: u32 = 16;
+
+/// What the tasks of one box share.
+pub struct Desk {
+    /// Settings.
+    pub settings: Settings,
+    /// The store.
+    pub store: Store,
+    /// Connections for orders and reports.
+    pub client: Client,
+    /// The configuration in force.
+    pub routing: RefCell<Arc<Routing>>,
+    /// The upstreams.
+    pub roster: RefCell<Roster>,
+    /// How sure the configuration is.
+    pub fresh: RefCell<Freshness>,
+    /// Whether the list of upstreams was read.
+    pub listed: Cell<bool>,
+    /// Whether the box is stopping.
+    pub stopping: Cell<bool>,
+    /// Whether new requests are refused, as the process is about to end.
+    pub stopped: Cell<bool>,
+    /// Requests under way.
+    pub inflight: Cell<usize>,
+    /// Figures for operators.
+    pub metrics: Metrics,
+    /// Tells streams that an upstream became suspect.
+    pub suspects: watch::Sender<u64>,
+    /// Probes of upstreams of the last moments.
+    pub probes: Probes,
+    budgets: RefCell<HashMap<ServiceId, Window>>,
+    boxes: Cell<u32>,
+    rng: RefCell<SmallRng>,
+    epoch: Instant,
+}
+
+impl Desk {
+    /// Makes the state of a box that knows nothing yet.
+    pub fn new(settings: Settings, metrics: Metrics) -> Self {
+        let ms = Duration::from_millis;
+        Desk {
+            store: Store::new(&settings.store, ms(settings.timing.store_ms)),
+            client: Client::new(ms(settings.timing.connect_ms)),
+            routing: RefCell::default(),
+            roster: RefCell::default(),
+            fresh: RefCell::new(Freshness::new(settings.key_age())),
+            listed: Cell::new(false),
+            stopping: Cell::new(false),
+            stopped: Cell::new(false),
+            inflight: Cell::new(0),
+            metrics,
+            suspects: watch::Sender::new(0),
+            probes: Probes::default(),
+            budgets: RefCell::default(),
+            boxes: Cell::new(BOXES_ASSUMED),
+            rng: RefCell::new(SmallRng::from_os_rng()),
+            epoch: Instant::now(),
+            settings,
+        }
+    }
+
+    /// Time since the process's start; goes on while the process stands still.
+    pub fn now(&self) -> Duration {
+        self.epoch.elapsed()
+    }
+
+    /// The configuration in force.
+    pub fn routing(&self) -> Arc<Routing> {
+        self.routing.borrow().clone()
+    }
+
+    /// Random choices.
+    pub fn rng(&self) -> std::cell::RefMut<'_, SmallRng> {
+        self.rng.borrow_mut()
+    }
+
+    /// Whether the balancer should send callers here.
+    pub fn is_ready(&self) -> bool {
+        let routing = self.routing.borrow();
+        let known = routing.version > 0 && self.listed.get();
+        let sure = !routing.is_keyed() || self.fresh.borrow().holds(self.now());
+        known && sure && !self.stopping.get()
+    }
+
+    /// Notes how many boxes share the fleet's budgets.
+    pub fn set_boxes(&self, boxes: u32) {
+        if self.boxes.replace(boxes) == boxes {
+            return;
+        }
+        for budget in self.budgets.borrow_mut().values_mut() {
+            budget.share_with(boxes);
+        }
+        log::line(Level::Info, "fleet", "boxes", json!({"boxes": boxes}));
+    }
+
+    /// Uses a service's retry budget.
+    pub fn budget<T>(&self, service: &ServiceId, with: impl FnOnce(&mut Window) -> T) -> T {
+        let bounds = &self.settings.bounds;
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(service.clone()).or_insert_with(|| {
+            Window::new(Allowance {
+                window: Duration::from_millis(bounds.retry_window_ms),
+                ratio: bounds.retry_share,
+                extra: bounds.retry_extra,
+                boxes: self.boxes.get(),
+            })
+        });
+        with(budget)
+    }
+
+    /// Chooses an upstream of a plain service.
+    pub fn choose(&self, service: &str, tried: &[UpstreamId]) -> Option<(UpstreamId, String)> {
+        let roster = self.roster.borrow();
+        let scene = self.scene(&roster, service);
+        let id = choice::upstream(&scene, tried, &mut *self.rng())?;
+        let addr = roster.get(&id)?.upstream.addr.clone();
+        Some((id, addr))
+    }
+
+    /// Chooses a chain over a range of a model's layers.
+    pub fn choose_chain(
+        &self,
+        service: &str,
+        model: &Model,
+        span: Span,
+        avoid: &[UpstreamId],
+    ) -> Option<Vec<Stage>> {
+        let roster = self.roster.borrow();
+        let scene = self.scene(&roster, service);
+        choice::chain(&scene, model, span, avoid, &mut *self.rng())
+    }
+
+    /// Writes a chain for the wire, with the first engine's address.
+    pub fn chain_text(&self, stages: &[Stage]) -> Option<(String, String)> {
+        let roster = self.roster.borrow();
+        let addr = |id: &str| roster.get(id).map(|e| e.upstream.addr.as_str());
+        let text = platform::engine::chain(stages, addr)?;
+        let first = addr(&stages.first()?.upstream)?;
+        Some((text, first.into()))
+    }
+
+    /// Notes that an upstream does not answer and tells the streams on it.
+    pub fn suspect(&self, id: &str, why: &str) {
+        let new = self.roster.borrow_mut().suspect(self.now(), id);
+        if new {
+            self.metrics.suspects.inc();
+            log::line(
+                Level::Warn,
+                "roster",
+                "suspect",
+                json!({"upstream": id, "why": why}),
+            );
+            self.suspects.send_modify(|n| *n += 1);
+        }
+    }
+
+    /// Boxes of one data centre, on average.
+    fn neighbours(&self, roster: &Roster) -> f64 {
+        let mut places: Vec<_> = roster.all().map(|e| &e.upstream.place).collect();
+        places.sort();
+        places.dedup();
+        (f64::from(self.boxes.get()) / places.len().max(1) as f64).max(1.0)
+    }
+
+    fn scene<'a>(&'a self, roster: &'a Roster, service: &'a str) -> Scene<'a> {
+        Scene {
+            roster,
+            service,
+            place: &self.settings.data_centre,
+            boxes: f64::from(self.boxes.get()),
+            neighbours: self.neighbours(roster),
+            now: self.now(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/ashgauged/src/relay/follow.rs
@@ -0,0 +1,329 @@
+//! Follows the store: configuration and upstreams by watch, with plain reads
+//! that prove how fresh both are.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ashgauge::fresh::Ledger;
+use platform::servers::Update;
+use platform::store::Revision;
+use platform::{Fault, config, servers};
+use serde_json::json;
+use spdlog::Level;
+use tokio::sync::Notify;
+use tokio::time::sleep;
+
+use super::desk::Desk;
+use super::log;
+
+/// First pause after a call that failed; doubled up to [`PAUSE_MOST`].
+const PAUSE_FIRST: Duration = Duration::from_millis(100);
+
+/// Longest pause after a call that failed: a store that is back is noticed
+/// within the users' bound on configurations (2 s) with time to spare.
+const PAUSE_MOST: Duration = Duration::from_millis(500);
+
+/// How long after the store's return entries may be missing though their
+/// upstreams live; the users' figure.
+const RETURN_TIME: Duration = Duration::from_secs(2);
+
+/// Pause after a watch that brought changes, so that those which come together
+/// cost one call; a small part of the users' least bound (2 s).
+const GATHER_TIME: Duration = Duration::from_millis(200);
+
+/// Kind of the objects by which boxes count each other.
+const BOX_KIND: &str = "ashgauge-boxes";
+
+/// Time between two counts of the boxes.
+const COUNT_EVERY: Duration = Duration::from_secs(10);
+
+/// What the following tasks tell each other.
+pub struct Follower {
+    desk: Rc<Desk>,
+    /// Changes of the store that were read.
+    ledger: RefCell<Ledger>,
+    /// When a call to the store last failed, while it is away.
+    failed: Cell<Option<Duration>>,
+    /// When the store last came back.
+    returned: Cell<Option<Duration>>,
+    /// Ends the watches, which may hang on dead connections.
+    restart: Notify,
+}
+
+impl Follower {
+    /// Starts following; the tasks run as long as the process.
+    pub fn start(desk: Rc<Desk>) {
+        let follower = Rc::new(Follower {
+            desk,
+            ledger: RefCell::default(),
+            failed: Cell::new(None),
+            returned: Cell::new(None),
+            restart: Notify::new(),
+        });
+        tokio::task::spawn_local(follower.clone().confirm());
+        tokio::task::spawn_local(follower.clone().follow_config());
+        tokio::task::spawn_local(follower.clone().follow_servers());
+        tokio::task::spawn_local(follower.count_boxes());
+    }
+
+    /// Proves again and again that what is known is still so.
+    async fn confirm(self: Rc<Self>) {
+        let every = Duration::from_millis(self.desk.settings.timing.confirm_ms);
+        let mut pause = PAUSE_FIRST;
+        loop {
+            let confirmed = self.confirm_once().await;
+            self.desk.roster.borrow_mut().expire(self.desk.now());
+            match confirmed {
+                Ok(()) => {
+                    pause = PAUSE_FIRST;
+                    sleep(every).await;
+                }
+                Err(fault) => {
+                    self.lost("confirm", &fault);
+                    sleep(pause).await;
+                    pause = (pause * 2).min(PAUSE_MOST);
+                }
+            }
+        }
+    }
+
+    /// Asks for the store's revision; if changes up to it are missing, reads
+    /// everything anew.
+    async fn confirm_once(&self) -> Result<(), Fault> {
+        let desk = &self.desk;
+        let known = desk.routing().version > 0 && desk.listed.get();
+        if known && self.failed.get().is_none() {
+            let asked = desk.now();
+            let at = config::revision(&desk.store).await?;
+            self.count_call();
+            if self.ledger.borrow().covers(at) {
+                desk.fresh.borrow_mut().confirm(asked);
+                return Ok(());
+            }
+        }
+        let config_at = self.read_config().await?;
+        let servers_at = self.read_servers().await?;
+        self.ledger.borrow_mut().read_all(config_at.min(servers_at));
+        self.regained();
+        Ok(())
+    }
+
+    async fn read_config(&self) -> Result<Revision, Fault> {
+        let asked = self.desk.now();
+        let (config, at) = config::read(&self.desk.store, skipped).await?;
+        self.count_call();
+        if let Some(config) = config {
+            self.adopt(config);
+            self.desk.fresh.borrow_mut().confirm(asked);
+        }
+        Ok(at)
+    }
+
+    /// Puts a configuration in force unless a newer one is.
+    fn adopt(&self, config: config::Config) {
+        let desk = &self.desk;
+        let old = desk.routing.borrow().version;
+        if config.version() <= old {
+            return;
+        }
+        let routing = config::decode(config);
+        let version = routing.version;
+        desk.metrics.version.set(version as i64);
+        *desk.routing.borrow_mut() = Arc::new(routing);
+        let fields = json!({"version": version, "before": old});
+        log::line(Level::Info, "config", "in force", fields);
+    }
+
+    async fn read_servers(&self) -> Result<Revision, Fault> {
+        let (list, at) = servers::list(&self.desk.store, skipped).await?;
+        self.count_call();
+        let count = list.len();
+        let sure = !self.is_unsure();
+        let now = self.desk.now();
+        self.desk.roster.borrow_mut().replace(now, list, sure);
+        self.desk.listed.set(true);
+        let fields = json!({"upstreams": count, "at": at, "sure": sure});
+        log::line(Level::Info, "roster", "listed", fields);
+        Ok(at)
+    }
+
+    async fn follow_config(self: Rc<Self>) {
+        let mut after = None;
+        loop {
+            let Some(from) = after else {
+                after = self.begin("config", self.read_config().await).await;
+                continue;
+            };
+            let watch = config::watch(&self.desk.store, from, self.watch_time(), skipped);
+            match self.unless_restarted(watch).await {
+                Some(Ok((configs, at))) => {
+                    after = Some(at.max(from));
+                    for (config, revision) in configs {
+                        self.ledger.borrow_mut().add(revision);
+                        self.adopt(config);
+                    }
+                    sleep(GATHER_TIME).await;
+                }
+                Some(Err(fault)) => {
+                    after = None;
+                    self.wait_out("config", &fault).await;
+                }
+                None => after = None,
+            }
+        }
+    }
+
+    async fn follow_servers(self: Rc<Self>) {
+        let mut after = None;
+        loop {
+            let Some(from) = after else {
+                after = self.begin("servers", self.read_servers().await).await;
+                continue;
+            };
+            let watch = servers::watch(&self.desk.store, from, self.watch_time(), skipped);
+            match self.unless_restarted(watch).await {
+                Some(Ok((updates, at))) => {
+                    after = Some(at.max(from));
+                    self.apply(updates);
+                    sleep(GATHER_TIME).await;
+                }
+                Some(Err(fault)) => {
+                    after = None;
+                    self.wait_out("servers", &fault).await;
+                }
+                None => after = None,
+            }
+        }
+    }
+
+    /// The revision to watch from, once the list was read.
+    async fn begin(&self, what: &str, read: Result<Revision, Fault>) -> Option<Revision> {
+        match read {
+            Ok(at) => Some(at),
+            Err(fault) => {
+                self.wait_out(what, &fault).await;
+                None
+            }
+        }
+    }
+
+    fn watch_time(&self) -> Duration {
+        Duration::from_millis(self.desk.settings.timing.watch_ms)
+    }
+
+    /// Runs a watch; `None` if the store came back meanwhile.
+    async fn unless_restarted<T>(
+        &self,
+        watch: impl Future<Output = Result<T, Fault>>,
+    ) -> Option<Result<T, Fault>> {
+        let answer = tokio::select! {
+            answer = watch => answer,
+            () = self.restart.notified() => return None,
+        };
+        if answer.is_ok() {
+            self.count_call();
+        }
+        Some(answer)
+    }
+
+    fn apply(&self, updates: Vec<Update>) {
+        let now = self.desk.now();
+        for update in updates {
+            match update {
+                Update::Put(upstream, revision) => {
+                    self.ledger.borrow_mut().add(revision);
+                    let fields = json!({
+                        "upstream": &*upstream.id,
+                        "addr": upstream.addr,
+                        "leaving": upstream.leaving,
+                        "layers": upstream.layers,
+                        "revision": revision,
+                    });
+                    log::line(Level::Info, "roster", "announced", fields);
+                    self.desk.roster.borrow_mut().put(upstream);
+                }
+                Update::Gone(id, revision) => {
+                    self.ledger.borrow_mut().add(revision);
+                    let sure = !self.is_unsure();
+                    let fields = json!({"upstream": id, "revision": revision, "sure": sure});
+                    log::line(Level::Info, "roster", "gone", fields);
+                    let mut roster = self.desk.roster.borrow_mut();
+                    match sure {
+                        true => roster.remove(&id),
+                        false => roster.miss(now, &id),
+                    }
+                }
+            }
+        }
+    }
+
+    /// Whether entries may be missing only because the store was away.
+    fn is_unsure(&self) -> bool {
+        let now = self.desk.now();
+        let returned = self.returned.get();
+        self.failed.get().is_some() || returned.is_some_and(|t| now < t + RETURN_TIME)
+    }
+
+    async fn wait_out(&self, what: &str, fault: &Fault) {
+        self.lost(what, fault);
+        sleep(PAUSE_FIRST).await;
+    }
+
+    fn count_call(&self) {
+        self.desk.metrics.store.with_label_values(&["done"]).inc();
+    }
+
+    /// Notes that a call failed, with one line for each time the store goes.
+    fn lost(&self, what: &str, fault: &Fault) {
+        self.desk.metrics.store.with_label_values(&["failed"]).inc();
+        if matches!(fault, Fault::Forgotten) {
+            log::line(Level::Info, "store", "history gone", json!({"watch": what}));
+            return;
+        }
+        let first = self.failed.replace(Some(self.desk.now())).is_none();
+        if first {
+            let fields = json!({"call": what, "fault": fault.to_string()});
+            log::line(Level::Warn, "store", "lost", fields);
+        }
+    }
+
+    fn regained(&self) {
+        let Some(last) = self.failed.take() else {
+            return;
+        };
+        let now = self.desk.now();
+        self.returned.set(Some(now));
+        let fields = json!({"last_failure_ms": (now - last).as_millis() as u64});
+        log::line(Level::Info, "store", "regained", fields);
+        self.restart.notify_waiters();
+    }
+
+    /// Announces this box to the others and counts them, for the part of the
+    /// retry budget.
+    ///
+    /// Boxes that are gone for good stay counted, so the parts only shrink.
+    async fn count_boxes(self: Rc<Self>) {
+        let (store, id) = (&self.desk.store, &self.desk.settings.id);
+        let mut announced = false;
+        loop {
+            if !announced {
+                let made = store.create(BOX_KIND, id, &json!({})).await;
+                announced = matches!(made, Ok(()) | Err(Fault::Conflict));
+            }
+            if announced {
+                match store.count_stale(BOX_KIND).await {
+                    Ok(count) => self.desk.set_boxes(count as u32),
+                    Err(fault) => self.lost("boxes", &fault),
+                }
+            }
+            sleep(if announced { COUNT_EVERY } else { PAUSE_MOST }).await;
+        }
+    }
+}
+
+fn skipped(name: &str, fault: &Fault) {
+    let fields = json!({"object": name, "fault": fault.to_string()});
+    log::line(Level::Warn, "store", "object cannot be read", fields);
+}
--- /dev/null
+++ b/crates/ashgauged/src/relay/forward.rs
@@ -0,0 +1,439 @@
+//! A caller's request: admission, and the sends of a plain service's request.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ashgauge::handoff::{End, Handoff, Next, Outcome};
+use ashgauge::member::UpstreamId;
+use ashgauge::routing::{Access, Route, Service, Team};
+use bytes::Bytes;
+use http::{Failure, Full};
+use http_body_util::{BodyExt, Empty, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::http::request;
+use hyper::{Request, Response, StatusCode};
+use platform::engine::{self, Target, Verdict};
+use platform::ingress::{self, Ask};
+use serde_json::json;
+use spdlog::Level;
+use tokio::time::timeout;
+
+use super::desk::Desk;
+use super::dial;
+use super::log;
+use super::serve::Body;
+use super::stream;
+
+/// When to come back to a box that does not know its configuration.
+const BACK_UNSURE: Duration = Duration::from_millis(1000);
+
+/// When to come back if no upstream can take the request.
+const BACK_FULL: Duration = Duration::from_millis(400);
+
+/// For a request's body to come; those of today's callers come at once.
+const BODY_TIME: Duration = Duration::from_secs(5);
+
+/// Longest answer of a plain service that is held until it is whole.
+const ANSWER_MOST: usize = 16 << 20;
+
+/// Part of the aim after which a repeatable request is given up on an
+/// upstream that stays silent.
+const SILENT_SHARE: f64 = 0.6;
+
+/// Multiple of an upstream's learned time after which it counts as silent.
+const SILENT_FACTOR: f64 = 4.0;
+
+/// A request that was let in.
+pub struct Admitted {
+    /// The request's head, as the caller sent it.
+    pub head: request::Parts,
+    /// What the head says.
+    pub ask: Ask,
+    /// Its body.
+    pub body: Bytes,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// The service that it goes to.
+    pub service: Arc<Service>,
+    /// The key's team.
+    pub team: Option<Arc<Team>>,
+    /// What it came to.
+    pub record: Record,
+}
+
+/// The line and the figures that a request leaves behind.
+pub struct Record {
+    desk: Rc<Desk>,
+    id: String,
+    route: String,
+    arrived: Duration,
+    /// Upstreams that it was sent to.
+    pub sends: Vec<UpstreamId>,
+    ended: bool,
+}
+
+impl Record {
+    fn new(desk: &Rc<Desk>, ask: &Ask, route: &str, arrived: Duration) -> Self {
+        desk.inflight.set(desk.inflight.get() + 1);
+        Record {
+            desk: desk.clone(),
+            id: ask.id.clone(),
+            route: route.into(),
+            arrived,
+            sends: Vec::new(),
+            ended: false,
+        }
+    }
+
+    /// Time since the request arrived.
+    pub fn took(&self) -> Duration {
+        self.desk.now().saturating_sub(self.arrived)
+    }
+
+    /// Writes a line about a step of this request.
+    pub fn step(&self, what: &str, mut fields: serde_json::Value) {
+        fields["id"] = self.id.as_str().into();
+        fields["ms"] = (self.took().as_millis() as u64).into();
+        log::line(Level::Info, "request", what, fields);
+    }
+
+    /// Notes how the request ended.
+    pub fn end(&mut self, what: &str) {
+        if std::mem::replace(&mut self.ended, true) {
+            return;
+        }
+        let took = self.took();
+        self.desk.metrics.ends.with_label_values(&[what]).inc();
+        self.desk.metrics.whole.observe(took.as_secs_f64());
+        let sends: Vec<&str> = self.sends.iter().map(|s| &**s).collect();
+        let fields = json!({
+            "id": self.id,
+            "route": self.route,
+            "end": what,
+            "sends": sends,
+            "config": self.desk.routing.borrow().version,
+            "ms": took.as_millis() as u64,
+        });
+        log::line(Level::Info, "request", "ended", fields);
+    }
+}
+
+impl Drop for Record {
+    fn drop(&mut self) {
+        self.end("caller left");
+        self.desk.inflight.set(self.desk.inflight.get() - 1);
+    }
+}
+
+/// Answers one request.
+pub async fn handle(desk: Rc<Desk>, request: Request<Incoming>) -> Response<Body> {
+    let arrived = desk.now();
+    let (head, body) = request.into_parts();
+    let ask = match ingress::read(&head) {
+        Ok(ask) => ask,
+        Err(why) => {
+            log::line(Level::Info, "request", "malformed", json!({"why": why}));
+            return own(StatusCode::BAD_REQUEST, None, None);
+        }
+    };
+    let (route, service, team) = match admit(&desk, &ask) {
+        Ok(admitted) => admitted,
+        Err(refusal) => return refuse(&desk, &ask, refusal, arrived),
+    };
+    let mut record = Record::new(&desk, &ask, &route.name, arrived);
+    let held = ask.patience.unwrap_or(route.timeout).min(route.timeout);
+    let until = arrived + held;
+    let body = match read_body(&desk, body, held).await {
+        Ok(body) => body,
+        Err(status) => {
+            record.end("bad body");
+            return own(status, Some(&ask), None);
+        }
+    };
+    let mut handoff = Handoff::new(until, route.attempts, route.may_repeat());
+    desk.budget(&service.name, |b| b.earn(desk.now()));
+    let admitted = Admitted {
+        head,
+        ask,
+        body,
+        route,
+        service,
+        team,
+        record,
+    };
+    match admitted.route.stream {
+        Some(rule) => stream::answer(desk, admitted, handoff, rule).await,
+        None => send_plain(&desk, admitted, &mut handoff).await,
+    }
+}
+
+/// Why a request is not let in.
+#[derive(Clone, Copy, Debug)]
+enum Refusal {
+    /// The box is about to end.
+    Stopping,
+    /// The box does not know what is in force.
+    Unsure,
+    /// No route leads there.
+    NoRoute,
+    /// The key is missing or unknown.
+    NoKey,
+    /// The route leads to a service that the configuration does not have.
+    NoService,
+}
+
+type Way = (Arc<Route>, Arc<Service>, Option<Arc<Team>>);
+
+fn admit(desk: &Desk, ask: &Ask) -> Result<Way, Refusal> {
+    let routing = desk.routing();
+    if desk.stopped.get() {
+        return Err(Refusal::Stopping);
+    }
+    let sure = desk.fresh.borrow().holds(desk.now());
+    if routing.version == 0 {
+        return Err(Refusal::Unsure);
+    }
+    // What a stale configuration lacks may be there by now.
+    let or_unsure = |refusal| if sure { refusal } else { Refusal::Unsure };
+    let route = routing.find(&ask.host, &ask.path);
+    let route = route.ok_or(or_unsure(Refusal::NoRoute))?;
+    let team = match routing.access(route, ask.key.as_deref()) {
+        Access::Team(_) if !sure => return Err(Refusal::Unsure),
+        Access::Team(team) => Some(team),
+        Access::Open => None,
+        Access::Denied => return Err(or_unsure(Refusal::NoKey)),
+    };
+    let service = route.choose_service(&mut *desk.rng());
+    let service = service.and_then(|s| routing.services.get(s));
+    let service = service.ok_or(Refusal::NoService)?;
+    Ok((route.clone(), service.clone(), team))
+}
+
+fn refuse(desk: &Rc<Desk>, ask: &Ask, refusal: Refusal, arrived: Duration) -> Response<Body> {
+    let mut record = Record::new(desk, ask, "", arrived);
+    let (what, status, after) = match refusal {
+        Refusal::Stopping => (
+            "stopping",
+            StatusCode::SERVICE_UNAVAILABLE,
+            Some(Duration::ZERO),
+        ),
+        Refusal::Unsure => ("unsure", StatusCode::SERVICE_UNAVAILABLE, Some(BACK_UNSURE)),
+        Refusal::NoRoute => ("no route", StatusCode::NOT_FOUND, None),
+        Refusal::NoKey => ("no key", StatusCode::UNAUTHORIZED, None),
+        Refusal::NoService => (
+            "no service",
+            StatusCode::SERVICE_UNAVAILABLE,
+            Some(BACK_UNSURE),
+        ),
+    };
+    record.end(what);
+    own(status, Some(ask), after)
+}
+
+async fn read_body(desk: &Desk, body: Incoming, held: Duration) -> Result<Bytes, StatusCode> {
+    let most = desk.routing().bounds.body;
+    let limited = Limited::new(body, most);
+    match timeout(held.min(BODY_TIME), limited.collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
+        Ok(Err(_)) => Err(StatusCode::BAD_REQUEST),
+        Err(_) => Err(StatusCode::REQUEST_TIMEOUT),
+    }
+}
+
+/// An upstream's whole answer.
+type Whole = Response<Bytes>;
+
+async fn send_plain(desk: &Rc<Desk>, mut a: Admitted, handoff: &mut Handoff) -> Response<Body> {
+    loop {
+        if !is_allowed(desk, &a) {
+            return finish(desk, a, End::NotRun);
+        }
+        let Some((id, addr)) = desk.choose(&a.service.name, handoff.tried()) else {
+            let end = handoff.end(desk.now());
+            return finish(desk, a, end);
+        };
+        handoff.send(id.clone());
+        a.record.sends.push(id.clone());
+        let (outcome, answer) = match try_plain(desk, &a, handoff, &id, &addr).await {
+            Ok(answer) if !answer.status().is_server_error() => {
+                a.record.end("answered");
+                return whole(answer);
+            }
+            Ok(answer) => (Outcome::Failed, Some(answer)),
+            Err(outcome) => (outcome, None),
+        };
+        note_outcome(desk, &a, &id, outcome);
+        let now = desk.now();
+        let next = desk.budget(&a.service.name, |b| handoff.after(now, outcome, b));
+        match (next, answer) {
+            (Next::Again, _) => {}
+            (Next::PassOn, Some(answer)) => {
+                a.record.end("failed upstream");
+                return whole(answer);
+            }
+            (Next::End(end), _) => return finish(desk, a, end),
+            (Next::PassOn, None) => return finish(desk, a, End::Unknown),
+        }
+    }
+}
+
+/// Notes a send that brought no good answer.
+pub fn note_outcome(desk: &Desk, a: &Admitted, id: &str, outcome: Outcome) {
+    let label = match outcome {
+        Outcome::NotSent => "not sent",
+        Outcome::NotRun => "not run",
+        Outcome::Failed => "failed",
+        Outcome::Lost => "lost",
+    };
+    desk.metrics.sends.with_label_values(&[label]).inc();
+    a.record
+        .step("not answered", json!({"upstream": id, "outcome": label}));
+    match outcome {
+        Outcome::NotSent => desk.suspect(id, "no connection"),
+        Outcome::NotRun => {}
+        Outcome::Failed | Outcome::Lost => desk.roster.borrow_mut().fail(id),
+    }
+}
+
+/// Whether the request's key still counts, checked in the moment of sending.
+pub fn is_allowed(desk: &Desk, a: &Admitted) -> bool {
+    if a.team.is_none() {
+        return true;
+    }
+    let routing = desk.routing.borrow();
+    let access = routing.access(&a.route, a.ask.key.as_deref());
+    desk.fresh.borrow().holds(desk.now()) && matches!(access, Access::Team(_))
+}
+
+async fn try_plain(
+    desk: &Rc<Desk>,
+    a: &Admitted,
+    handoff: &Handoff,
+    id: &UpstreamId,
+    addr: &str,
+) -> Result<Whole, Outcome> {
+    let began = desk.now();
+    let _hold = Hold::new(desk, vec![id.clone()]);
+    let connect = Duration::from_millis(desk.settings.timing.connect_ms);
+    let line = dial::connect(addr, connect.min(handoff.left(began))).await;
+    let line = line.map_err(|_| Outcome::NotSent)?;
+    if !is_allowed(desk, a) {
+        return Err(Outcome::NotSent);
+    }
+    let left = handoff.left(desk.now());
+    let target = Target {
+        id,
+        chain: None,
+        team: a.team.as_ref().map(|t| t.name.as_str()),
+        left,
+        last_event: None,
+    };
+    let request = engine::request(&a.head, a.body.clone(), &target);
+    let limit = match a.route.may_repeat() && handoff.tried().len() < a.route.attempts as usize {
+        true => silence(desk, a, id).min(left),
+        false => left,
+    };
+    let answer = timeout(limit, collect(line, request, &a.ask.id)).await;
+    let (answer, load) = answer.map_err(|_| Outcome::Lost)??;
+    let mut roster = desk.roster.borrow_mut();
+    if let Some((running, waiting)) = load {
+        roster.report(id, running, waiting);
+    }
+    if !answer.status().is_server_error() {
+        roster.learn(id, desk.now() - began);
+        desk.metrics.first.observe(a.record.took().as_secs_f64());
+    }
+    Ok(answer)
+}
+
+/// How long a repeatable request waits on a silent upstream.
+fn silence(desk: &Desk, a: &Admitted, id: &str) -> Duration {
+    let roster = desk.roster.borrow();
+    let learned = roster.get(id).map_or(0.0, |e| e.seconds);
+    let usual = Duration::from_secs_f64(learned * SILENT_FACTOR);
+    a.route.aim.mul_f64(SILENT_SHARE).max(usual)
+}
+
+type Collected = (Whole, Option<(u32, u32)>);
+
+/// Sends on a fresh connection and reads the whole answer.
+async fn collect(
+    line: dial::Line,
+    request: Request<Full<Bytes>>,
+    id: &str,
+) -> Result<Collected, Outcome> {
+    let exchange = line.send(request).await.map_err(|e| lost(&e))?;
+    let (parts, body) = exchange.response.into_parts();
+    let load = engine::load(&parts.headers);
+    match engine::judge(&parts, id) {
+        Verdict::NotRun(_) => return Err(Outcome::NotRun),
+        Verdict::Foreign => return Err(Outcome::Lost),
+        Verdict::Answer => {}
+    }
+    let body = Limited::new(body, ANSWER_MOST).collect().await;
+    let body = body.map_err(|_| Outcome::Lost)?.to_bytes();
+    let mut answer = Response::new(body);
+    *answer.status_mut() = parts.status;
+    *answer.headers_mut() = engine::answer_headers(&parts);
+    Ok((answer, load))
+}
+
+/// What a failure to get an answer means for the request.
+pub fn lost(failure: &Failure) -> Outcome {
+    match failure {
+        Failure::NotSent(_) => Outcome::NotSent,
+        Failure::Lost(_) => Outcome::Lost,
+    }
+}
+
+/// Ends a request with the box's own answer.
+pub fn finish(desk: &Desk, mut a: Admitted, end: End) -> Response<Body> {
+    let sure = is_allowed(desk, &a);
+    let (what, status, after) = match end {
+        End::NotRun if sure => ("not run", StatusCode::SERVICE_UNAVAILABLE, Some(BACK_FULL)),
+        End::NotRun => ("unsure", StatusCode::SERVICE_UNAVAILABLE, Some(BACK_UNSURE)),
+        End::Unknown => ("unknown", StatusCode::BAD_GATEWAY, None),
+        End::Late => ("late", StatusCode::GATEWAY_TIMEOUT, None),
+    };
+    a.record.end(what);
+    own(status, Some(&a.ask), after)
+}
+
+/// The box's own answer.
+fn own(status: StatusCode, ask: Option<&Ask>, after: Option<Duration>) -> Response<Body> {
+    let answer = ingress::answer(status, ask.map(|a| a.id.as_str()), after);
+    answer.map(|()| Empty::new().map_err(|e| match e {}).boxed_unsync())
+}
+
+/// An upstream's whole answer for the caller.
+pub fn whole(answer: Whole) -> Response<Body> {
+    answer.map(|body| Full::new(body).map_err(|e| match e {}).boxed_unsync())
+}
+
+/// Counts a request on its upstreams until it is dropped.
+pub struct Hold {
+    desk: Rc<Desk>,
+    ids: Vec<UpstreamId>,
+}
+
+impl Hold {
+    /// Counts a request on these upstreams.
+    pub fn new(desk: &Rc<Desk>, ids: Vec<UpstreamId>) -> Self {
+        let mut roster = desk.roster.borrow_mut();
+        ids.iter().for_each(|id| roster.begin(id));
+        drop(roster);
+        Hold {
+            desk: desk.clone(),
+            ids,
+        }
+    }
+}
+
+impl Drop for Hold {
+    fn drop(&mut self) {
+        let mut roster = self.desk.roster.borrow_mut();
+        self.ids.iter().for_each(|id| roster.end(id));
+    }
+}
--- /dev/null
+++ b/crates/ashgauged/src/relay/log.rs
@@ -0,0 +1,77 @@
+//! Logs: one line of JSON a decision on standard output.
+//!
+//! Lines go through a bounded queue to a thread of its own. When the queue is
+//! full, lines are dropped and counted; the box never waits for its log.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use eyre::Result;
+use serde_json::{Map, Value};
+use spdlog::formatter::{PatternFormatter, pattern};
+use spdlog::sink::{AsyncPoolSink, OverflowPolicy, StdStream, StdStreamSink};
+use spdlog::{Level, LevelFilter, Logger, ThreadPool};
+
+/// Lines that may wait to be written.
+const QUEUE: usize = 1024;
+
+/// Time between two times that written lines are flushed.
+const FLUSH_EVERY: Duration = Duration::from_millis(500);
+
+/// Sets up the log of the whole process.
+///
+/// # Errors
+///
+/// Fails if the level is none, or the writing thread cannot be started.
+pub fn start(level: &str) -> Result<()> {
+    let level = match level {
+        "error" => Level::Error,
+        "warn" => Level::Warn,
+        "info" => Level::Info,
+        "debug" => Level::Debug,
+        other => eyre::bail!("log: `{other}` is no level; use error, warn, info or debug"),
+    };
+    let formatter = PatternFormatter::new(pattern!("{payload}{eol}"));
+    let out = StdStreamSink::builder()
+        .std_stream(StdStream::Stdout)
+        .formatter(formatter)
+        .build()?;
+    let capacity = std::num::NonZeroUsize::new(QUEUE);
+    let mut pool = ThreadPool::builder();
+    if let Some(capacity) = capacity {
+        let _ = pool.capacity(capacity);
+    }
+    let sink = AsyncPoolSink::builder()
+        .sink(Arc::new(out))
+        .thread_pool(Arc::new(pool.build()?))
+        .overflow_policy(OverflowPolicy::DropIncoming)
+        .build()?;
+    let logger = Logger::builder()
+        .sink(Arc::new(sink))
+        .level_filter(LevelFilter::MoreSevereEqual(level))
+        .build()?;
+    let logger = Arc::new(logger);
+    logger.set_flush_period(Some(FLUSH_EVERY));
+    spdlog::set_default_logger(logger);
+    Ok(())
+}
+
+/// Writes one line: what was decided, and from which inputs.
+pub fn line(level: Level, part: &str, what: &str, fields: Value) {
+    let logger = spdlog::default_logger();
+    if !logger.should_log(level) {
+        return;
+    }
+    let mut line = Map::new();
+    line.insert("part".into(), part.into());
+    line.insert("what".into(), what.into());
+    if let Value::Object(fields) = fields {
+        line.extend(fields);
+    }
+    spdlog::log!(level, "{}", Value::Object(line));
+}
+
+/// Writes out what waits, before the process ends.
+pub fn flush() {
+    spdlog::default_logger().flush();
+}
--- /dev/null
+++ b/crates/ashgauged/src/relay/metrics.rs
@@ -0,0 +1,95 @@
+//! Figures for operators, in the text form of `prometheus`.
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+
+/// Bounds of the latency histograms, in seconds: around the aims of routes.
+const LATENCY_BUCKETS: [f64; 12] = [
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0,
+];
+
+/// Counters and histograms of one box.
+pub struct Metrics {
+    registry: Registry,
+    /// Requests by how they ended.
+    pub ends: IntCounterVec,
+    /// Sends to upstreams by outcome.
+    pub sends: IntCounterVec,
+    /// Repairs of streams by kind.
+    pub repairs: IntCounterVec,
+    /// Calls to the store by result.
+    pub store: IntCounterVec,
+    /// Orders to engines by reply.
+    pub orders: IntCounterVec,
+    /// Upstreams that became suspect.
+    pub suspects: IntCounter,
+    /// Time to the first byte of an answer.
+    pub first: Histogram,
+    /// Time to the end of an answer.
+    pub whole: Histogram,
+    /// Time from a stream's last event before a repair to the next one.
+    pub gap: Histogram,
+    /// Version of the configuration in force.
+    pub version: IntGauge,
+    /// Requests under way.
+    pub inflight: IntGauge,
+}
+
+impl Metrics {
+    /// Makes them, all zero.
+    ///
+    /// # Errors
+    ///
+    /// Fails if two have one name.
+    pub fn new() -> prometheus::Result<Self> {
+        let registry = Registry::new();
+        let counters = |name: &str, help: &str, label: &str| {
+            let counters = IntCounterVec::new(Opts::new(name, help), &[label])?;
+            registry.register(Box::new(counters.clone()))?;
+            prometheus::Result::Ok(counters)
+        };
+        let histogram = |name: &str, help: &str| {
+            let opts = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
+            let histogram = Histogram::with_opts(opts)?;
+            registry.register(Box::new(histogram.clone()))?;
+            prometheus::Result::Ok(histogram)
+        };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            prometheus::Result::Ok(gauge)
+        };
+        let suspects = IntCounter::new("ashgauge_suspects_total", "Upstreams that became suspect")?;
+        registry.register(Box::new(suspects.clone()))?;
+        Ok(Metrics {
+            ends: counters("ashgauge_requests_total", "Requests by end", "end")?,
+            sends: counters("ashgauge_sends_total", "Sends by outcome", "outcome")?,
+            repairs: counters("ashgauge_repairs_total", "Repairs of streams", "kind")?,
+            store: counters(
+                "ashgauge_store_calls_total",
+                "Store calls by result",
+                "result",
+            )?,
+            orders: counters("ashgauge_orders_total", "Orders by reply", "reply")?,
+            first: histogram("ashgauge_first_seconds", "Time to the first byte")?,
+            whole: histogram("ashgauge_whole_seconds", "Time to the end")?,
+            gap: histogram("ashgauge_repair_gap_seconds", "Pause of a repaired stream")?,
+            version: gauge("ashgauge_config_version", "Configuration in force")?,
+            inflight: gauge("ashgauge_inflight", "Requests under way")?,
+            suspects,
+            registry,
+        })
+    }
+
+    /// Writes all of them as text.
+    pub fn write(&self) -> String {
+        let mut out = Vec::new();
+        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut out);
+        match encoded {
+            Ok(()) => String::from_utf8_lossy(&out).into_owned(),
+            Err(e) => format!("# metrics cannot be written: {e}\n"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/ashgauged/src/relay/mod.rs
@@ -0,0 +1,143 @@
+//! A box that hands requests on whole.
+//!
+//! Where engines pass activations on among themselves, the box chooses the
+//! chain, copies the answer and repairs the chain; it does not drive each
+//! stage. Everything runs on one thread: a box has a fraction of a core, and
+//! decisions need no locks.
+
+mod desk;
+mod dial;
+mod follow;
+mod forward;
+mod log;
+mod metrics;
+mod place;
+mod probe;
+mod serve;
+mod settings;
+mod stream;
+
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+
+use eyre::{Result, WrapErr};
+use serde_json::json;
+use spdlog::Level;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::LocalSet;
+use tokio::time::{Instant, sleep};
+
+use desk::Desk;
+use follow::Follower;
+use metrics::Metrics;
+use place::Placer;
+pub use settings::Settings;
+
+/// How long callers may still be sent here after the box said that it is not
+/// ready: the balancer asks every second and believes the second no.
+const BALANCER_TIME: Duration = Duration::from_millis(2600);
+
+/// Time kept between the last answer and the kill.
+const KILL_MARGIN: Duration = Duration::from_millis(700);
+
+/// Time between two looks whether the last request has ended.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+
+/// Runs the box until it is told to stop.
+///
+/// # Errors
+///
+/// Fails if the settings are wrong or an address cannot be bound.
+pub fn run(path: &Path) -> Result<()> {
+    let settings = Settings::load(path)?;
+    log::start(&settings.log)?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let local = LocalSet::new();
+    let path = path.to_path_buf();
+    local.block_on(&runtime, async move { serve(settings, &path).await })
+}
+
+async fn serve(settings: Settings, path: &Path) -> Result<()> {
+    let callers = bind(&settings.caller).await?;
+    let ready = bind(&settings.ready).await?;
+    let metrics = match &settings.metrics {
+        Some(addr) => Some(bind(addr).await?),
+        None => None,
+    };
+    log::line(
+        Level::Info,
+        "box",
+        "started",
+        json!({"settings": settings.summary()}),
+    );
+    let desk = Rc::new(Desk::new(settings, Metrics::new()?));
+    Follower::start(desk.clone());
+    Placer::start(desk.clone());
+    tokio::task::spawn_local(serve::accept(desk.clone(), callers));
+    tokio::task::spawn_local(serve::answer_ready(desk.clone(), ready));
+    if let Some(listener) = metrics {
+        tokio::task::spawn_local(serve::answer_metrics(desk.clone(), listener));
+    }
+    wait_for_stop(&desk, path).await?;
+    stop(&desk).await;
+    Ok(())
+}
+
+/// Waits for the signal to stop; a hang-up reads the settings again.
+async fn wait_for_stop(desk: &Desk, path: &Path) -> Result<()> {
+    let mut term = signal(SignalKind::terminate())?;
+    let mut int = signal(SignalKind::interrupt())?;
+    let mut hup = signal(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = term.recv() => return Ok(()),
+            _ = int.recv() => return Ok(()),
+            _ = hup.recv() => reload(desk, path),
+        }
+    }
+}
+
+/// Checks changed settings; most of them hold from the next start on.
+fn reload(desk: &Desk, path: &Path) {
+    match Settings::load(path) {
+        Ok(new) => {
+            let same = new == desk.settings;
+            log::line(Level::Info, "box", "reloaded", json!({"changed": !same}));
+        }
+        Err(e) => {
+            let fields = json!({"kept": "the settings before", "fault": format!("{e:#}")});
+            log::line(Level::Warn, "box", "not reloaded", fields);
+        }
+    }
+}
+
+/// Ends the requests under way, within the time that is left.
+async fn stop(desk: &Desk) {
+    let began = Instant::now();
+    desk.stopping.set(true);
+    let most = Duration::from_millis(desk.settings.bounds.stop_ms);
+    let most = most.saturating_sub(KILL_MARGIN);
+    log::line(
+        Level::Info,
+        "box",
+        "stopping",
+        json!({"inflight": desk.inflight.get()}),
+    );
+    sleep(BALANCER_TIME.min(most)).await;
+    while desk.inflight.get() > 0 && began.elapsed() < most {
+        sleep(LOOK_EVERY).await;
+    }
+    desk.stopped.set(true);
+    let fields = json!({"cut": desk.inflight.get(), "ms": began.elapsed().as_millis() as u64});
+    log::line(Level::Info, "box", "stopped", fields);
+    log::flush();
+}
+
+async fn bind(addr: &str) -> Result<TcpListener> {
+    let bound = TcpListener::bind(addr).await;
+    bound.wrap_err_with(|| format!("cannot listen on {addr}; free the port or set another"))
+}
--- /dev/null
+++ b/crates/ashgauged/src/relay/place.rs
@@ -0,0 +1,257 @@
+//! The one duty that needs one doer: giving layers to engines that hold none.
+//!
+//! Whoever sees such engines writes the ranges into the store, on the
+//! condition that nobody else did meanwhile, and then gives the orders. The
+//! write is the lease: it names who gives these orders, and it lapses by
+//! itself when the engines do not show the layers in time.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use ashgauge::member::UpstreamId;
+use ashgauge::placement::{self, Assignment, Seat};
+use ashgauge::roster::{Entry, Span};
+use ashgauge::routing::{Model, Service};
+use platform::Fault;
+use platform::engine::{self, Reply};
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use spdlog::Level;
+use tokio::time::sleep;
+
+use super::desk::Desk;
+use super::log;
+
+/// Kind of the objects that say which engine is to hold what.
+const KIND: &str = "ashgauge-placements";
+
+/// Time between two looks for engines that hold nothing.
+const LOOK_EVERY: Duration = Duration::from_millis(250);
+
+/// How long no engine may have come or gone before ranges are chosen, so that
+/// those of one start are placed together.
+const SETTLE_TIME: Duration = Duration::from_millis(800);
+
+/// Boxes wait up to this long, each at random, so that mostly one writes.
+const STAGGER_MOST: Duration = Duration::from_millis(500);
+
+/// For an engine's answer to an order, which takes milliseconds.
+const ORDER_TIME: Duration = Duration::from_millis(700);
+
+/// Times an order is sent at most.
+const ORDER_TRIES: u32 = 4;
+
+/// Pause before an order that got no answer is sent again; it may have been
+/// taken, and then the engine's report shows it.
+const ORDER_PAUSE: Duration = Duration::from_millis(1200);
+
+/// What an engine's announcement may lag behind its loading.
+const SHOW_TIME: Duration = Duration::from_secs(3);
+
+/// Ranges of one service's engines, as stored.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+struct Stored {
+    /// The box that gives the orders.
+    by: String,
+    /// Number of the writing, one more each time.
+    round: u64,
+    /// The ranges that it orders.
+    ranges: Vec<Assignment>,
+}
+
+/// Follows the engines and places those that hold nothing.
+pub struct Placer {
+    desk: Rc<Desk>,
+    /// Ranges ordered by some box, and until when they may take to show.
+    pending: HashMap<UpstreamId, (Span, Duration)>,
+    /// Round of each service that was taken into `pending`.
+    rounds: HashMap<String, u64>,
+    edition: u64,
+    changed: Duration,
+}
+
+impl Placer {
+    /// Starts the duty; its task runs as long as the process.
+    pub fn start(desk: Rc<Desk>) {
+        let placer = Placer {
+            desk,
+            pending: HashMap::new(),
+            rounds: HashMap::new(),
+            edition: 0,
+            changed: Duration::ZERO,
+        };
+        tokio::task::spawn_local(placer.run());
+    }
+
+    async fn run(mut self) {
+        loop {
+            sleep(LOOK_EVERY).await;
+            if self.desk.stopping.get() || !self.has_settled() {
+                continue;
+            }
+            let routing = self.desk.routing();
+            for service in routing.services.values() {
+                let Some(model) = service.model.as_ref().filter(|m| m.layers > 0) else {
+                    continue;
+                };
+                if let Err(fault) = self.look(service, model).await {
+                    let fields = json!({"service": &*service.name, "fault": fault.to_string()});
+                    log::line(Level::Warn, "placement", "not written", fields);
+                }
+            }
+        }
+    }
+
+    fn has_settled(&mut self) -> bool {
+        let now = self.desk.now();
+        let edition = self.desk.roster.borrow().edition();
+        if edition != self.edition {
+            self.edition = edition;
+            self.changed = now;
+        }
+        now >= self.changed + SETTLE_TIME
+    }
+
+    /// Places the engines of a service that hold nothing, if any.
+    async fn look(&mut self, service: &Service, model: &Model) -> Result<(), Fault> {
+        if self.empty(service, model).is_empty() {
+            return Ok(());
+        }
+        let stagger = self.desk.rng().random_range(Duration::ZERO..STAGGER_MOST);
+        sleep(stagger).await;
+        let (stored, revision) = match self.desk.store.get::<Stored>(KIND, &service.name).await {
+            Ok(object) => (object.value, Some(object.revision)),
+            Err(Fault::Missing) => (Stored::default(), None),
+            Err(fault) => return Err(fault),
+        };
+        self.take_in(service, model, &stored);
+        let ranges = self.empty(service, model);
+        if ranges.is_empty() {
+            return Ok(());
+        }
+        let next = Stored {
+            by: self.desk.settings.id.clone(),
+            round: stored.round + 1,
+            ranges,
+        };
+        let store = &self.desk.store;
+        let written = match revision {
+            Some(revision) => store.replace(KIND, &service.name, revision, &next).await,
+            None => store.create(KIND, &service.name, &next).await,
+        };
+        match written {
+            Ok(()) => self.give(service, model, next),
+            // Another box was first; its ranges are taken in at the next look.
+            Err(Fault::Conflict) => {}
+            Err(fault) => return Err(fault),
+        }
+        Ok(())
+    }
+
+    /// Takes a stored round into account, once.
+    fn take_in(&mut self, service: &Service, model: &Model, stored: &Stored) {
+        let known = self.rounds.get(&*service.name).copied().unwrap_or(0);
+        if stored.round <= known {
+            return;
+        }
+        self.rounds.insert(service.name.to_string(), stored.round);
+        self.note(model, &stored.ranges);
+    }
+
+    fn note(&mut self, model: &Model, ranges: &[Assignment]) {
+        let until = self.desk.now() + load_time(model, ranges) + SHOW_TIME;
+        for range in ranges {
+            self.pending.insert(range.id.clone(), (range.span, until));
+        }
+    }
+
+    /// Ranges for the engines that hold nothing and were ordered nothing.
+    fn empty(&mut self, service: &Service, model: &Model) -> Vec<Assignment> {
+        let now = self.desk.now();
+        let roster = self.desk.roster.borrow();
+        self.pending
+            .retain(|id, (_, until)| now < *until && roster.get(id).is_some());
+        let entries = roster.of(&service.name).filter(|e| e.is_usable(now));
+        let seats: Vec<Seat> = entries.filter_map(|e| self.seat(e)).collect();
+        placement::plan(model, &seats)
+    }
+
+    fn seat(&self, entry: &Entry) -> Option<Seat> {
+        let upstream = &entry.upstream;
+        let ordered = self.pending.get(&upstream.id).map(|(span, _)| *span);
+        Some(Seat {
+            id: upstream.id.clone(),
+            place: upstream.place.clone(),
+            card: upstream.card.clone()?,
+            span: upstream.layers.or(ordered),
+        })
+    }
+
+    /// Gives the orders of a round that this box has written.
+    fn give(&mut self, service: &Service, model: &Model, stored: Stored) {
+        let fields = json!({
+            "service": &*service.name,
+            "round": stored.round,
+            "engines": stored.ranges.len(),
+        });
+        log::line(Level::Info, "placement", "ordering", fields);
+        self.rounds.insert(service.name.to_string(), stored.round);
+        self.note(model, &stored.ranges);
+        for range in stored.ranges {
+            tokio::task::spawn_local(order(self.desk.clone(), range));
+        }
+    }
+}
+
+/// Time until engines that begin together have loaded their ranges.
+fn load_time(model: &Model, ranges: &[Assignment]) -> Duration {
+    let layers: u32 = ranges.iter().map(|r| r.span.len()).sum();
+    let longest = ranges.iter().map(|r| r.span.len()).max().unwrap_or(0);
+    let shared = f64::from(layers) / f64::from(model.loads);
+    let worst = shared.max(f64::from(longest));
+    model.load.mul_f64(worst / f64::from(model.layers.max(1)))
+}
+
+/// Orders one engine to hold a range, until it says that it does.
+async fn order(desk: Rc<Desk>, range: Assignment) {
+    let mut orders = 0;
+    for attempt in 1..=ORDER_TRIES {
+        let Some(addr) = address(&desk, &range) else {
+            return;
+        };
+        let reply = engine::place(&desk.client, &addr, range.span, Some(orders), ORDER_TIME).await;
+        let done = matches!(reply, Reply::Begun | Reply::Holds);
+        let label = if done { "taken" } else { "not taken" };
+        desk.metrics.orders.with_label_values(&[label]).inc();
+        let fields = json!({
+            "upstream": &*range.id,
+            "layers": range.span,
+            "attempt": attempt,
+            "reply": format!("{reply:?}"),
+        });
+        log::line(Level::Info, "placement", "ordered", fields);
+        if done {
+            return;
+        }
+        sleep(ORDER_PAUSE).await;
+        match engine::report(&desk.client, &addr, ORDER_TIME).await {
+            // It carries out an order, which is this one or a later one.
+            Ok(report) if report.busy => return,
+            Ok(report) => orders = report.orders,
+            Err(e) => {
+                let fields = json!({"upstream": &*range.id, "fault": e.to_string()});
+                log::line(Level::Warn, "placement", "no report", fields);
+            }
+        }
+    }
+}
+
+/// Address of an engine that still holds nothing.
+fn address(desk: &Desk, range: &Assignment) -> Option<String> {
+    let roster = desk.roster.borrow();
+    let entry = roster.get(&range.id)?;
+    let empty = entry.upstream.layers.is_none();
+    empty.then(|| entry.upstream.addr.clone())
+}
--- /dev/null
+++ b/crates/ashgauged/src/relay/stream.rs
@@ -0,0 +1,649 @@
+//! Streams of events: passed on as they come, and repaired when an engine of
+//! their chain is lost.
+
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use ashgauge::chain::{self, Stage};
+use ashgauge::choice::whole as whole_model;
+use ashgauge::events;
+use ashgauge::handoff::{End, Handoff, Next, Outcome};
+use ashgauge::member::UpstreamId;
+use ashgauge::roster::Span;
+use ashgauge::routing::{Model, StreamRule};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body as HttpBody, Frame};
+use hyper::http::response;
+use hyper::{Response, StatusCode};
+use platform::engine::{self, Reply, Target, Verdict};
+use serde_json::json;
+use tokio::sync::{mpsc, watch};
+use tokio::time::{sleep_until, timeout};
+
+use super::desk::Desk;
+use super::dial::{self, Exchange};
+use super::forward::{Admitted, Hold, finish, is_allowed, lost, note_outcome, whole};
+use super::probe::find_dead;
+use super::serve::{Body, Broken};
+
+/// Pieces that may wait for a slow caller.
+const WAITING_MOST: usize = 64;
+
+/// Bytes of an event that is not whole yet, at most.
+const EVENT_MOST: usize = 1 << 20;
+
+/// A stream counts as silent after this multiple of its own pace.
+const SILENT_FACTOR: f64 = 2.5;
+
+/// Weight of the newest pause in a stream's pace.
+const PACE_WEIGHT: f64 = 0.2;
+
+/// Repairs of one stream at most; each one lost an engine.
+const REPAIRS_MOST: u32 = 6;
+
+/// For an engine's answer to a change of the chain, which takes milliseconds.
+const REPATH_TIME: Duration = Duration::from_millis(150);
+
+/// For an engine's report of its state.
+const REPORT_TIME: Duration = Duration::from_millis(100);
+
+/// Silence after which a stream whose engines all answer goes on elsewhere;
+/// its caller leaves after two seconds.
+const SILENT_MOST: Duration = Duration::from_millis(1300);
+
+/// Longest answer with a failure that is passed on.
+const FAILURE_MOST: usize = 1 << 20;
+
+/// Where a stream runs.
+struct Run {
+    stages: Vec<Stage>,
+    /// Address of the first engine.
+    first: String,
+    exchange: Exchange,
+    _hold: Hold,
+}
+
+/// Why a stream did not begin.
+enum NotBegun {
+    /// There is no chain.
+    NoChain,
+    /// The key no longer counts.
+    Denied,
+    /// The send brought nothing, with the upstream's own answer if it is one.
+    Failed(Outcome, UpstreamId, Option<Response<Bytes>>),
+}
+
+/// Answers a request whose answer is a stream.
+pub async fn answer(
+    desk: Rc<Desk>,
+    mut a: Admitted,
+    mut handoff: Handoff,
+    rule: StreamRule,
+) -> Response<Body> {
+    let mut avoid = Vec::new();
+    let run = loop {
+        match begin(&desk, &mut a, &mut handoff, &mut avoid, None).await {
+            Ok(run) => break run,
+            Err(NotBegun::NoChain | NotBegun::Denied) => {
+                let end = handoff.end(desk.now());
+                return finish(&desk, a, end);
+            }
+            Err(NotBegun::Failed(outcome, id, failure)) => {
+                note_outcome(&desk, &a, &id, outcome);
+                let now = desk.now();
+                let next = desk.budget(&a.service.name, |b| handoff.after(now, outcome, b));
+                match (next, failure) {
+                    (Next::Again, _) => {}
+                    (Next::PassOn, Some(failure)) => {
+                        a.record.end("failed upstream");
+                        return whole(failure);
+                    }
+                    (Next::End(end), _) => return finish(&desk, a, end),
+                    (Next::PassOn, None) => return finish(&desk, a, End::Unknown),
+                }
+            }
+        }
+    };
+    desk.metrics.first.observe(a.record.took().as_secs_f64());
+    relay(desk, a, handoff, rule, run)
+}
+
+/// Starts passing events on.
+fn relay(
+    desk: Rc<Desk>,
+    a: Admitted,
+    handoff: Handoff,
+    rule: StreamRule,
+    run: Run,
+) -> Response<Body> {
+    let head = answer_head(run.exchange.response.status(), &run.exchange);
+    let (sender, pieces) = mpsc::channel(WAITING_MOST);
+    let now = desk.now();
+    let pump = Pump {
+        last: a.ask.last_event,
+        passed: false,
+        buffer: BytesMut::new(),
+        heard: now,
+        pace: 0.0,
+        checks: 0,
+        repairs: 0,
+        broke: None,
+        suspects: desk.suspects.subscribe(),
+        sender,
+        run,
+        rule,
+        handoff,
+        a,
+        desk,
+    };
+    let task = tokio::task::spawn_local(pump.run());
+    let body = Pieces { pieces, task };
+    head.map(|()| body.boxed_unsync())
+}
+
+fn answer_head(status: StatusCode, exchange: &Exchange) -> Response<()> {
+    let mut head = Response::new(());
+    *head.status_mut() = status;
+    let (parts, ()) = exchange_parts(exchange);
+    *head.headers_mut() = engine::answer_headers(&parts);
+    head
+}
+
+fn exchange_parts(exchange: &Exchange) -> (response::Parts, ()) {
+    let mut copy = Response::new(());
+    *copy.status_mut() = exchange.response.status();
+    *copy.headers_mut() = exchange.response.headers().clone();
+    copy.into_parts()
+}
+
+/// Sends the request over a new chain and waits for the head of the answer.
+async fn begin(
+    desk: &Rc<Desk>,
+    a: &mut Admitted,
+    handoff: &mut Handoff,
+    avoid: &mut Vec<UpstreamId>,
+    last: Option<u64>,
+) -> Result<Run, NotBegun> {
+    if !is_allowed(desk, a) {
+        return Err(NotBegun::Denied);
+    }
+    let (stages, text, first) = choose(desk, a, handoff, avoid).ok_or(NotBegun::NoChain)?;
+    let lead = stages[0].upstream.clone();
+    let failed = |outcome| NotBegun::Failed(outcome, lead.clone(), None);
+    handoff.send(lead.clone());
+    a.record.sends.push(lead.clone());
+    let ids = stages.iter().map(|s| s.upstream.clone()).collect();
+    let hold = Hold::new(desk, ids);
+    let connect = Duration::from_millis(desk.settings.timing.connect_ms);
+    let line = dial::connect(&first, connect.min(handoff.left(desk.now()))).await;
+    let line = line.map_err(|e| failed(lost(&e)))?;
+    if !is_allowed(desk, a) {
+        return Err(failed(Outcome::NotSent));
+    }
+    let target = Target {
+        id: &lead,
+        chain: text.as_deref(),
+        team: a.team.as_ref().map(|t| t.name.as_str()),
+        left: handoff.left(desk.now()),
+        last_event: last,
+    };
+    let request = engine::request(&a.head, a.body.clone(), &target);
+    let sending = line.send(request);
+    let exchange = await_head(desk, &stages, sending, handoff, avoid).await;
+    let exchange = exchange.map_err(failed)?;
+    let (parts, ()) = exchange_parts(&exchange);
+    match engine::judge(&parts, &a.ask.id) {
+        Verdict::Answer if parts.status.is_success() => {}
+        Verdict::Answer => {
+            let failure = read_failure(exchange, parts).await;
+            let outcome = match &failure {
+                Some(_) => Outcome::Failed,
+                None => Outcome::Lost,
+            };
+            return Err(NotBegun::Failed(outcome, lead, failure));
+        }
+        Verdict::NotRun(at) => {
+            let culprit = at.and_then(|addr| id_at(desk, &addr));
+            avoid.push(culprit.unwrap_or_else(|| lead.clone()));
+            return Err(failed(Outcome::NotRun));
+        }
+        Verdict::Foreign => return Err(failed(Outcome::Lost)),
+    }
+    Ok(Run {
+        stages,
+        first,
+        exchange,
+        _hold: hold,
+    })
+}
+
+type Chosen = (Vec<Stage>, Option<String>, String);
+
+/// Chooses a chain, or one engine if each holds the whole model.
+fn choose(desk: &Desk, a: &Admitted, handoff: &Handoff, avoid: &[UpstreamId]) -> Option<Chosen> {
+    match a.service.model.as_ref().filter(|m| m.layers > 0) {
+        Some(model) => {
+            let span = whole_model(model.layers);
+            let stages = desk.choose_chain(&a.service.name, model, span, avoid)?;
+            if !chain::covers(0, model.layers, &stages) {
+                return None;
+            }
+            let (text, first) = desk.chain_text(&stages)?;
+            Some((stages, Some(text), first))
+        }
+        None => {
+            let (id, addr) = desk.choose(&a.service.name, handoff.tried())?;
+            let stage = Stage {
+                upstream: id,
+                first: 0,
+                end: 0,
+            };
+            Some((vec![stage], None, addr))
+        }
+    }
+}
+
+/// Waits for the head of an answer; checks the chain's engines when it is
+/// late.
+async fn await_head(
+    desk: &Rc<Desk>,
+    stages: &[Stage],
+    sending: impl Future<Output = Result<Exchange, ::http::Failure>>,
+    handoff: &Handoff,
+    avoid: &mut Vec<UpstreamId>,
+) -> Result<Exchange, Outcome> {
+    tokio::pin!(sending);
+    let mut wait = Duration::from_millis(desk.settings.timing.first_ms);
+    let began = desk.now();
+    loop {
+        let left = handoff.left(desk.now());
+        if let Ok(sent) = timeout(wait.min(left), sending.as_mut()).await {
+            return sent.map_err(|e| lost(&e));
+        }
+        let waited = desk.now() - began;
+        let dead = find_dead(desk, stages).await;
+        if handoff.left(desk.now()).is_zero() {
+            return Err(Outcome::Lost);
+        }
+        if !dead.is_empty() || waited >= SILENT_MOST {
+            dead.iter().for_each(|id| desk.suspect(id, "no connection"));
+            avoid.extend(dead);
+            return Err(Outcome::Lost);
+        }
+        wait *= 2;
+    }
+}
+
+async fn read_failure(exchange: Exchange, parts: response::Parts) -> Option<Response<Bytes>> {
+    let limited = http_body_util::Limited::new(exchange.response.into_body(), FAILURE_MOST);
+    let body = limited.collect().await.ok()?.to_bytes();
+    let mut failure = Response::new(body);
+    *failure.status_mut() = parts.status;
+    *failure.headers_mut() = engine::answer_headers(&parts);
+    Some(failure)
+}
+
+fn id_at(desk: &Desk, addr: &str) -> Option<UpstreamId> {
+    let roster = desk.roster.borrow();
+    roster.at(addr).map(|e| e.upstream.id.clone())
+}
+
+/// Copies one stream.
+struct Pump {
+    desk: Rc<Desk>,
+    a: Admitted,
+    handoff: Handoff,
+    rule: StreamRule,
+    run: Run,
+    sender: mpsc::Sender<Result<Bytes, Broken>>,
+    suspects: watch::Receiver<u64>,
+    /// Bytes of an event that is not whole yet.
+    buffer: BytesMut,
+    /// Id of the last whole event that the caller has.
+    last: Option<u64>,
+    /// Whether an event was passed on.
+    passed: bool,
+    /// When the last bytes came.
+    heard: Duration,
+    /// Learned pause between pieces, in seconds.
+    pace: f64,
+    /// Checks of the engines since the last bytes.
+    checks: u32,
+    repairs: u32,
+    /// When the last bytes before a repair came, until the next come.
+    broke: Option<Duration>,
+}
+
+/// What a pump saw next.
+enum Seen {
+    Data(Bytes),
+    End,
+    Broken(String),
+    Silence,
+    Suspect,
+    Deadline,
+    Left,
+}
+
+/// Whether a stream goes on.
+#[derive(PartialEq)]
+enum Go {
+    On,
+    Done,
+    Break(&'static str),
+}
+
+impl Pump {
+    async fn run(mut self) {
+        loop {
+            let go = match self.next().await {
+                Seen::Data(bytes) => self.take(bytes).await,
+                Seen::End if self.buffer.is_empty() => Go::Done,
+                Seen::End => self.resume("half an event at the end").await,
+                Seen::Broken(cause) => self.broken(&cause).await,
+                Seen::Silence => self.check().await,
+                Seen::Suspect => self.leave_suspects().await,
+                Seen::Deadline => Go::Break("late"),
+                Seen::Left => return,
+            };
+            match go {
+                Go::On => {}
+                Go::Done => {
+                    self.a.record.end("answered");
+                    return;
+                }
+                Go::Break(why) => {
+                    self.a.record.end(why);
+                    // A caller that left does not miss it.
+                    let _ = self.sender.send(Err(Broken)).await;
+                    return;
+                }
+            }
+        }
+    }
+
+    async fn next(&mut self) -> Seen {
+        let silent = self.silent_at();
+        let until = self.handoff.until();
+        let now = self.desk.now();
+        let wait = silent.min(until).saturating_sub(now);
+        let alarm = tokio::time::Instant::now() + wait;
+        let body = self.run.exchange.response.body_mut();
+        tokio::select! {
+            biased;
+            frame = body.frame() => match frame {
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(data) => Seen::Data(data),
+                    Err(_) => Seen::Data(Bytes::new()),
+                },
+                Some(Err(e)) => Seen::Broken(e.to_string()),
+                None => Seen::End,
+            },
+            () = self.sender.closed() => Seen::Left,
+            Ok(()) = self.suspects.changed() => Seen::Suspect,
+            () = sleep_until(alarm) => match self.desk.now() >= until {
+                true => Seen::Deadline,
+                false => Seen::Silence,
+            },
+        }
+    }
+
+    /// When the stream counts as silent; later after each check in vain.
+    fn silent_at(&self) -> Duration {
+        let timing = &self.desk.settings.timing;
+        let least = match self.passed {
+            true => timing.silence_ms,
+            false => timing.first_ms,
+        };
+        let pace = Duration::from_secs_f64(self.pace * SILENT_FACTOR);
+        let silence = pace.max(Duration::from_millis(least));
+        self.heard + silence * 2u32.pow(self.checks.min(5))
+    }
+
+    /// Passes whole events on.
+    async fn take(&mut self, bytes: Bytes) -> Go {
+        let now = self.desk.now();
+        let pause = (now - self.heard).as_secs_f64();
+        if self.passed {
+            self.pace = match self.pace {
+                0.0 => pause,
+                old => old + PACE_WEIGHT * (pause - old),
+            };
+        }
+        self.heard = now;
+        self.checks = 0;
+        if let Some(broke) = self.broke.take() {
+            self.desk.metrics.gap.observe((now - broke).as_secs_f64());
+        }
+        self.buffer.extend_from_slice(&bytes);
+        let whole = events::cut(&self.buffer);
+        if whole.len == 0 {
+            return match self.buffer.len() > EVENT_MOST {
+                true => Go::Break("event too long"),
+                false => Go::On,
+            };
+        }
+        if !self.follows(whole.first) {
+            return self.resume("events out of order").await;
+        }
+        let piece = self.buffer.split_to(whole.len).freeze();
+        self.last = whole.last.or(self.last);
+        self.passed |= whole.count > 0;
+        let left = self.handoff.left(now);
+        match timeout(left, self.sender.send(Ok(piece))).await {
+            Ok(Ok(())) => Go::On,
+            Ok(Err(_)) => Go::Break("caller left"),
+            Err(_) => Go::Break("late"),
+        }
+    }
+
+    /// Whether an event with this id comes next.
+    fn follows(&self, first: Option<u64>) -> bool {
+        match (self.last, first) {
+            (Some(last), Some(first)) => first == last + 1,
+            _ => true,
+        }
+    }
+
+    async fn broken(&mut self, cause: &str) -> Go {
+        self.a
+            .record
+            .step("stream broke", json!({"cause": cause, "last": self.last}));
+        let dead = find_dead(&self.desk, &self.run.stages).await;
+        dead.iter()
+            .for_each(|id| self.desk.suspect(id, "no connection"));
+        self.resume("broken").await
+    }
+
+    /// Looks for the cause of a silence.
+    async fn check(&mut self) -> Go {
+        self.checks += 1;
+        let dead = find_dead(&self.desk, &self.run.stages).await;
+        if !dead.is_empty() {
+            dead.iter()
+                .for_each(|id| self.desk.suspect(id, "no connection"));
+            return self.repair(dead).await;
+        }
+        if self.desk.now() >= self.heard + SILENT_MOST {
+            return self.resume("silent").await;
+        }
+        match self.culprit().await {
+            Some(id) => {
+                self.desk.suspect(&id, "reported as stalled");
+                self.repair(vec![id]).await
+            }
+            None => Go::On,
+        }
+    }
+
+    /// The engine that the first one of the chain names as the cause.
+    async fn culprit(&self) -> Option<UpstreamId> {
+        let first = &self.run.first;
+        let report = engine::report(&self.desk.client, first, REPORT_TIME).await;
+        let report = report.ok()?;
+        let mut stalled = report.stalled.iter();
+        let stalled = stalled.find(|s| s.id == self.a.ask.id)?;
+        id_at(&self.desk, &stalled.address)
+    }
+
+    /// Repairs the chain if another stream found one of its engines lost.
+    async fn leave_suspects(&mut self) -> Go {
+        let now = self.desk.now();
+        let lost = {
+            let roster = self.desk.roster.borrow();
+            let is_lost = |id: &str| roster.get(id).is_none_or(|e| e.is_suspect(now));
+            let ids = self.run.stages.iter().map(|s| &s.upstream);
+            ids.filter(|id| is_lost(id)).cloned().collect::<Vec<_>>()
+        };
+        match lost.is_empty() {
+            true => Go::On,
+            false => self.repair(lost).await,
+        }
+    }
+
+    /// Leads the stream around lost engines, or lets it go on elsewhere if
+    /// its first engine is among them.
+    async fn repair(&mut self, lost: Vec<UpstreamId>) -> Go {
+        let first = &self.run.stages[0].upstream;
+        if lost.contains(first) || self.repairs >= REPAIRS_MOST {
+            return self.resume("first engine lost").await;
+        }
+        let Some((stages, text)) = self.detour(&lost) else {
+            return self.resume("no detour").await;
+        };
+        self.repairs += 1;
+        let (client, id) = (&self.desk.client, &self.a.ask.id);
+        let reply = engine::repath(client, &self.run.first, id, &text, REPATH_TIME).await;
+        let label = match &reply {
+            Reply::Begun | Reply::Holds => "led around",
+            _ => "not led around",
+        };
+        self.desk.metrics.repairs.with_label_values(&[label]).inc();
+        let fields = json!({
+            "lost": lost.iter().map(|l| &**l).collect::<Vec<_>>(),
+            "chain": text,
+            "reply": format!("{reply:?}"),
+            "last": self.last,
+        });
+        self.a.record.step("repath", fields);
+        match reply {
+            Reply::Begun | Reply::Holds => {
+                let ids = stages.iter().map(|s| s.upstream.clone()).collect();
+                self.run._hold = Hold::new(&self.desk, ids);
+                self.run.stages = stages;
+                self.broke.get_or_insert(self.heard);
+                self.heard = self.desk.now();
+                self.checks = 0;
+                Go::On
+            }
+            _ => self.resume("not led around").await,
+        }
+    }
+
+    /// The chain with the lost engines' ranges given to others.
+    fn detour(&self, lost: &[UpstreamId]) -> Option<(Vec<Stage>, String)> {
+        let model = self.a.service.model.as_ref()?;
+        let mut stages: Vec<Stage> = Vec::new();
+        for stage in &self.run.stages {
+            if !lost.contains(&stage.upstream) {
+                stages.push(stage.clone());
+                continue;
+            }
+            let mut avoid = lost.to_vec();
+            // An engine may be named only once in a chain.
+            avoid.extend(self.run.stages.iter().map(|s| s.upstream.clone()));
+            avoid.extend(stages.iter().map(|s| s.upstream.clone()));
+            stages.extend(self.fill(model, stage, &avoid)?);
+        }
+        if !chain::covers(0, model.layers, &stages) {
+            return None;
+        }
+        let (text, _) = self.desk.chain_text(&stages)?;
+        Some((stages, text))
+    }
+
+    fn fill(&self, model: &Model, stage: &Stage, avoid: &[UpstreamId]) -> Option<Vec<Stage>> {
+        let span = Span {
+            first: stage.first,
+            end: stage.end,
+        };
+        self.desk
+            .choose_chain(&self.a.service.name, model, span, avoid)
+    }
+
+    /// Lets another chain go on behind the last event that was passed on.
+    async fn resume(&mut self, why: &'static str) -> Go {
+        let able = self.rule.resume && (self.last.is_some() || !self.passed);
+        if !able {
+            return Go::Break("broken");
+        }
+        let mut avoid: Vec<UpstreamId> = Vec::new();
+        let mut outcome = Outcome::Lost;
+        loop {
+            let now = self.desk.now();
+            let handoff = &mut self.handoff;
+            let service = &self.a.service.name;
+            let next = self
+                .desk
+                .budget(service, |b| handoff.after(now, outcome, b));
+            if next != Next::Again {
+                return Go::Break("broken");
+            }
+            let (desk, a) = (&self.desk, &mut self.a);
+            match begin(desk, a, &mut self.handoff, &mut avoid, self.last).await {
+                Ok(run) => {
+                    self.resumed(why, run);
+                    return Go::On;
+                }
+                Err(NotBegun::NoChain | NotBegun::Denied) => return Go::Break("broken"),
+                Err(NotBegun::Failed(new, id, _)) => {
+                    note_outcome(&self.desk, &self.a, &id, new);
+                    outcome = new;
+                }
+            }
+        }
+    }
+
+    fn resumed(&mut self, why: &str, run: Run) {
+        self.desk
+            .metrics
+            .repairs
+            .with_label_values(&["resumed"])
+            .inc();
+        let fields = json!({"why": why, "last": self.last, "first": run.first});
+        self.a.record.step("resumed", fields);
+        self.run = run;
+        self.buffer.clear();
+        self.broke.get_or_insert(self.heard);
+        self.heard = self.desk.now();
+        self.checks = 0;
+    }
+}
+
+/// The body of a stream's answer; ends its task when it is dropped.
+struct Pieces {
+    pieces: mpsc::Receiver<Result<Bytes, Broken>>,
+    task: tokio::task::JoinHandle<()>,
+}
+
+impl HttpBody for Pieces {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        let piece = self.pieces.poll_recv(cx);
+        piece.map(|p| p.map(|p| p.map(Frame::data)))
+    }
+}
+
+impl Drop for Pieces {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
