Place engines by weighed holders, move one where layers are thin

Ruled out: dead engines (all took connections) and the boxes' view (entries were up to date).

Change: a layer's holders count by their memory for requests, ranges go where one more holder gains most, one engine at a time is moved to thin layers; a refusal is remembered for the engine that it names; no engine is twice in a chain. Tried and corrected on the way: moves judged with the bonus for aligned ends were ordered again and again by all boxes; several moves at once put the engines out of step.

--- a/crates/ashgauge/src/chain.rs
+++ b/crates/ashgauge/src/chain.rs
@@ -64,11 +64,42 @@
 ///
 /// The cost may only depend on what places the edges stand in: edges of one
 /// place must be alike to it. `place` numbers are those of [`Edge::place`].
+/// No upstream is in the chain twice, if each has one edge.
 pub fn cheapest_across(
     first: Layer,
     end: Layer,
     edges: &[Edge],
     crossing: impl Fn(Option<usize>, usize) -> f64,
+) -> Option<Vec<Stage>> {
+    let mut edges = edges.to_vec();
+    loop {
+        let stages = shortest(first, end, &edges, &crossing)?;
+        let Some(twice) = find_twice(&stages) else {
+            return Some(stages);
+        };
+        // Each round shortens one edge, so this ends.
+        for edge in edges.iter_mut().filter(|e| e.upstream == twice.upstream) {
+            edge.first = twice.first;
+            edge.end = twice.end;
+        }
+    }
+}
+
+/// The longest stage of an upstream that is in the chain more than once.
+fn find_twice(stages: &[Stage]) -> Option<&Stage> {
+    let of = |s: &&Stage, other: &Stage| s.upstream == other.upstream;
+    let twice = stages
+        .iter()
+        .find(|s| stages.iter().filter(|o| of(o, s)).count() > 1)?;
+    let parts = stages.iter().filter(|s| of(s, twice));
+    parts.max_by_key(|s| s.end - s.first)
+}
+
+fn shortest(
+    first: Layer,
+    end: Layer,
+    edges: &[Edge],
+    crossing: &impl Fn(Option<usize>, usize) -> f64,
 ) -> Option<Vec<Stage>> {
     let cuts = boundaries(first, end, edges);
     let places = edges.iter().map(|e| e.place + 1).max().unwrap_or(0);
@@ -82,7 +113,7 @@
             for from in from..to {
                 let layers = f64::from(cuts[to] - cuts[from]);
                 let own = edge.fixed + edge.layer * layers;
-                let Some((base, via)) = entry(&best[from], from, edge.place, &crossing) else {
+                let Some((base, via)) = entry(&best[from], from, edge.place, crossing) else {
                     continue;
                 };
                 let cost = base + own;
--- a/crates/ashgauge/src/choice.rs
+++ b/crates/ashgauge/src/choice.rs
@@ -105,7 +105,11 @@
             places.len() - 1
         });
         let load = expected_load(scene, entry, streams);
-        let filling = filling(load / capacity(model, entry, held).max(1.0)) * jitter(rng);
+        let full = match entry.is_full(scene.now) {
+            true => 1.0,
+            false => load / capacity(model, entry, held).max(1.0),
+        };
+        let filling = filling(full) * jitter(rng);
         let fixed = ENGINE_SECONDS + f64::from(model.answer) * HOP_SECONDS;
         edges.push(Edge {
             upstream: entry.upstream.id.clone(),
@@ -158,6 +162,11 @@
         false => AWAY_FACTOR,
     };
     let failing = 1.0 / (1.0 - entry.failures.min(0.95));
+    let ahead = if entry.is_full(scene.now) {
+        ahead + FULL_FACTOR
+    } else {
+        ahead
+    };
     seconds * (1.0 + ahead) * away * failing * failing
 }
 
--- a/crates/ashgauge/src/placement.rs
+++ b/crates/ashgauge/src/placement.rs
@@ -1,9 +1,11 @@
 //! Which engine holds which layers.
 //!
-//! Engines begin empty and are given one range each. A range is chosen where
-//! it is needed most: first a whole chain within each data centre, so that
-//! activations need not cross between them, then second holders of as many
-//! layers as the memory allows, so that the loss of an engine leaves a chain.
+//! Engines begin empty and are given one range each, where one more holder is
+//! worth most: the first holder of a layer more than the second, the first in
+//! a data centre more than the second there. So each data centre gets a whole
+//! chain if its memory allows, so that activations need not cross, and what is
+//! left becomes second holders, so that the loss of an engine leaves a chain.
+//! Where losses have left some layers thin, engines are moved there.
 
 use std::sync::Arc;
 
@@ -22,11 +24,27 @@
 /// weights: one chain, and second holders for some of the layers.
 const COPIES: f64 = 1.15;
 
-/// Worth of a layer's first holder in a data centre, against a second one.
-const FIRST_HERE: f64 = 8.0;
+/// Requests of usual size for which an engine's memory counts as one holder.
+const HOLDER_REQUESTS: f64 = 100.0;
 
-/// Worth of a layer's first holder anywhere.
-const FIRST_ANYWHERE: f64 = 40.0;
+/// Holders for which one engine counts at most: its processor bounds it too.
+const HOLDERS_MOST: f64 = 2.0;
+
+/// Weight of a layer's holders within a data centre, against all holders.
+const HERE_WEIGHT: f64 = 0.5;
+
+/// Smooths the worth of holders, so that a layer without any is not worth
+/// everything else together.
+const SMOOTHING: f64 = 0.25;
+
+/// Least gain for which an engine that holds layers is given others: about
+/// what a second holder for one or two layers is worth. Loading is priced and
+/// takes the engine away for seconds.
+const MOVE_LEAST: f64 = 1.0;
+
+/// Share by which a range is worth more for each end that it has in common
+/// with another engine's: chains then have fewer stages.
+const ALIGNED_SHARE: f64 = 0.04;
 
 /// An engine as placement sees it.
 #[derive(Clone, Debug)]
@@ -39,6 +57,8 @@
     pub card: String,
     /// Layers that it holds or was ordered to hold.
     pub span: Option<Span>,
+    /// Whether it may be given other layers now.
+    pub movable: bool,
 }
 
 /// A range for an engine.
@@ -50,7 +70,8 @@
     pub span: Span,
 }
 
-/// Chooses ranges for all engines that hold nothing.
+/// Chooses ranges for all engines that hold nothing, and another range for
+/// the one engine, if any, that is much more useful elsewhere.
 ///
 /// The same seats bring the same ranges, in whatever order they are given.
 /// No engine gets more layers than [`capacity`] allows.
@@ -65,15 +86,17 @@
         if seats[at].span.is_some() {
             continue;
         }
-        let fill = choose_fill(model, &seats, &seats[at].place);
-        let most = capacity(model, &seats[at].card, fill);
-        let Some(span) = best_span(model, &seats, &seats[at].place, most) else {
+        let Some((span, _)) = best_span(model, &seats, at) else {
             continue;
         };
         seats[at].span = Some(span);
         let id = seats[at].id.clone();
         out.push(Assignment { id, span });
     }
+    // One move at a time: each is judged by what the one before has brought.
+    if out.is_empty() && seats.iter().all(|s| s.movable) {
+        out.extend(best_move(model, &mut seats));
+    }
     out
 }
 
@@ -85,13 +108,18 @@
     (layers as Layer).min(model.layers)
 }
 
-/// How often each layer is held within `place`, or anywhere.
-pub fn cover(model: &Model, seats: &[Seat], place: Option<&str>) -> Vec<u32> {
-    let mut cover = vec![0; model.layers as usize];
+/// Holders of each layer within `place`, or anywhere, counted by their memory
+/// for requests.
+pub fn cover(model: &Model, seats: &[Seat], place: Option<&str>) -> Vec<f64> {
+    let mut cover = vec![0.0; model.layers as usize];
     let here = |s: &&Seat| place.is_none_or(|p| *s.place == *p);
-    for span in seats.iter().filter(here).filter_map(|s| s.span) {
+    for seat in seats.iter().filter(here) {
+        let Some(span) = seat.span else {
+            continue;
+        };
+        let holders = holders(model, seat, span.len());
         for layer in span.first..span.end.min(model.layers) {
-            cover[layer as usize] += 1;
+            cover[layer as usize] += holders;
         }
     }
     cover
@@ -113,35 +141,95 @@
     *enough.unwrap_or(&FILLS[FILLS.len() - 1])
 }
 
-/// The range of `len` layers that is worth most in `place`; the lowest of
-/// those that are worth the same.
-fn best_span(model: &Model, seats: &[Seat], place: &str, len: Layer) -> Option<Span> {
+/// The move of one engine that gains most, if it gains enough.
+fn best_move(model: &Model, seats: &mut [Seat]) -> Option<Assignment> {
+    let mut best: Option<(f64, Assignment)> = None;
+    for at in 0..seats.len() {
+        let Some(old) = seats[at].span.filter(|_| seats[at].movable) else {
+            continue;
+        };
+        seats[at].span = None;
+        let found = best_span(model, seats, at);
+        let kept = gain(model, seats, at, old);
+        seats[at].span = Some(old);
+        let Some((span, gained)) = found else {
+            continue;
+        };
+        let more = gained - kept;
+        if more >= MOVE_LEAST && best.as_ref().is_none_or(|(most, _)| more > *most) {
+            let id = seats[at].id.clone();
+            best = Some((more, Assignment { id, span }));
+        }
+    }
+    best.map(|(_, assignment)| assignment)
+}
+
+/// The range for an engine that gains most, and the gain; the lowest of those
+/// that gain the same.
+fn best_span(model: &Model, seats: &[Seat], at: usize) -> Option<(Span, f64)> {
+    let seat = &seats[at];
+    let fill = choose_fill(model, seats, &seat.place);
+    let len = capacity(model, &seat.card, fill);
     if len == 0 {
         return None;
     }
-    let here = cover(model, seats, Some(place));
-    let all = cover(model, seats, None);
-    let worth: Vec<f64> = here.iter().zip(&all).map(|(h, a)| gain(*h, *a)).collect();
-    let mut best: Option<(f64, Layer)> = None;
+    let gains = layer_gains(model, seats, at, len);
+    let edges = boundaries(model, seats, &seat.place);
+    let mut best: Option<(Span, f64, f64)> = None;
     for first in 0..=model.layers - len {
-        let range = first as usize..(first + len) as usize;
-        let sum: f64 = worth[range].iter().sum();
-        if best.is_none_or(|(most, _)| sum > most + 1e-9) {
-            best = Some((sum, first));
+        let end = first + len;
+        let sum: f64 = gains[first as usize..end as usize].iter().sum();
+        let aligned = edges[first as usize] as u32 + edges[end as usize] as u32;
+        let worth = sum * (1.0 + ALIGNED_SHARE * f64::from(aligned));
+        if best.is_none_or(|(_, _, most)| worth > most + 1e-9) {
+            best = Some((Span { first, end }, sum, worth));
+        }
+    }
+    best.map(|(span, sum, _)| (span, sum))
+}
+
+/// Which layers some engine of a data centre begins with or ends before.
+fn boundaries(model: &Model, seats: &[Seat], place: &str) -> Vec<bool> {
+    let mut edges = vec![false; model.layers as usize + 1];
+    edges[0] = true;
+    edges[model.layers as usize] = true;
+    let here = seats.iter().filter(|s| *s.place == *place);
+    for span in here.filter_map(|s| s.span) {
+        for edge in [span.first, span.end] {
+            edges[edge.min(model.layers) as usize] = true;
         }
     }
-    best.map(|(_, first)| Span {
-        first,
-        end: first + len,
-    })
+    edges
+}
+
+/// What an engine gains by holding a range, if it holds nothing else.
+fn gain(model: &Model, seats: &[Seat], at: usize, span: Span) -> f64 {
+    let gains = layer_gains(model, seats, at, span.len());
+    gains[span.first as usize..span.end as usize].iter().sum()
+}
+
+/// What each layer gains by one more holder, which holds `len` layers in all.
+fn layer_gains(model: &Model, seats: &[Seat], at: usize, len: Layer) -> Vec<f64> {
+    let more = holders(model, &seats[at], len);
+    let here = cover(model, seats, Some(&seats[at].place));
+    let all = cover(model, seats, None);
+    let worth = |x: f64| -1.0 / (x + SMOOTHING);
+    let layers = here.iter().zip(&all);
+    let layers = layers.map(|(here, all)| {
+        let fleet = worth(all + more) - worth(*all);
+        fleet + HERE_WEIGHT * (worth(here + more) - worth(*here))
+    });
+    layers.collect()
 }
 
-/// What one more holder of a layer is worth.
-fn gain(here: u32, all: u32) -> f64 {
-    let nth = 1.0 / f64::from(1 + here * here + all);
-    match (here, all) {
-        (_, 0) => FIRST_ANYWHERE,
-        (0, _) => FIRST_HERE,
-        _ => nth,
+/// For how many holders an engine counts that holds `len` layers: its memory
+/// for requests bounds how much of the load it takes.
+fn holders(model: &Model, seat: &Seat, len: Layer) -> f64 {
+    let free = (memory(model, seat) - f64::from(len) * model.layer_mb).max(0.0);
+    let share = f64::from(len) / f64::from(model.layers.max(1));
+    let usual = f64::from(model.prompt + model.answer) * model.token_mb * share;
+    match usual > 0.0 {
+        true => (free / usual / HOLDER_REQUESTS).min(HOLDERS_MOST),
+        false => 1.0,
     }
 }
--- a/crates/ashgauge/src/roster.rs
+++ b/crates/ashgauge/src/roster.rs
@@ -20,6 +20,13 @@
 /// may take to come back before it counts as gone; the users' figure.
 const RETURN_TIME: Duration = Duration::from_secs(2);
 
+/// How long an engine that does not hold what it announces is left out; its
+/// entry is renewed within about a second.
+const STALE_TIME: Duration = Duration::from_millis(1000);
+
+/// How long an upstream that had no room is avoided.
+const FULL_TIME: Duration = Duration::from_millis(300);
+
 /// Weight of the newest answer in the learned time.
 const LEARN: f64 = 0.2;
 
@@ -72,6 +79,7 @@
     /// Load that it last told: requests running and waiting.
     pub load: Option<(u32, u32)>,
     suspect: Option<Duration>,
+    full: Option<Duration>,
     missing: Option<Duration>,
 }
 
@@ -110,6 +118,11 @@
     pub fn is_suspect(&self, now: Duration) -> bool {
         self.suspect.is_some_and(|until| now < until)
     }
+
+    /// Whether it had no room a moment ago.
+    pub fn is_full(&self, now: Duration) -> bool {
+        self.full.is_some_and(|until| now < until)
+    }
 }
 
 impl Roster {
@@ -146,6 +159,7 @@
             failures: 0.0,
             load: None,
             suspect: None,
+            full: None,
             missing: None,
         };
         self.entries.insert(entry.upstream.id.clone(), entry);
@@ -256,6 +270,20 @@
         new
     }
 
+    /// Notes that an upstream had no room for a request.
+    pub fn note_full(&mut self, now: Duration, id: &str) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.full = Some(now + FULL_TIME);
+        }
+    }
+
+    /// Leaves an upstream out for a moment, as it is not what it announces.
+    pub fn note_stale(&mut self, now: Duration, id: &str) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.suspect = entry.suspect.max(Some(now + STALE_TIME));
+        }
+    }
+
     /// Notes an upstream's own word on its load.
     pub fn report(&mut self, id: &str, running: u32, waiting: u32) {
         if let Some(entry) = self.entries.get_mut(id) {
--- a/crates/ashgauged/src/relay/forward.rs
+++ b/crates/ashgauged/src/relay/forward.rs
@@ -68,8 +68,8 @@
     id: String,
     route: String,
     arrived: Duration,
-    /// Upstreams that it was sent to.
-    pub sends: Vec<UpstreamId>,
+    /// Upstreams or chains that it was sent to.
+    pub sends: Vec<Arc<str>>,
     ended: bool,
 }
 
@@ -335,7 +335,7 @@
         true => silence(desk, a, id).min(left),
         false => left,
     };
-    let answer = timeout(limit, collect(line, request, &a.ask.id)).await;
+    let answer = timeout(limit, collect(desk, id, line, request, &a.ask.id)).await;
     let (answer, load) = answer.map_err(|_| Outcome::Lost)??;
     let mut roster = desk.roster.borrow_mut();
     if let Some((running, waiting)) = load {
@@ -360,6 +360,8 @@
 
 /// Sends on a fresh connection and reads the whole answer.
 async fn collect(
+    desk: &Desk,
+    upstream: &UpstreamId,
     line: dial::Line,
     request: Request<Full<Bytes>>,
     id: &str,
@@ -368,7 +370,10 @@
     let (parts, body) = exchange.response.into_parts();
     let load = engine::load(&parts.headers);
     match engine::judge(&parts, id) {
-        Verdict::NotRun(_) => return Err(Outcome::NotRun),
+        verdict @ (Verdict::Full(_) | Verdict::Stale(_)) => {
+            refused(desk, upstream, verdict);
+            return Err(Outcome::NotRun);
+        }
         Verdict::Foreign => return Err(Outcome::Lost),
         Verdict::Answer => {}
     }
@@ -380,6 +385,24 @@
     Ok((answer, load))
 }
 
+/// Learns from a refusal of an upstream, or of an engine that it names;
+/// returns whose it was.
+pub fn refused(desk: &Desk, upstream: &UpstreamId, verdict: Verdict) -> UpstreamId {
+    let (Verdict::Full(at) | Verdict::Stale(at)) = &verdict else {
+        return upstream.clone();
+    };
+    let mut roster = desk.roster.borrow_mut();
+    let named = at.as_ref().and_then(|addr| roster.at(addr));
+    let id = named.map_or(upstream, |e| &e.upstream.id).clone();
+    let fields = json!({"upstream": &*id, "verdict": format!("{verdict:?}")});
+    log::line(Level::Debug, "request", "refused", fields);
+    match verdict {
+        Verdict::Stale(_) => roster.note_stale(desk.now(), &id),
+        _ => roster.note_full(desk.now(), &id),
+    }
+    id
+}
+
 /// What a failure to get an answer means for the request.
 pub fn lost(failure: &Failure) -> Outcome {
     match failure {
--- a/crates/ashgauged/src/relay/place.rs
+++ b/crates/ashgauged/src/relay/place.rs
@@ -116,7 +116,7 @@
 
     /// Places the engines of a service that hold nothing, if any.
     async fn look(&mut self, service: &Service, model: &Model) -> Result<(), Fault> {
-        if self.empty(service, model).is_empty() {
+        if self.wanted(service, model).is_empty() {
             return Ok(());
         }
         let stagger = self.desk.rng().random_range(Duration::ZERO..STAGGER_MOST);
@@ -127,7 +127,7 @@
             Err(fault) => return Err(fault),
         };
         self.take_in(service, model, &stored);
-        let ranges = self.empty(service, model);
+        let ranges = self.wanted(service, model);
         if ranges.is_empty() {
             return Ok(());
         }
@@ -167,12 +167,15 @@
         }
     }
 
-    /// Ranges for the engines that hold nothing and were ordered nothing.
-    fn empty(&mut self, service: &Service, model: &Model) -> Vec<Assignment> {
+    /// Ranges for the engines that hold nothing and were ordered nothing, or
+    /// for one that is needed elsewhere.
+    fn wanted(&mut self, service: &Service, model: &Model) -> Vec<Assignment> {
         let now = self.desk.now();
         let roster = self.desk.roster.borrow();
-        self.pending
-            .retain(|id, (_, until)| now < *until && roster.get(id).is_some());
+        self.pending.retain(|id, (span, until)| {
+            let entry = roster.get(id);
+            entry.is_some_and(|e| now < *until && e.upstream.layers != Some(*span))
+        });
         let entries = roster.of(&service.name).filter(|e| e.is_usable(now));
         let seats: Vec<Seat> = entries.filter_map(|e| self.seat(e)).collect();
         placement::plan(model, &seats)
@@ -185,7 +188,8 @@
             id: upstream.id.clone(),
             place: upstream.place.clone(),
             card: upstream.card.clone()?,
-            span: upstream.layers.or(ordered),
+            span: ordered.or(upstream.layers),
+            movable: ordered.is_none(),
         })
     }
 
@@ -216,42 +220,70 @@
 
 /// Orders one engine to hold a range, until it says that it does.
 async fn order(desk: Rc<Desk>, range: Assignment) {
-    let mut orders = 0;
     for attempt in 1..=ORDER_TRIES {
-        let Some(addr) = address(&desk, &range) else {
+        let Some((addr, empty)) = open_order(&desk, &range) else {
             return;
         };
-        let reply = engine::place(&desk.client, &addr, range.span, Some(orders), ORDER_TIME).await;
-        let done = matches!(reply, Reply::Begun | Reply::Holds);
-        let label = if done { "taken" } else { "not taken" };
-        desk.metrics.orders.with_label_values(&[label]).inc();
-        let fields = json!({
-            "upstream": &*range.id,
-            "layers": range.span,
-            "attempt": attempt,
-            "reply": format!("{reply:?}"),
-        });
-        log::line(Level::Info, "placement", "ordered", fields);
-        if done {
-            return;
+        // An engine that holds nothing has mostly taken no order; of others,
+        // and after an order in vain, the count must be asked for.
+        let orders = match empty && attempt == 1 {
+            true => Some(0),
+            false => match count_orders(&desk, &range, &addr).await {
+                // It carries out an order, which is this one or a later one.
+                Count::Busy => return,
+                Count::Orders(orders) => Some(orders),
+                Count::Unknown => None,
+            },
+        };
+        if let Some(orders) = orders {
+            let reply = engine::place(&desk.client, &addr, range.span, Some(orders), ORDER_TIME);
+            let reply = reply.await;
+            note_reply(&desk, &range, attempt, &reply);
+            if matches!(reply, Reply::Begun | Reply::Holds) {
+                return;
+            }
         }
         sleep(ORDER_PAUSE).await;
-        match engine::report(&desk.client, &addr, ORDER_TIME).await {
-            // It carries out an order, which is this one or a later one.
-            Ok(report) if report.busy => return,
-            Ok(report) => orders = report.orders,
-            Err(e) => {
-                let fields = json!({"upstream": &*range.id, "fault": e.to_string()});
-                log::line(Level::Warn, "placement", "no report", fields);
-            }
+    }
+}
+
+/// What an engine says of the orders that it has taken.
+enum Count {
+    Orders(u64),
+    Busy,
+    Unknown,
+}
+
+async fn count_orders(desk: &Desk, range: &Assignment, addr: &str) -> Count {
+    match engine::report(&desk.client, addr, ORDER_TIME).await {
+        Ok(report) if report.busy => Count::Busy,
+        Ok(report) => Count::Orders(report.orders),
+        Err(e) => {
+            let fields = json!({"upstream": &*range.id, "fault": e.to_string()});
+            log::line(Level::Warn, "placement", "no report", fields);
+            Count::Unknown
         }
     }
 }
 
-/// Address of an engine that still holds nothing.
-fn address(desk: &Desk, range: &Assignment) -> Option<String> {
+fn note_reply(desk: &Desk, range: &Assignment, attempt: u32, reply: &Reply) {
+    let done = matches!(reply, Reply::Begun | Reply::Holds);
+    let label = if done { "taken" } else { "not taken" };
+    desk.metrics.orders.with_label_values(&[label]).inc();
+    let fields = json!({
+        "upstream": &*range.id,
+        "layers": range.span,
+        "attempt": attempt,
+        "reply": format!("{reply:?}"),
+    });
+    log::line(Level::Info, "placement", "ordered", fields);
+}
+
+/// Address of an engine that does not show the range yet, and whether it
+/// holds nothing.
+fn open_order(desk: &Desk, range: &Assignment) -> Option<(String, bool)> {
     let roster = desk.roster.borrow();
-    let entry = roster.get(&range.id)?;
-    let empty = entry.upstream.layers.is_none();
-    empty.then(|| entry.upstream.addr.clone())
+    let upstream = &roster.get(&range.id)?.upstream;
+    let shown = upstream.layers == Some(range.span) || upstream.leaving;
+    (!shown).then(|| (upstream.addr.clone(), upstream.layers.is_none()))
 }
--- a/crates/ashgauged/src/relay/stream.rs
+++ b/crates/ashgauged/src/relay/stream.rs
@@ -25,7 +25,7 @@
 
 use super::desk::Desk;
 use super::dial::{self, Exchange};
-use super::forward::{Admitted, Hold, finish, is_allowed, lost, note_outcome, whole};
+use super::forward::{Admitted, Hold, finish, is_allowed, lost, note_outcome, refused, whole};
 use super::probe::find_dead;
 use super::serve::{Body, Broken};
 
@@ -174,7 +174,7 @@
     let lead = stages[0].upstream.clone();
     let failed = |outcome| NotBegun::Failed(outcome, lead.clone(), None);
     handoff.send(lead.clone());
-    a.record.sends.push(lead.clone());
+    a.record.sends.push(text.as_deref().unwrap_or(&lead).into());
     let ids = stages.iter().map(|s| s.upstream.clone()).collect();
     let hold = Hold::new(desk, ids);
     let connect = Duration::from_millis(desk.settings.timing.connect_ms);
@@ -192,7 +192,7 @@
     };
     let request = engine::request(&a.head, a.body.clone(), &target);
     let sending = line.send(request);
-    let exchange = await_head(desk, &stages, sending, handoff, avoid).await;
+    let exchange = await_head(desk, a, &stages, sending, handoff, avoid).await;
     let exchange = exchange.map_err(failed)?;
     let (parts, ()) = exchange_parts(&exchange);
     match engine::judge(&parts, &a.ask.id) {
@@ -205,9 +205,8 @@
             };
             return Err(NotBegun::Failed(outcome, lead, failure));
         }
-        Verdict::NotRun(at) => {
-            let culprit = at.and_then(|addr| id_at(desk, &addr));
-            avoid.push(culprit.unwrap_or_else(|| lead.clone()));
+        verdict @ (Verdict::Full(_) | Verdict::Stale(_)) => {
+            avoid.push(refused(desk, &lead, verdict));
             return Err(failed(Outcome::NotRun));
         }
         Verdict::Foreign => return Err(failed(Outcome::Lost)),
@@ -250,6 +249,7 @@
 /// late.
 async fn await_head(
     desk: &Rc<Desk>,
+    a: &Admitted,
     stages: &[Stage],
     sending: impl Future<Output = Result<Exchange, ::http::Failure>>,
     handoff: &Handoff,
@@ -264,12 +264,16 @@
             return sent.map_err(|e| lost(&e));
         }
         let waited = desk.now() - began;
-        let dead = find_dead(desk, stages).await;
+        let mut dead = find_dead(desk, stages).await;
+        if dead.is_empty() {
+            dead.extend(find_culprit(desk, stages, &a.ask.id).await);
+        }
         if handoff.left(desk.now()).is_zero() {
             return Err(Outcome::Lost);
         }
         if !dead.is_empty() || waited >= SILENT_MOST {
-            dead.iter().for_each(|id| desk.suspect(id, "no connection"));
+            dead.iter()
+                .for_each(|id| desk.suspect(id, "holds up its chain"));
             avoid.extend(dead);
             return Err(Outcome::Lost);
         }
@@ -291,6 +295,19 @@
     roster.at(addr).map(|e| e.upstream.id.clone())
 }
 
+/// The engine that the first one of a chain names as the cause of a silence.
+async fn find_culprit(desk: &Desk, stages: &[Stage], id: &str) -> Option<UpstreamId> {
+    let first = {
+        let roster = desk.roster.borrow();
+        roster.get(&stages.first()?.upstream)?.upstream.addr.clone()
+    };
+    let report = engine::report(&desk.client, &first, REPORT_TIME)
+        .await
+        .ok()?;
+    let stalled = report.stalled.iter().find(|s| s.id == id)?;
+    id_at(desk, &stalled.address)
+}
+
 /// Copies one stream.
 struct Pump {
     desk: Rc<Desk>,
@@ -470,7 +487,7 @@
         if self.desk.now() >= self.heard + SILENT_MOST {
             return self.resume("silent").await;
         }
-        match self.culprit().await {
+        match find_culprit(&self.desk, &self.run.stages, &self.a.ask.id).await {
             Some(id) => {
                 self.desk.suspect(&id, "reported as stalled");
                 self.repair(vec![id]).await
@@ -479,16 +496,6 @@
         }
     }
 
-    /// The engine that the first one of the chain names as the cause.
-    async fn culprit(&self) -> Option<UpstreamId> {
-        let first = &self.run.first;
-        let report = engine::report(&self.desk.client, first, REPORT_TIME).await;
-        let report = report.ok()?;
-        let mut stalled = report.stalled.iter();
-        let stalled = stalled.find(|s| s.id == self.a.ask.id)?;
-        id_at(&self.desk, &stalled.address)
-    }
-
     /// Repairs the chain if another stream found one of its engines lost.
     async fn leave_suspects(&mut self) -> Go {
         let now = self.desk.now();
@@ -580,7 +587,7 @@
         if !able {
             return Go::Break("broken");
         }
-        let mut avoid: Vec<UpstreamId> = Vec::new();
+        let mut avoid = vec![self.run.stages[0].upstream.clone()];
         let mut outcome = Outcome::Lost;
         loop {
             let now = self.desk.now();
