Count a change of data centre for more, end only when answers are out

Ruled out: lost engines (one gone, all others answered connections), memory (3 refusals in 9 s). Change: a crossing costs as much as 2.5 s of work, and holders within a data centre weigh as much as all holders.

Counted now until the body is dropped, and 150 ms beyond. A stream that is only silent is no longer broken off when it cannot go on elsewhere.

--- a/crates/ashgauge/src/choice.rs
+++ b/crates/ashgauge/src/choice.rs
@@ -32,7 +32,7 @@
 
 /// Seconds that a change of data centre counts for besides its delays: the
 /// bytes are priced, and the pipe is shared.
-const CROSSING_SECONDS: f64 = 0.8;
+const CROSSING_SECONDS: f64 = 2.5;
 
 /// Delay of one message between two data centres, in seconds; the users'
 /// figure for theirs, in one region.
--- a/crates/ashgauge/src/placement.rs
+++ b/crates/ashgauge/src/placement.rs
@@ -31,7 +31,7 @@
 const HOLDERS_MOST: f64 = 2.0;
 
 /// Weight of a layer's holders within a data centre, against all holders.
-const HERE_WEIGHT: f64 = 0.5;
+const HERE_WEIGHT: f64 = 1.0;
 
 /// Smooths the worth of holders, so that a layer without any is not worth
 /// everything else together.
--- a/crates/ashgauged/src/relay/forward.rs
+++ b/crates/ashgauged/src/relay/forward.rs
@@ -75,7 +75,6 @@
 
 impl Record {
     fn new(desk: &Rc<Desk>, ask: &Ask, route: &str, arrived: Duration) -> Self {
-        desk.inflight.set(desk.inflight.get() + 1);
         Record {
             desk: desk.clone(),
             id: ask.id.clone(),
@@ -122,7 +121,6 @@
 impl Drop for Record {
     fn drop(&mut self) {
         self.end("caller left");
-        self.desk.inflight.set(self.desk.inflight.get() - 1);
     }
 }
 
--- a/crates/ashgauged/src/relay/mod.rs
+++ b/crates/ashgauged/src/relay/mod.rs
@@ -36,9 +36,14 @@
 pub use settings::Settings;
 
 /// How long callers may still be sent here after the box said that it is not
-/// ready: the balancer asks every second and believes the second no.
+/// ready: the balancer asks every second and believes the second no. Requests
+/// that come later, on kept connections, are refused.
 const BALANCER_TIME: Duration = Duration::from_millis(2600);
 
+/// How long there must be no request before the process ends, so that the
+/// last answer is out.
+const QUIET_TIME: Duration = Duration::from_millis(150);
+
 /// Time kept between the last answer and the kill.
 const KILL_MARGIN: Duration = Duration::from_millis(700);
 
@@ -128,10 +133,14 @@
         json!({"inflight": desk.inflight.get()}),
     );
     sleep(BALANCER_TIME.min(most)).await;
-    while desk.inflight.get() > 0 && began.elapsed() < most {
+    desk.stopped.set(true);
+    let mut busy = Instant::now();
+    while busy.elapsed() < QUIET_TIME && began.elapsed() < most {
         sleep(LOOK_EVERY).await;
+        if desk.inflight.get() > 0 {
+            busy = Instant::now();
+        }
     }
-    desk.stopped.set(true);
     let fields = json!({"cut": desk.inflight.get(), "ms": began.elapsed().as_millis() as u64});
     log::line(Level::Info, "box", "stopped", fields);
     log::flush();
--- a/crates/ashgauged/src/relay/serve.rs
+++ b/crates/ashgauged/src/relay/serve.rs
@@ -148,17 +148,15 @@
     let (shared, active) = (desk.clone(), activity.clone());
     let service = service_fn(move |request| {
         active.set(Phase::Busy);
-        let (desk, active) = (shared.clone(), active.clone());
+        let busy = Busy::new(&shared, &active);
+        let desk = shared.clone();
         async move {
             let mut response = forward::handle(desk.clone(), request).await;
             if desk.stopping.get() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
-            let response = response.map(|body| Answer {
-                body,
-                activity: active,
-            });
+            let response = response.map(|body| Answer { body, _busy: busy });
             Ok::<_, Infallible>(response)
         }
     });
@@ -244,10 +242,33 @@
     }
 }
 
+/// Counts a request from its head until its whole answer is in hyper's hands.
+struct Busy {
+    desk: Rc<Desk>,
+    activity: Rc<Activity>,
+}
+
+impl Busy {
+    fn new(desk: &Rc<Desk>, activity: &Rc<Activity>) -> Self {
+        desk.inflight.set(desk.inflight.get() + 1);
+        Busy {
+            desk: desk.clone(),
+            activity: activity.clone(),
+        }
+    }
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.desk.inflight.set(self.desk.inflight.get() - 1);
+        self.activity.set(Phase::Idle);
+    }
+}
+
 /// An answer's body; the connection rests once it is dropped.
 struct Answer {
     body: Body,
-    activity: Rc<Activity>,
+    _busy: Busy,
 }
 
 impl HttpBody for Answer {
@@ -269,9 +290,3 @@
         self.body.size_hint()
     }
 }
-
-impl Drop for Answer {
-    fn drop(&mut self) {
-        self.activity.set(Phase::Idle);
-    }
-}
--- a/crates/ashgauged/src/relay/stream.rs
+++ b/crates/ashgauged/src/relay/stream.rs
@@ -359,7 +359,7 @@
             let go = match self.next().await {
                 Seen::Data(bytes) => self.take(bytes).await,
                 Seen::End if self.buffer.is_empty() => Go::Done,
-                Seen::End => self.resume("half an event at the end").await,
+                Seen::End => self.resume("half an event at the end", false).await,
                 Seen::Broken(cause) => self.broken(&cause).await,
                 Seen::Silence => self.check().await,
                 Seen::Suspect => self.leave_suspects().await,
@@ -444,7 +444,7 @@
             };
         }
         if !self.follows(whole.first) {
-            return self.resume("events out of order").await;
+            return self.resume("events out of order", false).await;
         }
         let piece = self.buffer.split_to(whole.len).freeze();
         self.last = whole.last.or(self.last);
@@ -472,7 +472,7 @@
         let dead = find_dead(&self.desk, &self.run.stages).await;
         dead.iter()
             .for_each(|id| self.desk.suspect(id, "no connection"));
-        self.resume("broken").await
+        self.resume("broken", false).await
     }
 
     /// Looks for the cause of a silence.
@@ -485,7 +485,7 @@
             return self.repair(dead).await;
         }
         if self.desk.now() >= self.heard + SILENT_MOST {
-            return self.resume("silent").await;
+            return self.resume("silent", true).await;
         }
         match find_culprit(&self.desk, &self.run.stages, &self.a.ask.id).await {
             Some(id) => {
@@ -516,10 +516,10 @@
     async fn repair(&mut self, lost: Vec<UpstreamId>) -> Go {
         let first = &self.run.stages[0].upstream;
         if lost.contains(first) || self.repairs >= REPAIRS_MOST {
-            return self.resume("first engine lost").await;
+            return self.resume("first engine lost", true).await;
         }
         let Some((stages, text)) = self.detour(&lost) else {
-            return self.resume("no detour").await;
+            return self.resume("no detour", true).await;
         };
         self.repairs += 1;
         let (client, id) = (&self.desk.client, &self.a.ask.id);
@@ -546,7 +546,7 @@
                 self.checks = 0;
                 Go::On
             }
-            _ => self.resume("not led around").await,
+            _ => self.resume("not led around", true).await,
         }
     }
 
@@ -582,10 +582,14 @@
     }
 
     /// Lets another chain go on behind the last event that was passed on.
-    async fn resume(&mut self, why: &'static str) -> Go {
+    ///
+    /// If that cannot be and `alive` says that the present answer may still
+    /// go on, it is waited for.
+    async fn resume(&mut self, why: &'static str, alive: bool) -> Go {
         let able = self.rule.resume && (self.last.is_some() || !self.passed);
+        let failed = || if alive { Go::On } else { Go::Break("broken") };
         if !able {
-            return Go::Break("broken");
+            return failed();
         }
         let mut avoid = vec![self.run.stages[0].upstream.clone()];
         let mut outcome = Outcome::Lost;
@@ -597,7 +601,7 @@
                 .desk
                 .budget(service, |b| handoff.after(now, outcome, b));
             if next != Next::Again {
-                return Go::Break("broken");
+                return failed();
             }
             let (desk, a) = (&self.desk, &mut self.a);
             match begin(desk, a, &mut self.handoff, &mut avoid, self.last).await {
@@ -605,7 +609,7 @@
                     self.resumed(why, run);
                     return Go::On;
                 }
-                Err(NotBegun::NoChain | NotBegun::Denied) => return Go::Break("broken"),
+                Err(NotBegun::NoChain | NotBegun::Denied) => return failed(),
                 Err(NotBegun::Failed(new, id, _)) => {
                     note_outcome(&self.desk, &self.a, &id, new);
                     outcome = new;
