Keep the pipes between data centres below what they carry

Ruled out: engines (those of the failing chains served others), the store (stable). Change: a box counts what it sends over each pipe and takes the fleet to do alike; a pipe used to 0.75 is not used; beginning a chain in another data centre, where only the request and its events cross, costs little.

--- a/crates/ashgauge/src/chain.rs
+++ b/crates/ashgauge/src/chain.rs
@@ -62,6 +62,8 @@
 /// As [`cheapest`], with a cost in seconds for going on from one edge to
 /// another; `None` as the first stands for the start of the chain.
 ///
+/// An infinite cost forbids that way.
+///
 /// The cost may only depend on what places the edges stand in: edges of one
 /// place must be alike to it. `place` numbers are those of [`Edge::place`].
 /// No upstream is in the chain twice, if each has one edge.
@@ -150,10 +152,11 @@
     crossing: &impl Fn(Option<usize>, usize) -> f64,
 ) -> Option<(f64, Option<usize>)> {
     if cut == 0 {
-        return Some((crossing(None, place), None));
+        return Some((crossing(None, place), None)).filter(|(cost, _)| cost.is_finite());
     }
     let ways = reached.iter().enumerate();
     let ways = ways.filter_map(|(p, s)| s.map(|s| (s.cost + crossing(Some(p), place), Some(p))));
+    let ways = ways.filter(|(cost, _)| cost.is_finite());
     ways.min_by(|a, b| a.0.total_cmp(&b.0))
 }
 
--- a/crates/ashgauge/src/choice.rs
+++ b/crates/ashgauge/src/choice.rs
@@ -1,5 +1,7 @@
 //! Which upstream, or which chain of engines, a request goes to.
 
+use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use rand::Rng;
@@ -24,15 +26,25 @@
 const FULL: f64 = 0.85;
 
 /// Factor on the cost of an engine past [`FULL`].
-const FULL_FACTOR: f64 = 50.0;
+const FULL_FACTOR: f64 = 20.0;
 
 /// Seconds that an engine in a chain counts for besides its work: each is one
 /// more that may be lost while the request runs.
 const ENGINE_SECONDS: f64 = 0.25;
 
-/// Seconds that a change of data centre counts for besides its delays: the
-/// bytes are priced, and the pipe is shared.
-const CROSSING_SECONDS: f64 = 2.5;
+/// Seconds that a change of data centre within a chain counts for besides its
+/// delays: all activations go over a pipe that is shared and soon full.
+const CROSSING_SECONDS: f64 = 3.0;
+
+/// Seconds that it counts for if the first engine is in another data centre:
+/// only the request and its events cross.
+const ENTRY_SECONDS: f64 = 0.2;
+
+/// Share of a pipe that may be used; past it what crosses waits for seconds.
+const PIPE_SHARE: f64 = 0.75;
+
+/// Time over which the use of pipes is averaged.
+const PIPE_TIME: Duration = Duration::from_secs(1);
 
 /// Delay of one message between two data centres, in seconds; the users'
 /// figure for theirs, in one region.
@@ -41,15 +53,51 @@
 /// Delay of one message within a data centre, in seconds.
 const HOP_SECONDS: f64 = 0.0002;
 
+/// How much this box has sent over the pipes between data centres lately.
+///
+/// The boxes do alike, so each takes the fleet's use to be its own times their
+/// number.
+#[derive(Clone, Debug, Default)]
+pub struct Pipes(HashMap<(Arc<str>, Arc<str>), (f64, Duration)>);
+
+impl Pipes {
+    /// Notes that `mb` megabytes go from one data centre to another.
+    pub fn note(&mut self, now: Duration, from: &Arc<str>, to: &Arc<str>, mb: f64) {
+        let entry = self.0.entry(pair(from, to)).or_insert((0.0, now));
+        *entry = (fade(*entry, now) + mb, now);
+    }
+
+    /// Megabytes a second that this box sends between two data centres.
+    pub fn rate(&self, now: Duration, a: &Arc<str>, b: &Arc<str>) -> f64 {
+        let used = self.0.get(&pair(a, b));
+        used.map_or(0.0, |used| fade(*used, now) / PIPE_TIME.as_secs_f64())
+    }
+}
+
+/// A pipe carries both directions.
+fn pair(a: &Arc<str>, b: &Arc<str>) -> (Arc<str>, Arc<str>) {
+    match a < b {
+        true => (a.clone(), b.clone()),
+        false => (b.clone(), a.clone()),
+    }
+}
+
+fn fade((mb, at): (f64, Duration), now: Duration) -> f64 {
+    let age = now.saturating_sub(at).as_secs_f64();
+    mb * (-age / PIPE_TIME.as_secs_f64()).exp()
+}
+
 /// What is chosen from, and by whom.
 #[derive(Clone, Copy)]
 pub struct Scene<'a> {
     /// The upstreams.
     pub roster: &'a Roster,
+    /// What crosses between data centres.
+    pub pipes: &'a Pipes,
     /// Name of the service.
     pub service: &'a str,
     /// Data centre of the box.
-    pub place: &'a str,
+    pub place: &'a Arc<str>,
     /// Boxes of the fleet, this one included.
     pub boxes: f64,
     /// Boxes in one data centre, on average.
@@ -88,7 +136,7 @@
     avoid: &[UpstreamId],
     rng: &mut impl Rng,
 ) -> Option<Vec<Stage>> {
-    let mut places: Vec<&str> = vec![scene.place];
+    let mut places: Vec<&Arc<str>> = vec![scene.place];
     let mut edges = Vec::new();
     let streams = own_streams(scene, model);
     for entry in scene.roster.of(scene.service) {
@@ -98,7 +146,7 @@
         if avoid.contains(&entry.upstream.id) || !held.overlaps(&span) {
             continue;
         }
-        let name: &str = &entry.upstream.place;
+        let name = &entry.upstream.place;
         let place = places.iter().position(|p| *p == name);
         let place = place.unwrap_or_else(|| {
             places.push(name);
@@ -120,12 +168,11 @@
             place,
         });
     }
-    let crossing = crossing_seconds(model);
     chain::cheapest_across(span.first, span.end, &edges, |from, to| match from {
+        _ if from == Some(to) => 0.0,
+        Some(from) => crossing_seconds(scene, model, places[from], places[to]),
         None if to == 0 => 0.0,
-        None => CROSSING_SECONDS / 2.0 + f64::from(model.answer) * AWAY_SECONDS,
-        Some(from) if from == to => 0.0,
-        Some(_) => crossing,
+        None => ENTRY_SECONDS,
     })
 }
 
@@ -157,7 +204,7 @@
         f64::from(running) + 2.0 * f64::from(waiting)
     });
     let ahead = told.max(f64::from(entry.inflight) * scene.neighbours) / slots;
-    let away = match *entry.upstream.place == *scene.place {
+    let away = match entry.upstream.place == *scene.place {
         true => 1.0,
         false => AWAY_FACTOR,
     };
@@ -186,7 +233,7 @@
 /// elsewhere to use their own engines in the same way.
 fn expected_load(scene: &Scene, entry: &Entry, streams: f64) -> f64 {
     let own = f64::from(entry.inflight);
-    match *entry.upstream.place == *scene.place {
+    match entry.upstream.place == *scene.place {
         true => own * scene.neighbours,
         false => own * scene.boxes + streams * scene.neighbours,
     }
@@ -215,15 +262,19 @@
 }
 
 /// Seconds that a usual request loses where its chain changes data centre:
-/// the prompt's activations in the pipe, and the delay of each token.
-fn crossing_seconds(model: &Model) -> f64 {
+/// the prompt's activations in the pipe, and the delay of each token. A pipe
+/// that is used up may not be used.
+fn crossing_seconds(scene: &Scene, model: &Model, from: &Arc<str>, to: &Arc<str>) -> f64 {
+    let delays = f64::from(model.answer) * AWAY_SECONDS;
+    if model.pipe_mb <= 0.0 {
+        return CROSSING_SECONDS + delays;
+    }
+    let used = scene.pipes.rate(scene.now, from, to) * scene.boxes / model.pipe_mb;
+    if used >= PIPE_SHARE {
+        return f64::INFINITY;
+    }
     let prompt = f64::from(model.prompt) * model.activation_mb;
-    let pipe = if model.pipe_mb > 0.0 {
-        prompt / model.pipe_mb
-    } else {
-        0.0
-    };
-    CROSSING_SECONDS + pipe + f64::from(model.answer) * AWAY_SECONDS
+    (CROSSING_SECONDS + prompt / model.pipe_mb) / (1.0 - used) + delays
 }
 
 fn jitter(rng: &mut impl Rng) -> f64 {
--- a/crates/ashgauged/src/relay/desk.rs
+++ b/crates/ashgauged/src/relay/desk.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use ashgauge::chain::Stage;
-use ashgauge::choice::{self, Scene};
+use ashgauge::choice::{self, Pipes, Scene};
 use ashgauge::fresh::Freshness;
 use ashgauge::member::UpstreamId;
 use ashgauge::retry::{Allowance, Window};
@@ -61,6 +61,8 @@
     pub suspects: watch::Sender<u64>,
     /// Probes of upstreams of the last moments.
     pub probes: Probes,
+    pipes: RefCell<Pipes>,
+    place: Arc<str>,
     budgets: RefCell<HashMap<ServiceId, Window>>,
     boxes: Cell<u32>,
     rng: RefCell<SmallRng>,
@@ -84,6 +86,8 @@
             metrics,
             suspects: watch::Sender::new(0),
             probes: Probes::default(),
+            pipes: RefCell::default(),
+            place: settings.data_centre.as_str().into(),
             budgets: RefCell::default(),
             boxes: Cell::new(BOXES_ASSUMED),
             rng: RefCell::new(SmallRng::from_os_rng()),
@@ -144,7 +148,8 @@
     /// Chooses an upstream of a plain service.
     pub fn choose(&self, service: &str, tried: &[UpstreamId]) -> Option<(UpstreamId, String)> {
         let roster = self.roster.borrow();
-        let scene = self.scene(&roster, service);
+        let pipes = self.pipes.borrow();
+        let scene = self.scene(&roster, &pipes, service);
         let id = choice::upstream(&scene, tried, &mut *self.rng())?;
         let addr = roster.get(&id)?.upstream.addr.clone();
         Some((id, addr))
@@ -159,7 +164,8 @@
         avoid: &[UpstreamId],
     ) -> Option<Vec<Stage>> {
         let roster = self.roster.borrow();
-        let scene = self.scene(&roster, service);
+        let pipes = self.pipes.borrow();
+        let scene = self.scene(&roster, &pipes, service);
         choice::chain(&scene, model, span, avoid, &mut *self.rng())
     }
 
@@ -172,6 +178,21 @@
         Some((text, first.into()))
     }
 
+    /// Notes what goes between data centres for `tokens` tokens that a chain
+    /// reads.
+    pub fn note_crossings(&self, model: &Model, stages: &[Stage], tokens: u32) {
+        let (roster, now) = (self.roster.borrow(), self.now());
+        let mut pipes = self.pipes.borrow_mut();
+        let place = |s: &Stage| roster.get(&s.upstream).map(|e| e.upstream.place.clone());
+        for pair in stages.windows(2) {
+            if let (Some(from), Some(to)) = (place(&pair[0]), place(&pair[1]))
+                && from != to
+            {
+                pipes.note(now, &from, &to, f64::from(tokens) * model.activation_mb);
+            }
+        }
+    }
+
     /// Notes that an upstream does not answer and tells the streams on it.
     pub fn suspect(&self, id: &str, why: &str) {
         let new = self.roster.borrow_mut().suspect(self.now(), id);
@@ -195,11 +216,12 @@
         (f64::from(self.boxes.get()) / places.len().max(1) as f64).max(1.0)
     }
 
-    fn scene<'a>(&'a self, roster: &'a Roster, service: &'a str) -> Scene<'a> {
+    fn scene<'a>(&'a self, roster: &'a Roster, pipes: &'a Pipes, service: &'a str) -> Scene<'a> {
         Scene {
             roster,
+            pipes,
             service,
-            place: &self.settings.data_centre,
+            place: &self.place,
             boxes: f64::from(self.boxes.get()),
             neighbours: self.neighbours(roster),
             now: self.now(),
--- a/crates/ashgauged/src/relay/stream.rs
+++ b/crates/ashgauged/src/relay/stream.rs
@@ -231,6 +231,8 @@
                 return None;
             }
             let (text, first) = desk.chain_text(&stages)?;
+            let tokens = a.ask.prompt + a.ask.answer;
+            desk.note_crossings(model, &stages, tokens);
             Some((stages, Some(text), first))
         }
         None => {
