Call a store that is away only for proofs

Change: while the store is away the watches wait for its return and only the proofs call, with pauses up to 0.5 s; a watch that fails asks for a proof at once; a proof every 2 s instead of 1.4.

--- a/crates/ashgauged/src/relay/follow.rs
+++ b/crates/ashgauged/src/relay/follow.rs
@@ -13,7 +13,7 @@
 use serde_json::json;
 use spdlog::Level;
 use tokio::sync::Notify;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::desk::Desk;
 use super::log;
@@ -25,6 +25,10 @@
 /// within the users' bound on configurations (2 s) with time to spare.
 const PAUSE_MOST: Duration = Duration::from_millis(500);
 
+/// How long watches wait for the store's return before they try by
+/// themselves.
+const AWAY_MOST: Duration = Duration::from_secs(5);
+
 /// How long after the store's return entries may be missing though their
 /// upstreams live; the users' figure.
 const RETURN_TIME: Duration = Duration::from_secs(2);
@@ -48,8 +52,11 @@
     failed: Cell<Option<Duration>>,
     /// When the store last came back.
     returned: Cell<Option<Duration>>,
-    /// Ends the watches, which may hang on dead connections.
+    /// Ends the watches, which may hang on dead connections, and begins them
+    /// anew.
     restart: Notify,
+    /// Asks for a proof at once.
+    check: Notify,
 }
 
 impl Follower {
@@ -61,6 +68,7 @@
             failed: Cell::new(None),
             returned: Cell::new(None),
             restart: Notify::new(),
+            check: Notify::new(),
         });
         tokio::task::spawn_local(follower.clone().confirm());
         tokio::task::spawn_local(follower.clone().follow_config());
@@ -78,7 +86,8 @@
             match confirmed {
                 Ok(()) => {
                     pause = PAUSE_FIRST;
-                    sleep(every).await;
+                    // A watch that failed asks earlier.
+                    let _ = timeout(every, self.check.notified()).await;
                 }
                 Err(fault) => {
                     self.lost("confirm", &fault);
@@ -266,9 +275,16 @@
         self.failed.get().is_some() || returned.is_some_and(|t| now < t + RETURN_TIME)
     }
 
+    /// Waits after a watch that failed. While the store is away only the
+    /// proofs go on calling it, as each call is priced, refused ones too.
     async fn wait_out(&self, what: &str, fault: &Fault) {
         self.lost(what, fault);
-        sleep(PAUSE_FIRST).await;
+        if self.failed.get().is_none() {
+            sleep(PAUSE_FIRST).await;
+            return;
+        }
+        self.check.notify_one();
+        let _ = timeout(AWAY_MOST, self.restart.notified()).await;
     }
 
     fn count_call(&self) {
--- a/crates/ashgauged/src/relay/settings.rs
+++ b/crates/ashgauged/src/relay/settings.rs
@@ -78,7 +78,7 @@
         Timing {
             store_ms: 1000,
             watch_ms: 15_000,
-            confirm_ms: 1400,
+            confirm_ms: 2000,
             connect_ms: 150,
             first_ms: 250,
             silence_ms: 100,
