--- a/crates/ashgauged/src/relay/mod.rs
+++ b/crates/ashgauged/src/relay/mod.rs
@@ -73,12 +73,12 @@
         Some(addr) => Some(bind(addr).await?),
         None => None,
     };
-    log::line(
-        Level::Info,
-        "box",
-        "started",
-        json!({"settings": settings.summary()}),
-    );
+    let fields = json!({
+        "settings": settings.summary(),
+        "caller": callers.local_addr()?.to_string(),
+        "ready": ready.local_addr()?.to_string(),
+    });
+    log::line(Level::Info, "box", "started", fields);
     let desk = Rc::new(Desk::new(settings, Metrics::new()?));
     Follower::start(desk.clone());
     Placer::start(desk.clone());
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -12,7 +12,7 @@
 
 pub use call::{Reply, get, outcome, post, text_of};
 pub use fleet::{BoxPlan, EnginePlan, Fleet, Node, Plan, Upstream, starter_table};
-pub use process::{Link, Process, binary, wait_until};
+pub use process::{Link, Process, binary, put, wait_until};
 pub use records::{check_layer, check_layers, replayed, runs};
 
 /// Bearer key of the first team of the starter table.
--- a/crates/proof/src/process.rs
+++ b/crates/proof/src/process.rs
@@ -19,7 +19,7 @@
 /// A child process, killed when dropped.
 pub struct Process {
     child: Child,
-    lines: BufReader<std::process::ChildStdout>,
+    lines: Option<BufReader<std::process::ChildStdout>>,
 }
 
 /// A fault-injecting link with its control port.
@@ -80,20 +80,31 @@
             .ok_or_else(|| eyre!("no output of {name}"))?;
         Ok(Process {
             child,
-            lines: BufReader::new(stdout),
+            lines: Some(BufReader::new(stdout)),
         })
     }
 
     /// Reads the next line of its output.
     pub fn line(&mut self) -> Result<String> {
         let mut line = String::new();
-        self.lines.read_line(&mut line)?;
+        let lines = self.lines.as_mut();
+        let lines = lines.ok_or_else(|| eyre!("the output is drained"))?;
+        lines.read_line(&mut line)?;
         if line.is_empty() {
             bail!("the process ended early");
         }
         Ok(line.trim().into())
     }
 
+    /// Reads and forgets the rest of its output, so that it never waits for a
+    /// reader.
+    pub fn drain(&mut self) -> Result<()> {
+        let lines = self.lines.take();
+        let mut lines = lines.ok_or_else(|| eyre!("the output is drained already"))?;
+        std::thread::spawn(move || std::io::copy(&mut lines, &mut std::io::sink()));
+        Ok(())
+    }
+
     /// Process id.
     pub fn id(&self) -> u32 {
         self.child.id()
@@ -160,7 +171,7 @@
 }
 
 /// Sends a stand-in a JSON value.
-pub(crate) async fn put(addr: &str, path: &str, value: &impl serde::Serialize) -> Result<()> {
+pub async fn put(addr: &str, path: &str, value: &impl serde::Serialize) -> Result<()> {
     let mut request = Request::new(Full::new(serde_json::to_vec(value)?.into()));
     *request.method_mut() = Method::PUT;
     *request.uri_mut() = path.parse()?;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -11,6 +11,6 @@
 pub mod platform;
 pub mod service;
 
-mod web;
+pub mod web;
 
 pub use web::{announce, append};
--- a/crates/standin/src/web.rs
+++ b/crates/standin/src/web.rs
@@ -34,7 +34,7 @@
 }
 
 /// Serves requests with their bodies read, for ever.
-pub(crate) async fn run<H, F>(listener: TcpListener, handler: H)
+pub async fn run<H, F>(listener: TcpListener, handler: H)
 where
     H: Fn(Parts, Bytes) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
@@ -58,14 +58,14 @@
 }
 
 /// An answer without a body.
-pub(crate) fn status_only(status: StatusCode) -> Response<Body> {
+pub fn status_only(status: StatusCode) -> Response<Body> {
     let mut response = Response::new(http::empty());
     *response.status_mut() = status;
     response
 }
 
 /// Value of one parameter of a query.
-pub(crate) fn query(head: &Parts, name: &str) -> Option<u64> {
+pub fn query(head: &Parts, name: &str) -> Option<u64> {
     let pairs = head.uri.query()?.split('&');
     let mut pairs = pairs.filter_map(|p| p.split_once('='));
     pairs.find(|(n, _)| *n == name)?.1.parse().ok()
