--- /dev/null
+++ b/crates/ashgauge/tests/handoff.rs
@@ -0,0 +1,121 @@
+//! A request that is handed on whole, over all orders of outcomes.
+
+mod common;
+
+use std::time::Duration;
+
+use ashgauge::handoff::{End, Handoff, Next, Outcome};
+use ashgauge::retry::{Allowance, Window};
+use proptest::prelude::*;
+
+fn plenty() -> Window {
+    Window::new(Allowance {
+        window: Duration::from_secs(10),
+        ratio: 1.0,
+        extra: 1000.0,
+        boxes: 1,
+    })
+}
+
+fn outcomes() -> impl Strategy<Value = Vec<(Outcome, u64)>> {
+    let outcome = prop::sample::select(vec![
+        Outcome::NotSent,
+        Outcome::NotRun,
+        Outcome::Failed,
+        Outcome::Lost,
+    ]);
+    prop::collection::vec((outcome, 0..400u64), 1..12)
+}
+
+proptest! {
+    #![proptest_config(common::seeded(200))]
+
+    /// What is told as not run has not run; what may not be repeated runs once
+    /// at most; no more upstreams run it than are allowed.
+    #[test]
+    fn promises_hold(outcomes in outcomes(), attempts in 1..4u32, repeat: bool) {
+        let mut budget = plenty();
+        let mut handoff = Handoff::new(Duration::from_secs(1), attempts, repeat);
+        let mut now = Duration::ZERO;
+        let mut may_have_run = 0;
+        for (n, (outcome, ms)) in outcomes.into_iter().enumerate() {
+            handoff.send(format!("u{n}").into());
+            now += Duration::from_millis(ms);
+            if matches!(outcome, Outcome::Failed | Outcome::Lost) {
+                may_have_run += 1;
+            }
+            prop_assert!(may_have_run <= attempts);
+            prop_assert!(repeat || may_have_run <= 1);
+            match handoff.after(now, outcome, &mut budget) {
+                Next::Again => prop_assert!(now < Duration::from_secs(1)),
+                Next::PassOn => {
+                    prop_assert_eq!(outcome, Outcome::Failed);
+                    return Ok(());
+                }
+                Next::End(End::NotRun) => {
+                    prop_assert_eq!(may_have_run, 0);
+                    return Ok(());
+                }
+                Next::End(_) => {
+                    prop_assert!(may_have_run > 0);
+                    return Ok(());
+                }
+            }
+        }
+    }
+
+    /// However requests fall on boxes, the fleet keeps its allowance in every
+    /// window.
+    #[test]
+    fn boxes_together_keep_the_allowance(
+        events in prop::collection::vec((0..5usize, 0..300u64, any::<bool>()), 1..400),
+    ) {
+        let window = Duration::from_secs(10);
+        let allowance = Allowance { window, ratio: 0.2, extra: 40.0, boxes: 5 };
+        let mut boxes = vec![Window::new(allowance); 5];
+        let mut now = Duration::ZERO;
+        let mut firsts = Vec::new();
+        let mut retries = Vec::new();
+        for (node, ms, retry) in events {
+            now += Duration::from_millis(ms);
+            if !retry {
+                boxes[node].earn(now);
+                firsts.push(now);
+            } else if boxes[node].take(now) {
+                retries.push(now);
+            }
+        }
+        for end in &retries {
+            let from = end.saturating_sub(window);
+            let within = |times: &[Duration], from: Duration| {
+                times.iter().filter(|t| **t >= from && *t <= end).count() as f64
+            };
+            // First tries of the window or of the one before count.
+            let earned = within(&firsts, from.saturating_sub(window));
+            let most = allowance.ratio * earned + allowance.extra;
+            prop_assert!(within(&retries, from) <= most);
+        }
+    }
+}
+
+#[test]
+fn exhausted_budget_ends_the_request() {
+    let mut budget = Window::new(Allowance {
+        window: Duration::from_secs(10),
+        ratio: 0.0,
+        extra: 0.0,
+        boxes: 1,
+    });
+    let mut handoff = Handoff::new(Duration::from_secs(1), 2, true);
+    handoff.send("u1".into());
+    let next = handoff.after(Duration::ZERO, Outcome::NotRun, &mut budget);
+    assert_eq!(next, Next::End(End::NotRun));
+}
+
+#[test]
+fn end_of_the_time_is_told() {
+    let mut handoff = Handoff::new(Duration::from_secs(1), 2, true);
+    handoff.send("u1".into());
+    let next = handoff.after(Duration::from_secs(1), Outcome::Lost, &mut plenty());
+    assert_eq!(next, Next::End(End::Late));
+}
--- /dev/null
+++ b/crates/ashgauge/tests/knowledge.rs
@@ -0,0 +1,185 @@
+//! What a box knows: routes, upstreams, how fresh it is, and whole events.
+
+mod common;
+mod engines;
+
+use std::time::Duration;
+
+use ashgauge::events::cut;
+use ashgauge::fresh::{Freshness, Ledger};
+use ashgauge::roster::Roster;
+use ashgauge::routing::{Access, Bounds, Route, Routing, Team};
+use engines::upstream;
+use proptest::prelude::*;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        repeat: true,
+        stream: None,
+        timeout: SECOND,
+        aim: SECOND,
+        rank: 1,
+        split: vec![("s".into(), 1.0)],
+        attempts: 1,
+        open: name == "open",
+    }
+}
+
+fn routing() -> Routing {
+    let routes = vec![
+        route("short", "a.example", "/x/"),
+        route("long", "a.example", "/x/y/"),
+        route("other", "b.example", "/x/y/"),
+        route("open", "a.example", "/open/"),
+    ];
+    let team = Team {
+        name: "payroll".into(),
+        rank: None,
+        keys: vec!["k1".into(), "k2".into()],
+    };
+    Routing::new(7, routes, Vec::new(), Some(vec![team]), Bounds::default())
+}
+
+#[test]
+fn longest_prefix_of_the_host_wins() {
+    let routing = routing();
+    let find = |host: &str, path: &str| routing.find(host, path).map(|r| r.name.clone());
+    assert_eq!(find("a.example", "/x/y/z").as_deref(), Some("long"));
+    assert_eq!(find("a.example", "/x/z").as_deref(), Some("short"));
+    assert_eq!(find("b.example", "/x/y/").as_deref(), Some("other"));
+    assert_eq!(find("b.example", "/x/z"), None);
+    assert_eq!(find("c.example", "/x/y/"), None);
+    assert_eq!(find("a.example", "/xy"), None);
+}
+
+#[test]
+fn keys_lead_to_teams() {
+    let routing = routing();
+    let closed = routing.find("a.example", "/x/").expect("a route");
+    let open = routing.find("a.example", "/open/").expect("a route");
+    let team = |key| match routing.access(closed, key) {
+        Access::Team(team) => Some(team.name.clone()),
+        _ => None,
+    };
+    assert_eq!(team(Some("k2")).as_deref(), Some("payroll"));
+    assert_eq!(routing.access(closed, Some("k3")), Access::Denied);
+    assert_eq!(routing.access(closed, None), Access::Denied);
+    assert_eq!(routing.access(open, None), Access::Open);
+}
+
+#[test]
+fn upstream_missing_after_an_outage_may_come_back() {
+    let mut roster = Roster::default();
+    let engines = [
+        upstream("e1", "a", "small", None, 1),
+        upstream("e2", "a", "small", None, 2),
+    ];
+    engines.iter().for_each(|e| roster.put(e.clone()));
+    let now = SECOND * 10;
+    roster.replace(now, vec![engines[0].clone()], false);
+    let usable = |roster: &Roster, id: &str, now| roster.get(id).map(|e| e.is_usable(now));
+    assert_eq!(usable(&roster, "e2", now), Some(false));
+    roster.expire(now + SECOND);
+    roster.put(engines[1].clone());
+    assert_eq!(usable(&roster, "e2", now + SECOND), Some(true));
+    roster.replace(now, vec![engines[0].clone()], false);
+    roster.expire(now + SECOND * 2);
+    assert_eq!(usable(&roster, "e2", now), None);
+}
+
+#[test]
+fn suspect_is_left_out_for_a_while() {
+    let mut roster = Roster::default();
+    roster.put(upstream("e1", "a", "small", None, 1));
+    assert!(roster.suspect(SECOND, "e1"));
+    assert!(!roster.suspect(SECOND, "e1"));
+    let usable = |roster: &Roster, now| roster.get("e1").is_some_and(|e| e.is_usable(now));
+    assert!(!usable(&roster, SECOND * 2));
+    assert!(usable(&roster, SECOND * 6));
+    roster.suspect(SECOND * 6, "e1");
+    roster.learn("e1", SECOND);
+    assert!(usable(&roster, SECOND * 6));
+}
+
+fn stream(lens: &[usize]) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    for (n, len) in lens.iter().enumerate() {
+        let event = format!("id: {}\ndata: {}\n\n", n + 1, "x".repeat(*len));
+        bytes.extend_from_slice(event.as_bytes());
+    }
+    bytes
+}
+
+proptest! {
+    #![proptest_config(common::seeded(200))]
+
+    /// A box frozen at any point acts on no knowledge older than its bound.
+    #[test]
+    fn knowledge_ages_from_the_question(
+        asks in prop::collection::vec((0..3000u64, 0..3000u64), 1..20),
+        frozen in 0..20_000u64,
+    ) {
+        let most = Duration::from_millis(3500);
+        let mut fresh = Freshness::new(most);
+        let mut now = Duration::ZERO;
+        let mut latest = None;
+        for (pause, answer) in asks {
+            let asked = now + Duration::from_millis(pause);
+            now = asked + Duration::from_millis(answer);
+            fresh.confirm(asked);
+            latest = Some(asked);
+        }
+        now += Duration::from_millis(frozen);
+        let age = now - latest.expect("a question");
+        prop_assert_eq!(fresh.holds(now), age <= most);
+    }
+
+    /// A revision counts as covered only if every change up to it was read.
+    #[test]
+    fn ledger_covers_only_what_was_read(
+        read in prop::collection::vec(1..60u64, 0..80),
+        base in 0..20u64,
+        asked in 0..60u64,
+    ) {
+        let mut ledger = Ledger::default();
+        ledger.read_all(base);
+        read.iter().for_each(|r| ledger.add(*r));
+        let all = (base + 1..=asked).all(|r| read.contains(&r));
+        prop_assert_eq!(ledger.covers(asked), all);
+    }
+
+    /// However the bytes are cut up, whole events come out in order, and half
+    /// ones stay behind.
+    #[test]
+    fn events_come_out_whole(
+        lens in prop::collection::vec(0..30usize, 0..12),
+        pieces in prop::collection::vec(1..20usize, 1..40),
+        cut_off in 0..40usize,
+    ) {
+        let all = stream(&lens);
+        let kept = &all[..all.len().saturating_sub(cut_off)];
+        let (mut buffer, mut out, mut at) = (Vec::new(), Vec::new(), 0);
+        let mut last = 0;
+        for piece in pieces.iter().cycle() {
+            if at >= kept.len() {
+                break;
+            }
+            let end = (at + piece).min(kept.len());
+            buffer.extend_from_slice(&kept[at..end]);
+            at = end;
+            let whole = cut(&buffer);
+            if whole.count > 0 {
+                prop_assert_eq!(whole.first, Some(last + 1));
+                last = whole.last.expect("an id");
+            }
+            out.extend(buffer.drain(..whole.len));
+        }
+        let expected = stream(&lens[..last as usize]);
+        prop_assert_eq!(out, expected);
+    }
+}
--- /dev/null
+++ b/crates/ashgauge/tests/placement.rs
@@ -0,0 +1,110 @@
+//! Which engine holds which layers.
+
+mod common;
+mod engines;
+
+use ashgauge::placement::{Seat, capacity, cover, plan};
+use ashgauge::routing::Model;
+use engines::{apply, fleet, model, seats};
+use proptest::prelude::*;
+
+/// Largest share of memory that any plan gives to weights.
+const FILL_MOST: f64 = 0.78;
+
+fn settle(model: &Model, seats: &mut [Seat]) -> usize {
+    for round in 0..200 {
+        let assignments = plan(model, seats);
+        if assignments.is_empty() {
+            return round;
+        }
+        apply(seats, &assignments);
+    }
+    panic!("the plan never comes to rest");
+}
+
+#[test]
+fn each_data_centre_gets_a_whole_chain() {
+    let mut seats = fleet();
+    let assignments = plan(&model(), &seats);
+    apply(&mut seats, &assignments);
+    for place in ["a", "b", "c"] {
+        let cover = cover(&model(), &seats, Some(place));
+        assert!(cover.iter().all(|c| *c > 0.0), "{place}: {cover:?}");
+    }
+}
+
+/// Moves were once judged with a bonus that the present range did not get, and
+/// every box ordered the same engine to the range that it held already.
+#[test]
+fn fleet_at_rest_is_left_alone() {
+    let mut seats = fleet();
+    let rounds = settle(&model(), &mut seats);
+    assert!(rounds <= 3, "{rounds} rounds");
+    assert!(plan(&model(), &seats).is_empty());
+}
+
+#[test]
+fn layers_that_lost_their_holders_get_new_ones() {
+    let mut seats = fleet();
+    settle(&model(), &mut seats);
+    // All holders of one layer are lost at once.
+    seats.retain(|s| !s.span.is_some_and(|span| span.holds(40)));
+    assert!(cover(&model(), &seats, None)[40] == 0.0);
+    settle(&model(), &mut seats);
+    let cover = cover(&model(), &seats, None);
+    assert!(cover.iter().all(|c| *c > 0.5), "{cover:?}");
+}
+
+#[test]
+fn nothing_moves_while_orders_are_under_way() {
+    let mut seats = fleet();
+    settle(&model(), &mut seats);
+    seats.retain(|s| !s.span.is_some_and(|span| span.holds(40)));
+    seats[0].movable = false;
+    assert!(plan(&model(), &seats).is_empty());
+}
+
+fn any_seats() -> impl Strategy<Value = Vec<Seat>> {
+    let place = prop::sample::select(vec!["a", "b", "c", "d"]);
+    let card = prop::sample::select(vec!["large", "medium", "small", "tiny", "unknown"]);
+    let group = (place, card, 0..6usize);
+    prop::collection::vec(group, 1..8).prop_map(|groups| {
+        let mut seats = seats(&groups);
+        seats.sort_by(|a, b| a.id.cmp(&b.id));
+        seats.dedup_by(|a, b| a.id == b.id);
+        seats
+    })
+}
+
+proptest! {
+    #![proptest_config(common::seeded(200))]
+
+    #[test]
+    fn no_engine_gets_more_than_its_memory_holds(mut seats in any_seats()) {
+        let model = model();
+        settle(&model, &mut seats);
+        for seat in &seats {
+            let held = seat.span.map_or(0, |s| s.len());
+            prop_assert!(held <= capacity(&model, &seat.card, FILL_MOST));
+            prop_assert!(seat.span.is_none_or(|s| s.end <= model.layers));
+        }
+    }
+
+    #[test]
+    fn order_of_the_engines_does_not_matter(seats in any_seats(), turn in 0..50usize) {
+        let mut turned = seats.clone();
+        let by = turn % seats.len().max(1);
+        turned.rotate_left(by);
+        prop_assert_eq!(plan(&model(), &seats), plan(&model(), &turned));
+    }
+
+    #[test]
+    fn all_layers_are_held_if_twice_the_memory_is_there(mut seats in any_seats()) {
+        let model = model();
+        let most: u32 = seats.iter().map(|s| capacity(&model, &s.card, 0.6)).sum();
+        prop_assume!(most >= 2 * model.layers);
+        settle(&model, &mut seats);
+        let cover = cover(&model, &seats, None);
+        prop_assert!(cover.iter().all(|c| *c > 0.0), "{:?}", cover);
+    }
+}
