Let streams go on elsewhere when the detour would cross

Ruled out: detection (80 ms), the engines' reading (200,000 tokens a second a chain). Change: a detour that adds a crossing gives way to a whole chain elsewhere, if the budget allows; an engine that is lost takes no attempt away. The line of a request now tells its time to the first event and its longest pause.

--- a/crates/ashgauge/src/handoff.rs
+++ b/crates/ashgauge/src/handoff.rs
@@ -20,6 +20,8 @@
     repeat: bool,
     /// Sends after which it may have run.
     runs: u32,
+    /// Those of them whose upstream is lost; they take no attempt away.
+    lost: u32,
     tried: Vec<UpstreamId>,
 }
 
@@ -67,6 +69,7 @@
             attempts,
             repeat,
             runs: 0,
+            lost: 0,
             tried: Vec::new(),
         }
     }
@@ -92,6 +95,11 @@
         self.tried.push(id);
     }
 
+    /// Notes that an upstream that may have run it is lost itself.
+    pub fn lose(&mut self) {
+        self.lost = (self.lost + 1).min(self.runs);
+    }
+
     /// Decides what follows after a send that brought no good answer.
     pub fn after(&mut self, now: Duration, outcome: Outcome, budget: &mut Window) -> Next {
         if matches!(outcome, Outcome::NotSent | Outcome::NotRun) {
@@ -117,7 +125,8 @@
 
     fn may_again(&self, now: Duration, outcome: Outcome) -> bool {
         let may_have_run = matches!(outcome, Outcome::Failed | Outcome::Lost);
-        let allowed = self.runs < self.attempts && self.tried.len() < SENDS_MOST;
+        let allowed =
+            self.runs.saturating_sub(self.lost) < self.attempts && self.tried.len() < SENDS_MOST;
         allowed && now < self.until && (self.repeat || !may_have_run)
     }
 }
--- a/crates/ashgauged/src/relay/desk.rs
+++ b/crates/ashgauged/src/relay/desk.rs
@@ -178,6 +178,14 @@
         Some((text, first.into()))
     }
 
+    /// How often a chain changes data centre.
+    pub fn count_crossings(&self, stages: &[Stage]) -> usize {
+        let roster = self.roster.borrow();
+        let place = |s: &Stage| roster.get(&s.upstream).map(|e| e.upstream.place.clone());
+        let pairs = stages.windows(2);
+        pairs.filter(|p| place(&p[0]) != place(&p[1])).count()
+    }
+
     /// Notes what goes between data centres for `tokens` tokens that a chain
     /// reads.
     pub fn note_crossings(&self, model: &Model, stages: &[Stage], tokens: u32) {
--- a/crates/ashgauged/src/relay/forward.rs
+++ b/crates/ashgauged/src/relay/forward.rs
@@ -70,6 +70,10 @@
     arrived: Duration,
     /// Upstreams or chains that it was sent to.
     pub sends: Vec<Arc<str>>,
+    /// Time to the first event of a stream.
+    pub first: Option<Duration>,
+    /// Longest pause between two events that were passed on.
+    pub pause: Duration,
     ended: bool,
 }
 
@@ -81,6 +85,8 @@
             route: route.into(),
             arrived,
             sends: Vec::new(),
+            first: None,
+            pause: Duration::ZERO,
             ended: false,
         }
     }
@@ -112,6 +118,8 @@
             "end": what,
             "sends": sends,
             "config": self.desk.routing.borrow().version,
+            "first_ms": self.first.map(|f| f.as_millis() as u64),
+            "pause_ms": self.pause.as_millis() as u64,
             "ms": took.as_millis() as u64,
         });
         log::line(Level::Info, "request", "ended", fields);
--- a/crates/ashgauged/src/relay/stream.rs
+++ b/crates/ashgauged/src/relay/stream.rs
@@ -127,6 +127,7 @@
         passed: false,
         buffer: BytesMut::new(),
         heard: now,
+        event_at: now,
         pace: 0.0,
         checks: 0,
         repairs: 0,
@@ -325,8 +326,10 @@
     last: Option<u64>,
     /// Whether an event was passed on.
     passed: bool,
-    /// When the last bytes came.
+    /// When the last bytes came, or a repair began to count anew.
     heard: Duration,
+    /// When the last event was passed on.
+    event_at: Duration,
     /// Learned pause between pieces, in seconds.
     pace: f64,
     /// Checks of the engines since the last bytes.
@@ -450,6 +453,7 @@
         }
         let piece = self.buffer.split_to(whole.len).freeze();
         self.last = whole.last.or(self.last);
+        self.note_pause(now);
         self.passed |= whole.count > 0;
         let left = self.handoff.left(now);
         match timeout(left, self.sender.send(Ok(piece))).await {
@@ -459,6 +463,16 @@
         }
     }
 
+    /// Notes the pause before an event, for the request's line.
+    fn note_pause(&mut self, now: Duration) {
+        let record = &mut self.a.record;
+        match self.passed {
+            true => record.pause = record.pause.max(now - self.event_at),
+            false => record.first = Some(record.took()),
+        }
+        self.event_at = now;
+    }
+
     /// Whether an event with this id comes next.
     fn follows(&self, first: Option<u64>) -> bool {
         match (self.last, first) {
@@ -513,23 +527,42 @@
         }
     }
 
-    /// Leads the stream around lost engines, or lets it go on elsewhere if
-    /// its first engine is among them.
+    /// Leads the stream around lost engines, or lets it go on elsewhere.
+    ///
+    /// A detour through another data centre sends all tokens so far over its
+    /// pipe, which takes seconds if many streams lose the same engine; a whole
+    /// chain elsewhere reads them anew in a fraction of that.
     async fn repair(&mut self, lost: Vec<UpstreamId>) -> Go {
         let first = &self.run.stages[0].upstream;
-        if lost.contains(first) || self.repairs >= REPAIRS_MOST {
+        if lost.contains(first) {
+            self.handoff.lose();
             return self.resume("first engine lost", true).await;
         }
+        if self.repairs >= REPAIRS_MOST {
+            return self.resume("repaired too often", true).await;
+        }
         let Some((stages, text)) = self.detour(&lost) else {
             return self.resume("no detour", true).await;
         };
+        let before = self.desk.count_crossings(&self.run.stages);
+        let crosses = self.desk.count_crossings(&stages) > before;
+        if crosses && self.try_resume("the detour crosses").await {
+            return Go::On;
+        }
         self.repairs += 1;
+        if self.repath(&lost, stages, &text).await {
+            return Go::On;
+        }
+        self.resume("not led around", true).await
+    }
+
+    /// Orders the first engine to lead the stream over another chain; returns
+    /// whether it does.
+    async fn repath(&mut self, lost: &[UpstreamId], stages: Vec<Stage>, text: &str) -> bool {
         let (client, id) = (&self.desk.client, &self.a.ask.id);
-        let reply = engine::repath(client, &self.run.first, id, &text, REPATH_TIME).await;
-        let label = match &reply {
-            Reply::Begun | Reply::Holds => "led around",
-            _ => "not led around",
-        };
+        let reply = engine::repath(client, &self.run.first, id, text, REPATH_TIME).await;
+        let done = matches!(reply, Reply::Begun | Reply::Holds);
+        let label = if done { "led around" } else { "not led around" };
         self.desk.metrics.repairs.with_label_values(&[label]).inc();
         let fields = json!({
             "lost": lost.iter().map(|l| &**l).collect::<Vec<_>>(),
@@ -538,18 +571,18 @@
             "last": self.last,
         });
         self.a.record.step("repath", fields);
-        match reply {
-            Reply::Begun | Reply::Holds => {
-                let ids = stages.iter().map(|s| s.upstream.clone()).collect();
-                self.run._hold = Hold::new(&self.desk, ids);
-                self.run.stages = stages;
-                self.broke.get_or_insert(self.heard);
-                self.heard = self.desk.now();
-                self.checks = 0;
-                Go::On
-            }
-            _ => self.resume("not led around", true).await,
+        if !done {
+            return false;
+        }
+        if let Some(model) = &self.a.service.model {
+            let tokens = self.a.ask.prompt + self.a.ask.answer;
+            self.desk.note_crossings(model, &stages, tokens);
         }
+        let ids = stages.iter().map(|s| s.upstream.clone()).collect();
+        self.run._hold = Hold::new(&self.desk, ids);
+        self.run.stages = stages;
+        self.count_anew();
+        true
     }
 
     /// The chain with the lost engines' ranges given to others.
@@ -588,10 +621,16 @@
     /// If that cannot be and `alive` says that the present answer may still
     /// go on, it is waited for.
     async fn resume(&mut self, why: &'static str, alive: bool) -> Go {
-        let able = self.rule.resume && (self.last.is_some() || !self.passed);
-        let failed = || if alive { Go::On } else { Go::Break("broken") };
-        if !able {
-            return failed();
+        match self.try_resume(why).await || alive {
+            true => Go::On,
+            false => Go::Break("broken"),
+        }
+    }
+
+    /// As [`Pump::resume`]; returns whether it goes on elsewhere.
+    async fn try_resume(&mut self, why: &str) -> bool {
+        if !self.rule.resume || (self.last.is_none() && self.passed) {
+            return false;
         }
         let mut avoid = vec![self.run.stages[0].upstream.clone()];
         let mut outcome = Outcome::Lost;
@@ -603,15 +642,15 @@
                 .desk
                 .budget(service, |b| handoff.after(now, outcome, b));
             if next != Next::Again {
-                return failed();
+                return false;
             }
             let (desk, a) = (&self.desk, &mut self.a);
             match begin(desk, a, &mut self.handoff, &mut avoid, self.last).await {
                 Ok(run) => {
                     self.resumed(why, run);
-                    return Go::On;
+                    return true;
                 }
-                Err(NotBegun::NoChain | NotBegun::Denied) => return failed(),
+                Err(NotBegun::NoChain | NotBegun::Denied) => return false,
                 Err(NotBegun::Failed(new, id, _)) => {
                     note_outcome(&self.desk, &self.a, &id, new);
                     outcome = new;
@@ -621,15 +660,17 @@
     }
 
     fn resumed(&mut self, why: &str, run: Run) {
-        self.desk
-            .metrics
-            .repairs
-            .with_label_values(&["resumed"])
-            .inc();
+        let resumed = self.desk.metrics.repairs.with_label_values(&["resumed"]);
+        resumed.inc();
         let fields = json!({"why": why, "last": self.last, "first": run.first});
         self.a.record.step("resumed", fields);
         self.run = run;
         self.buffer.clear();
+        self.count_anew();
+    }
+
+    /// Counts the silence of the stream from now on.
+    fn count_anew(&mut self) {
         self.broke.get_or_insert(self.heard);
         self.heard = self.desk.now();
         self.checks = 0;
