--- a/crates/ashgauged/src/relay/desk.rs
+++ b/crates/ashgauged/src/relay/desk.rs
@@ -47,6 +47,8 @@
     pub roster: RefCell<Roster>,
     /// How sure the configuration is.
     pub fresh: RefCell<Freshness>,
+    /// Whether the last proof failed, so that calls to the store are in vain.
+    pub store_away: Cell<bool>,
     /// Whether the list of upstreams was read.
     pub listed: Cell<bool>,
     /// Whether the box is stopping.
@@ -79,6 +81,7 @@
             routing: RefCell::default(),
             roster: RefCell::default(),
             fresh: RefCell::new(Freshness::new(settings.key_age())),
+            store_away: Cell::new(false),
             listed: Cell::new(false),
             stopping: Cell::new(false),
             stopped: Cell::new(false),
--- a/crates/ashgauged/src/relay/follow.rs
+++ b/crates/ashgauged/src/relay/follow.rs
@@ -298,6 +298,7 @@
             log::line(Level::Info, "store", "history gone", json!({"watch": what}));
             return;
         }
+        self.desk.store_away.set(true);
         let first = self.failed.replace(Some(self.desk.now())).is_none();
         if first {
             let fields = json!({"call": what, "fault": fault.to_string()});
@@ -311,6 +312,7 @@
         };
         let now = self.desk.now();
         self.returned.set(Some(now));
+        self.desk.store_away.set(false);
         let fields = json!({"last_failure_ms": (now - last).as_millis() as u64});
         log::line(Level::Info, "store", "regained", fields);
         self.restart.notify_waiters();
--- a/crates/ashgauged/src/relay/place.rs
+++ b/crates/ashgauged/src/relay/place.rs
@@ -91,7 +91,8 @@
     async fn run(mut self) {
         loop {
             sleep(LOOK_EVERY).await;
-            if self.desk.stopping.get() || !self.has_settled() {
+            let idle = self.desk.stopping.get() || self.desk.store_away.get();
+            if idle || !self.has_settled() {
                 continue;
             }
             let routing = self.desk.routing();
