Ask engines how slow they are when their streams are silent

Change: a silent stream whose engines are alive asks them for their reports, shared by the box for 0.7 s; an engine's own factor raises its cost and shrinks its room for 3 s. A detour that an engine refuses is remembered for that engine.

--- a/crates/ashgauge/src/choice.rs
+++ b/crates/ashgauge/src/choice.rs
@@ -156,7 +156,9 @@
             places.push(name);
             places.len() - 1
         });
-        let load = expected_load(scene, entry, streams);
+        // A slow engine gets through less; its room counts for as much less.
+        let slowness = entry.slowness(scene.now);
+        let load = expected_load(scene, entry, streams) * slowness;
         let full = match entry.is_full(scene.now) {
             true => 1.0,
             false => load / capacity(model, entry, held).max(1.0),
@@ -173,7 +175,7 @@
             first: held.first,
             end: held.end,
             fixed: fixed * filling + over,
-            layer: layer_seconds(model, entry, load) * filling,
+            layer: layer_seconds(model, entry, load) * slowness * filling,
             place,
         });
     }
--- a/crates/ashgauge/src/roster.rs
+++ b/crates/ashgauge/src/roster.rs
@@ -27,6 +27,10 @@
 /// How long an upstream that had no room is avoided.
 const FULL_TIME: Duration = Duration::from_millis(300);
 
+/// How long an engine's word that it is slow counts; it is asked again when
+/// its streams stay slow.
+const SLOW_TIME: Duration = Duration::from_secs(3);
+
 /// Weight of the newest answer in the learned time.
 const LEARN: f64 = 0.2;
 
@@ -80,6 +84,7 @@
     pub load: Option<(u32, u32)>,
     suspect: Option<Duration>,
     full: Option<Duration>,
+    slow: Option<(f64, Duration)>,
     missing: Option<Duration>,
 }
 
@@ -124,6 +129,12 @@
         self.suspect.is_some_and(|until| now < until)
     }
 
+    /// Factor on the time of its work, as it told lately; 1 if it told nothing.
+    pub fn slowness(&self, now: Duration) -> f64 {
+        let told = self.slow.filter(|(_, until)| now < *until);
+        told.map_or(1.0, |(factor, _)| factor.max(1.0))
+    }
+
     /// Whether it had no room a moment ago.
     pub fn is_full(&self, now: Duration) -> bool {
         self.full.is_some_and(|until| now < until)
@@ -165,6 +176,7 @@
             load: None,
             suspect: None,
             full: None,
+            slow: None,
             missing: None,
         };
         self.entries.insert(entry.upstream.id.clone(), entry);
@@ -282,6 +294,16 @@
         }
     }
 
+    /// Notes an engine's word on how slow it is; returns true if that is news.
+    pub fn note_slow(&mut self, now: Duration, id: &str, factor: f64) -> bool {
+        let Some(entry) = self.entries.get_mut(id) else {
+            return false;
+        };
+        let before = entry.slowness(now);
+        entry.slow = Some((factor, now + SLOW_TIME));
+        (factor - before).abs() > 0.5
+    }
+
     /// Leaves an upstream out for a moment, as it is not what it announces.
     pub fn note_stale(&mut self, now: Duration, id: &str) {
         if let Some(entry) = self.entries.get_mut(id) {
--- a/crates/ashgauged/src/relay/probe.rs
+++ b/crates/ashgauged/src/relay/probe.rs
@@ -11,12 +11,16 @@
 
 use ashgauge::chain::Stage;
 use ashgauge::member::UpstreamId;
+use platform::engine::{self, Report};
+use serde_json::json;
+use spdlog::Level;
 use tokio::net::TcpStream;
 use tokio::sync::OnceCell;
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
 use super::desk::Desk;
+use super::log;
 
 /// For a connection to come up; a healthy one takes under 2 ms.
 const PROBE_TIME: Duration = Duration::from_millis(50);
@@ -27,11 +31,24 @@
 /// Results kept before old ones are cleared.
 const KEPT_MOST: usize = 256;
 
-type Result = Rc<OnceCell<bool>>;
+/// For an engine's report of its state.
+const REPORT_TIME: Duration = Duration::from_millis(100);
+
+/// How long an engine's report serves others that ask; it is some hundred
+/// milliseconds old itself, and priced.
+const REPORT_SHARED: Duration = Duration::from_millis(700);
+
+/// Factor from which on an engine counts as slow.
+const SLOW_LEAST: f64 = 1.5;
+
+type Cached<T> = RefCell<HashMap<String, (Duration, Rc<OnceCell<T>>)>>;
 
 /// Probes of the last moments, shared by all streams of the box.
 #[derive(Default)]
-pub struct Probes(RefCell<HashMap<String, (Duration, Result)>>);
+pub struct Probes {
+    alive: Cached<bool>,
+    reports: Cached<Option<Rc<Report>>>,
+}
 
 /// Finds the engines of a chain that take no connection.
 pub async fn find_dead(desk: &Rc<Desk>, stages: &[Stage]) -> Vec<UpstreamId> {
@@ -54,16 +71,56 @@
     dead
 }
 
+/// Asks the engines of a chain how they are, and notes which are slow.
+/// Returns the engine that the first one names as the cause of the silence of
+/// request `id`.
+pub async fn ask_engines(desk: &Rc<Desk>, stages: &[Stage], id: &str) -> Option<UpstreamId> {
+    let mut asked = JoinSet::new();
+    for (n, stage) in stages.iter().enumerate() {
+        let (desk, upstream) = (desk.clone(), stage.upstream.clone());
+        asked.spawn_local(async move { (n, report(&desk, &upstream).await) });
+    }
+    let mut culprit = None;
+    while let Some(answer) = asked.join_next().await {
+        // A question neither panics nor is cancelled here.
+        let Ok((n, Some(report))) = answer else {
+            continue;
+        };
+        note_pace(desk, &stages[n].upstream, &report);
+        let mut stalled = report.stalled.iter().filter(|s| n == 0 && s.id == id);
+        if let Some(stalled) = stalled.next() {
+            let roster = desk.roster.borrow();
+            culprit = roster.at(&stalled.address).map(|e| e.upstream.id.clone());
+        }
+    }
+    culprit
+}
+
+fn note_pace(desk: &Desk, id: &str, report: &Report) {
+    let factor = report.pace.unwrap_or(1.0);
+    let news = desk.roster.borrow_mut().note_slow(desk.now(), id, factor);
+    if news && factor >= SLOW_LEAST {
+        let fields = json!({"upstream": id, "factor": factor});
+        log::line(Level::Info, "roster", "slow", fields);
+    }
+}
+
+async fn report(desk: &Desk, id: &str) -> Option<Rc<Report>> {
+    let addr = address(desk, id)?;
+    let cell = cell(&desk.probes.reports, desk.now(), &addr, REPORT_SHARED);
+    let ask = async {
+        let report = engine::report(&desk.client, &addr, REPORT_TIME).await;
+        report.ok().map(Rc::new)
+    };
+    cell.get_or_init(|| ask).await.clone()
+}
+
 /// Whether an upstream takes a connection; one that is gone does not.
 async fn is_alive(desk: &Desk, id: &str) -> bool {
-    let addr = {
-        let roster = desk.roster.borrow();
-        roster.get(id).map(|e| e.upstream.addr.clone())
-    };
-    let Some(addr) = addr else {
+    let Some(addr) = address(desk, id) else {
         return false;
     };
-    let cell = desk.probes.cell(desk.now(), &addr);
+    let cell = cell(&desk.probes.alive, desk.now(), &addr, SHARED_TIME);
     let probe = async {
         matches!(
             timeout(PROBE_TIME, TcpStream::connect(&addr)).await,
@@ -73,21 +130,24 @@
     *cell.get_or_init(|| probe).await
 }
 
-impl Probes {
-    /// The probe of an address that is under way or was just made, else a new
-    /// one.
-    fn cell(&self, now: Duration, addr: &str) -> Result {
-        let mut recent = self.0.borrow_mut();
-        if recent.len() > KEPT_MOST {
-            recent.retain(|_, (at, _)| now < *at + SHARED_TIME);
-        }
-        match recent.get(addr) {
-            Some((at, cell)) if now < *at + SHARED_TIME => cell.clone(),
-            _ => {
-                let cell = Result::default();
-                recent.insert(addr.into(), (now, cell.clone()));
-                cell
-            }
+fn address(desk: &Desk, id: &str) -> Option<String> {
+    let roster = desk.roster.borrow();
+    roster.get(id).map(|e| e.upstream.addr.clone())
+}
+
+/// The question to an address that is under way or was just answered, else a
+/// new one.
+fn cell<T>(cached: &Cached<T>, now: Duration, addr: &str, shared: Duration) -> Rc<OnceCell<T>> {
+    let mut recent = cached.borrow_mut();
+    if recent.len() > KEPT_MOST {
+        recent.retain(|_, (at, _)| now < *at + shared);
+    }
+    match recent.get(addr) {
+        Some((at, cell)) if now < *at + shared => cell.clone(),
+        _ => {
+            let cell = Rc::new(OnceCell::new());
+            recent.insert(addr.into(), (now, cell.clone()));
+            cell
         }
     }
 }
--- a/crates/ashgauged/src/relay/stream.rs
+++ b/crates/ashgauged/src/relay/stream.rs
@@ -26,7 +26,7 @@
 use super::desk::Desk;
 use super::dial::{self, Exchange};
 use super::forward::{Admitted, Hold, finish, is_allowed, lost, note_outcome, refused, whole};
-use super::probe::find_dead;
+use super::probe::{ask_engines, find_dead};
 use super::serve::{Body, Broken};
 
 /// Pieces that may wait for a slow caller.
@@ -47,9 +47,6 @@
 /// For an engine's answer to a change of the chain, which takes milliseconds.
 const REPATH_TIME: Duration = Duration::from_millis(150);
 
-/// For an engine's report of its state.
-const REPORT_TIME: Duration = Duration::from_millis(100);
-
 /// Silence after which a stream whose engines all answer goes on elsewhere;
 /// its caller leaves after two seconds.
 const SILENT_MOST: Duration = Duration::from_millis(1300);
@@ -269,7 +266,7 @@
         let waited = desk.now() - began;
         let mut dead = find_dead(desk, stages).await;
         if dead.is_empty() {
-            dead.extend(find_culprit(desk, stages, &a.ask.id).await);
+            dead.extend(ask_engines(desk, stages, &a.ask.id).await);
         }
         if handoff.left(desk.now()).is_zero() {
             return Err(Outcome::Lost);
@@ -298,19 +295,6 @@
     roster.at(addr).map(|e| e.upstream.id.clone())
 }
 
-/// The engine that the first one of a chain names as the cause of a silence.
-async fn find_culprit(desk: &Desk, stages: &[Stage], id: &str) -> Option<UpstreamId> {
-    let first = {
-        let roster = desk.roster.borrow();
-        roster.get(&stages.first()?.upstream)?.upstream.addr.clone()
-    };
-    let report = engine::report(&desk.client, &first, REPORT_TIME)
-        .await
-        .ok()?;
-    let stalled = report.stalled.iter().find(|s| s.id == id)?;
-    id_at(desk, &stalled.address)
-}
-
 /// Copies one stream.
 struct Pump {
     desk: Rc<Desk>,
@@ -503,7 +487,7 @@
         if self.desk.now() >= self.heard + SILENT_MOST {
             return self.resume("silent", true).await;
         }
-        match find_culprit(&self.desk, &self.run.stages, &self.a.ask.id).await {
+        match ask_engines(&self.desk, &self.run.stages, &self.a.ask.id).await {
             Some(id) => {
                 self.desk.suspect(&id, "reported as stalled");
                 self.repair(vec![id]).await
@@ -571,6 +555,12 @@
             "last": self.last,
         });
         self.a.record.step("repath", fields);
+        if let Reply::Unfit(Some(addr)) = &reply
+            && let Some(id) = id_at(&self.desk, addr)
+        {
+            let now = self.desk.now();
+            self.desk.roster.borrow_mut().note_full(now, &id);
+        }
         if !done {
             return false;
         }
