Reload settings, take bounds that are missing or fractions, count boxes late

Changed settings are put in force by SIGHUP or when the file changes (looked at every 2 s); a broken file leaves the ones before. Bounds that an installation does not set have defaults, and the box's own times shrink to what the bound on keys leaves, so that a short bound is no reason not to start. A box counted the others 20 ms after its start and got none, which would have given it the whole extra of the retry budget until 10 s later; it counts after 5 s now and believes no count without itself.

--- a/crates/ashgauge/src/fresh.rs
+++ b/crates/ashgauge/src/fresh.rs
@@ -37,6 +37,11 @@
         Freshness { most, asked: None }
     }
 
+    /// Changes how long it holds.
+    pub fn set_most(&mut self, most: Duration) {
+        self.most = most;
+    }
+
     /// Notes that a question asked at `asked` was answered.
     pub fn confirm(&mut self, asked: Duration) {
         self.asked = self.asked.max(Some(asked));
--- a/crates/ashgauge/src/retry.rs
+++ b/crates/ashgauge/src/retry.rs
@@ -96,6 +96,11 @@
         self.allowance.boxes = boxes.max(1);
     }
 
+    /// Changes what the fleet allows; what was spent stays counted.
+    pub fn set_allowance(&mut self, allowance: Allowance) {
+        self.allowance = allowance;
+    }
+
     /// Notes a first try.
     pub fn earn(&mut self, now: Duration) {
         self.advance(now).0 += 1.0;
--- a/crates/ashgauged/src/relay/desk.rs
+++ b/crates/ashgauged/src/relay/desk.rs
@@ -6,6 +6,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -35,8 +36,7 @@
 
 /// What the tasks of one box share.
 pub struct Desk {
-    /// Settings.
-    pub settings: Settings,
+    settings: RefCell<Rc<Settings>>,
     /// The store.
     pub store: Store,
     /// Connections for orders and reports.
@@ -76,7 +76,7 @@
     pub fn new(settings: Settings, metrics: Metrics) -> Self {
         let ms = Duration::from_millis;
         Desk {
-            store: Store::new(&settings.store, ms(settings.timing.store_ms)),
+            store: Store::new(&settings.store, settings.store_time()),
             client: Client::new(ms(settings.timing.connect_ms)),
             routing: RefCell::default(),
             roster: RefCell::default(),
@@ -95,10 +95,26 @@
             boxes: Cell::new(BOXES_ASSUMED),
             rng: RefCell::new(SmallRng::from_os_rng()),
             epoch: Instant::now(),
-            settings,
+            settings: RefCell::new(Rc::new(settings)),
         }
     }
 
+    /// The settings in force.
+    pub fn settings(&self) -> Rc<Settings> {
+        self.settings.borrow().clone()
+    }
+
+    /// Puts changed bounds and times in force. Addresses, the name and the
+    /// log level hold from the next start on.
+    pub fn reload(&self, settings: Settings) {
+        self.fresh.borrow_mut().set_most(settings.key_age());
+        let allowance = self.allowance(&settings);
+        for budget in self.budgets.borrow_mut().values_mut() {
+            budget.set_allowance(allowance);
+        }
+        *self.settings.borrow_mut() = Rc::new(settings);
+    }
+
     /// Time since the process's start; goes on while the process stands still.
     pub fn now(&self) -> Duration {
         self.epoch.elapsed()
@@ -135,17 +151,19 @@
 
     /// Uses a service's retry budget.
     pub fn budget<T>(&self, service: &ServiceId, with: impl FnOnce(&mut Window) -> T) -> T {
-        let bounds = &self.settings.bounds;
         let mut budgets = self.budgets.borrow_mut();
-        let budget = budgets.entry(service.clone()).or_insert_with(|| {
-            Window::new(Allowance {
-                window: Duration::from_millis(bounds.retry_window_ms),
-                ratio: bounds.retry_share,
-                extra: bounds.retry_extra,
-                boxes: self.boxes.get(),
-            })
-        });
-        with(budget)
+        let make = || Window::new(self.allowance(&self.settings()));
+        with(budgets.entry(service.clone()).or_insert_with(make))
+    }
+
+    fn allowance(&self, settings: &Settings) -> Allowance {
+        let bounds = &settings.bounds;
+        Allowance {
+            window: settings.retry_window(),
+            ratio: bounds.retry_share,
+            extra: bounds.retry_extra,
+            boxes: self.boxes.get(),
+        }
     }
 
     /// Chooses an upstream of a plain service.
--- a/crates/ashgauged/src/relay/follow.rs
+++ b/crates/ashgauged/src/relay/follow.rs
@@ -40,6 +40,10 @@
 /// Kind of the objects by which boxes count each other.
 const BOX_KIND: &str = "ashgauge-boxes";
 
+/// Time from announcing this box to the first count, so that boxes that start
+/// together see each other; the cheap read is some seconds old.
+const COUNT_FIRST: Duration = Duration::from_secs(5);
+
 /// Time between two counts of the boxes.
 const COUNT_EVERY: Duration = Duration::from_secs(10);
 
@@ -78,7 +82,6 @@
 
     /// Proves again and again that what is known is still so.
     async fn confirm(self: Rc<Self>) {
-        let every = Duration::from_millis(self.desk.settings.timing.confirm_ms);
         let mut pause = PAUSE_FIRST;
         loop {
             let confirmed = self.confirm_once().await;
@@ -87,6 +90,7 @@
                 Ok(()) => {
                     pause = PAUSE_FIRST;
                     // A watch that failed asks earlier.
+                    let every = self.desk.settings().confirm_time();
                     let _ = timeout(every, self.check.notified()).await;
                 }
                 Err(fault) => {
@@ -219,7 +223,7 @@
     }
 
     fn watch_time(&self) -> Duration {
-        Duration::from_millis(self.desk.settings.timing.watch_ms)
+        Duration::from_millis(self.desk.settings().timing.watch_ms)
     }
 
     /// Runs a watch; `None` if the store came back meanwhile.
@@ -323,20 +327,23 @@
     ///
     /// Boxes that are gone for good stay counted, so the parts only shrink.
     async fn count_boxes(self: Rc<Self>) {
-        let (store, id) = (&self.desk.store, &self.desk.settings.id);
-        let mut announced = false;
+        let (store, id) = (&self.desk.store, &self.desk.settings().id);
         loop {
-            if !announced {
-                let made = store.create(BOX_KIND, id, &json!({})).await;
-                announced = matches!(made, Ok(()) | Err(Fault::Conflict));
+            match store.create(BOX_KIND, id, &json!({})).await {
+                Ok(()) | Err(Fault::Conflict) => break,
+                Err(fault) => self.lost("boxes", &fault),
             }
-            if announced {
-                match store.count_stale(BOX_KIND).await {
-                    Ok(count) => self.desk.set_boxes(count as u32),
-                    Err(fault) => self.lost("boxes", &fault),
-                }
+            sleep(PAUSE_MOST).await;
+        }
+        sleep(COUNT_FIRST).await;
+        loop {
+            match store.count_stale(BOX_KIND).await {
+                // It must at least have this box.
+                Ok(0) => {}
+                Ok(count) => self.desk.set_boxes(count as u32),
+                Err(fault) => self.lost("boxes", &fault),
             }
-            sleep(if announced { COUNT_EVERY } else { PAUSE_MOST }).await;
+            sleep(COUNT_EVERY).await;
         }
     }
 }
--- a/crates/ashgauged/src/relay/forward.rs
+++ b/crates/ashgauged/src/relay/forward.rs
@@ -322,7 +322,7 @@
 ) -> Result<Whole, Outcome> {
     let began = desk.now();
     let _hold = Hold::new(desk, vec![id.clone()]);
-    let connect = Duration::from_millis(desk.settings.timing.connect_ms);
+    let connect = Duration::from_millis(desk.settings().timing.connect_ms);
     let line = dial::connect(addr, connect.min(handoff.left(began))).await;
     let line = line.map_err(|_| Outcome::NotSent)?;
     if !is_allowed(desk, a) {
--- a/crates/ashgauged/src/relay/mod.rs
+++ b/crates/ashgauged/src/relay/mod.rs
@@ -19,7 +19,7 @@
 
 use std::path::Path;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use eyre::{Result, WrapErr};
 use serde_json::json;
@@ -47,6 +47,9 @@
 /// Time kept between the last answer and the kill.
 const KILL_MARGIN: Duration = Duration::from_millis(700);
 
+/// Time between two looks whether the settings file has changed.
+const FILE_EVERY: Duration = Duration::from_secs(2);
+
 /// Time between two looks whether the last request has ended.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
 
@@ -97,21 +100,31 @@
     let mut term = signal(SignalKind::terminate())?;
     let mut int = signal(SignalKind::interrupt())?;
     let mut hup = signal(SignalKind::hangup())?;
+    let mut changed = changed_at(path);
     loop {
         tokio::select! {
             _ = term.recv() => return Ok(()),
             _ = int.recv() => return Ok(()),
             _ = hup.recv() => reload(desk, path),
+            () = sleep(FILE_EVERY) => {
+                let now = changed_at(path);
+                if now.is_some() && std::mem::replace(&mut changed, now) != now {
+                    reload(desk, path);
+                }
+            }
         }
     }
 }
 
-/// Checks changed settings; most of them hold from the next start on.
+/// Puts changed settings in force, as far as that goes without a new start.
 fn reload(desk: &Desk, path: &Path) {
     match Settings::load(path) {
         Ok(new) => {
-            let same = new == desk.settings;
-            log::line(Level::Info, "box", "reloaded", json!({"changed": !same}));
+            let changed = new != *desk.settings();
+            if changed {
+                desk.reload(new);
+            }
+            log::line(Level::Info, "box", "reloaded", json!({"changed": changed}));
         }
         Err(e) => {
             let fields = json!({"kept": "the settings before", "fault": format!("{e:#}")});
@@ -120,11 +133,16 @@
     }
 }
 
+/// When the settings file was last changed, if that can be told.
+fn changed_at(path: &Path) -> Option<SystemTime> {
+    std::fs::metadata(path).ok()?.modified().ok()
+}
+
 /// Ends the requests under way, within the time that is left.
 async fn stop(desk: &Desk) {
     let began = Instant::now();
     desk.stopping.set(true);
-    let most = Duration::from_millis(desk.settings.bounds.stop_ms);
+    let most = desk.settings().stop_time();
     let most = most.saturating_sub(KILL_MARGIN);
     log::line(
         Level::Info,
--- a/crates/ashgauged/src/relay/place.rs
+++ b/crates/ashgauged/src/relay/place.rs
@@ -139,7 +139,7 @@
             return Ok(());
         }
         let next = Stored {
-            by: self.desk.settings.id.clone(),
+            by: self.desk.settings().id.clone(),
             round: stored.round + 1,
             ranges,
         };
--- a/crates/ashgauged/src/relay/settings.rs
+++ b/crates/ashgauged/src/relay/settings.rs
@@ -26,6 +26,7 @@
     /// Address of the platform's store.
     pub store: String,
     /// Bounds that the operators set.
+    #[serde(default)]
     pub bounds: Bounds,
     /// Log level: error, warn, info or debug.
     #[serde(default = "default_log")]
@@ -35,22 +36,38 @@
     pub timing: Timing,
 }
 
-/// Bounds that the operators set for the whole fleet.
+/// Bounds that the operators set for the whole fleet. They may be fractions.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[serde(default, deny_unknown_fields)]
 pub struct Bounds {
+    /// Whether a withdrawn key may not be used past `revoke_ms` even by a box
+    /// that cannot know.
+    pub strict_keys: bool,
     /// Longest use of a key after it was withdrawn.
-    pub revoke_ms: u64,
+    pub revoke_ms: f64,
     /// Time from the signal to stop until the process is killed.
-    pub stop_ms: u64,
-    /// How long an engine's loss holds up what depends on it.
-    pub stall_ms: u64,
+    pub stop_s: f64,
     /// Retries for each first try of a service, over the fleet.
     pub retry_share: f64,
     /// Retries besides, over the fleet.
     pub retry_extra: f64,
     /// Window in which retries are counted.
-    pub retry_window_ms: u64,
+    pub retry_window_s: f64,
+}
+
+impl Default for Bounds {
+    /// What holds where the operators set nothing: the stricter of what today's
+    /// users set.
+    fn default() -> Self {
+        Bounds {
+            strict_keys: true,
+            revoke_ms: 5000.0,
+            stop_s: 8.0,
+            retry_share: 0.1,
+            retry_extra: 50.0,
+            retry_window_s: 10.0,
+        }
+    }
 }
 
 /// Times that are the box's own choice.
@@ -119,7 +136,32 @@
     ///
     /// A part of the bound is left for the way of the request to the upstream.
     pub fn key_age(&self) -> Duration {
-        Duration::from_millis(self.bounds.revoke_ms).mul_f64(KEY_SHARE)
+        match self.bounds.strict_keys {
+            true => Duration::from_secs_f64(self.bounds.revoke_ms / 1e3 * KEY_SHARE),
+            false => Duration::MAX,
+        }
+    }
+
+    /// Time between two proofs that the configuration in force is known; two
+    /// fit into the age of a key.
+    pub fn confirm_time(&self) -> Duration {
+        Duration::from_millis(self.timing.confirm_ms).min(self.key_age() / 2)
+    }
+
+    /// For an answer of the store; one that takes longer cannot prove anything
+    /// in time.
+    pub fn store_time(&self) -> Duration {
+        Duration::from_millis(self.timing.store_ms).min(self.key_age() / 3)
+    }
+
+    /// Time from the signal to stop until the process is killed.
+    pub fn stop_time(&self) -> Duration {
+        Duration::from_secs_f64(self.bounds.stop_s)
+    }
+
+    /// Window in which retries are counted.
+    pub fn retry_window(&self) -> Duration {
+        Duration::from_secs_f64(self.bounds.retry_window_s)
     }
 
     fn check(&self) -> Result<()> {
@@ -138,41 +180,37 @@
                 bail!("{name}: `{bad}` is no address; write IP:PORT");
             }
         }
-        let t = &self.timing;
+        let (b, t) = (&self.bounds, &self.timing);
         let positive = [
-            ("bounds.revoke_ms", self.bounds.revoke_ms),
-            ("bounds.stop_ms", self.bounds.stop_ms),
-            ("bounds.stall_ms", self.bounds.stall_ms),
-            ("bounds.retry_window_ms", self.bounds.retry_window_ms),
-            ("timing.store_ms", t.store_ms),
-            ("timing.watch_ms", t.watch_ms),
-            ("timing.confirm_ms", t.confirm_ms),
-            ("timing.connect_ms", t.connect_ms),
-            ("timing.first_ms", t.first_ms),
-            ("timing.silence_ms", t.silence_ms),
+            ("bounds.revoke_ms", b.revoke_ms),
+            ("bounds.stop_s", b.stop_s),
+            ("bounds.retry_window_s", b.retry_window_s),
+            ("timing.store_ms", t.store_ms as f64),
+            ("timing.watch_ms", t.watch_ms as f64),
+            ("timing.confirm_ms", t.confirm_ms as f64),
+            ("timing.connect_ms", t.connect_ms as f64),
+            ("timing.first_ms", t.first_ms as f64),
+            ("timing.silence_ms", t.silence_ms as f64),
         ];
         for (name, value) in positive {
-            if value == 0 {
-                bail!("{name}: it must be above 0");
+            if !(1e-3..=TIME_MOST).contains(&value) {
+                bail!("{name}: {value} must be above 0 and at most {TIME_MOST}");
             }
         }
-        let share = self.bounds.retry_share;
-        if !(0.0..=10.0).contains(&share) {
-            bail!("bounds.retry_share: {share} must be from 0 to 10");
-        }
-        if self.bounds.retry_extra.is_nan() || self.bounds.retry_extra < 0.0 {
-            bail!("bounds.retry_extra: it must not be negative");
-        }
-        if Duration::from_millis(t.confirm_ms + t.store_ms) > self.key_age() {
-            bail!(
-                "timing.confirm_ms: with timing.store_ms it must stay under {} ms, \
-                 or keys lapse between two proofs",
-                self.key_age().as_millis()
-            );
+        for (name, value) in [
+            ("bounds.retry_share", b.retry_share),
+            ("bounds.retry_extra", b.retry_extra),
+        ] {
+            if !(0.0..=TIME_MOST).contains(&value) {
+                bail!("{name}: {value} must not be negative");
+            }
         }
         Ok(())
     }
 }
 
+/// Largest figure that a setting may have; a day in milliseconds.
+const TIME_MOST: f64 = 86_400_000.0;
+
 /// Share of the bound on withdrawn keys that knowledge may age.
 const KEY_SHARE: f64 = 0.7;
--- a/crates/ashgauged/src/relay/stream.rs
+++ b/crates/ashgauged/src/relay/stream.rs
@@ -175,7 +175,7 @@
     a.record.sends.push(text.as_deref().unwrap_or(&lead).into());
     let ids = stages.iter().map(|s| s.upstream.clone()).collect();
     let hold = Hold::new(desk, ids);
-    let connect = Duration::from_millis(desk.settings.timing.connect_ms);
+    let connect = Duration::from_millis(desk.settings().timing.connect_ms);
     let line = dial::connect(&first, connect.min(handoff.left(desk.now()))).await;
     let line = line.map_err(|e| failed(lost(&e)))?;
     if !is_allowed(desk, a) {
@@ -256,7 +256,7 @@
     avoid: &mut Vec<UpstreamId>,
 ) -> Result<Exchange, Outcome> {
     tokio::pin!(sending);
-    let mut wait = Duration::from_millis(desk.settings.timing.first_ms);
+    let mut wait = Duration::from_millis(desk.settings().timing.first_ms);
     let began = desk.now();
     loop {
         let left = handoff.left(desk.now());
@@ -399,7 +399,7 @@
 
     /// When the stream counts as silent; later after each check in vain.
     fn silent_at(&self) -> Duration {
-        let timing = &self.desk.settings.timing;
+        let timing = self.desk.settings().timing.clone();
         let least = match self.passed {
             true => timing.silence_ms,
             false => timing.first_ms,
