--- a/crates/ashctl/src/args.rs
+++ b/crates/ashctl/src/args.rs
@@ -25,6 +25,9 @@
   leases                           who holds the lease for orders
   drain                            stop the box given by --box
   timeline                         events of all boxes in one order
+on the users' platform
+  relay                            a box's state, upstreams, layers and chains;
+                                   --box is the address of its metrics
 
 options
   --box ADDR               operators' port of a box (or ASHCTL_BOX)
@@ -62,6 +65,8 @@
     Upstreams,
     /// Show who holds a model's layers.
     Chains(String),
+    /// Show what a box that hands requests on whole knows.
+    Relay,
     /// Show the lease.
     Leases,
     /// Drain a box.
@@ -186,6 +191,7 @@
         ["status"] => Verb::Status,
         ["upstreams"] => Verb::Upstreams,
         ["chains", model] => Verb::Chains((*model).into()),
+        ["relay"] => Verb::Relay,
         ["leases"] => Verb::Leases,
         ["drain"] => Verb::Drain,
         ["timeline"] => Verb::Timeline,
--- a/crates/ashctl/src/main.rs
+++ b/crates/ashctl/src/main.rs
@@ -2,6 +2,7 @@
 
 mod args;
 mod fleet;
+mod relay;
 mod sheet;
 mod table;
 
@@ -37,6 +38,7 @@
         Verb::Status => fleet::status(args).await,
         Verb::Upstreams => fleet::upstreams(args).await,
         Verb::Chains(model) => fleet::chains(args, model).await,
+        Verb::Relay => relay::status(args).await,
         Verb::Leases => fleet::leases(args).await,
         Verb::Drain => fleet::drain(args).await,
         Verb::Timeline => fleet::timeline(args).await,
--- /dev/null
+++ b/crates/ashctl/src/relay.rs
@@ -0,0 +1,89 @@
+//! What a box that hands requests on whole knows of the fleet.
+
+use std::time::Duration;
+
+use eyre::{Result, WrapErr, bail};
+use http::{Client, Full};
+use hyper::{Request, StatusCode};
+use serde_json::Value;
+
+use crate::args::Args;
+
+/// For the box's answer.
+const ANSWER_TIME: Duration = Duration::from_secs(3);
+
+/// Shows one box's view; `--box` is the address of its metrics.
+///
+/// # Errors
+///
+/// Fails if the box gives no answer that can be read.
+pub async fn status(args: &Args) -> Result<i32> {
+    let request = Request::builder()
+        .uri("/status")
+        .header("host", &args.addr)
+        .body(Full::default())?;
+    let client = Client::new(ANSWER_TIME);
+    let answer = client.send(&args.addr, request, ANSWER_TIME).await;
+    let answer = answer
+        .wrap_err_with(|| format!("no answer from {}; give the metrics' address", args.addr))?;
+    if answer.status() != StatusCode::OK {
+        bail!("{} answered {}", args.addr, answer.status());
+    }
+    let text = std::str::from_utf8(answer.body())?;
+    if args.json {
+        println!("{text}");
+        return Ok(crate::OK);
+    }
+    print(&serde_json::from_str(text)?);
+    Ok(crate::OK)
+}
+
+fn print(status: &Value) {
+    for name in [
+        "id",
+        "data_centre",
+        "ready",
+        "config_version",
+        "config_age_ms",
+        "store_away",
+        "boxes",
+        "inflight",
+        "retries",
+    ] {
+        println!("{name:15} {}", status[name]);
+    }
+    println!(
+        "\n{:14} {:14} {:10} {:>9} {:>8} {:>9}  state",
+        "upstream", "service", "place", "layers", "inflight", "answer_ms"
+    );
+    for u in status["upstreams"].as_array().into_iter().flatten() {
+        let text = |name: &str| u[name].as_str().unwrap_or_default().to_string();
+        let layers = match &u["layers"] {
+            Value::Array(l) if l.len() == 2 => format!("{}-{}", l[0], l[1]),
+            _ => "-".into(),
+        };
+        let answer = u["answer_ms"].as_f64().unwrap_or(0.0);
+        println!(
+            "{:14} {:14} {:10} {layers:>9} {:>8} {answer:>9.0}  {}",
+            text("id"),
+            text("service"),
+            text("data_centre"),
+            u["inflight"],
+            state(u),
+        );
+    }
+}
+
+fn state(upstream: &Value) -> String {
+    let mut words: Vec<String> = Vec::new();
+    for name in ["leaving", "suspect"] {
+        if upstream[name] == Value::Bool(true) {
+            words.push(name.into());
+        }
+    }
+    let slowness = upstream["slowness"].as_f64().unwrap_or(1.0);
+    if slowness > 1.0 {
+        words.push(format!("slow x{slowness:.1}"));
+    }
+    words.join(" ")
+}
--- a/crates/ashgauged/src/relay/desk.rs
+++ b/crates/ashgauged/src/relay/desk.rs
@@ -149,6 +149,18 @@
         log::line(Level::Info, "fleet", "boxes", json!({"boxes": boxes}));
     }
 
+    /// Boxes that share the fleet's budgets, as far as is known.
+    pub fn boxes(&self) -> u32 {
+        self.boxes.get()
+    }
+
+    /// Retries spent in the window, by service.
+    pub fn retries(&self) -> Vec<(String, f64)> {
+        let budgets = self.budgets.borrow();
+        let spent = budgets.iter().map(|(s, b)| (s.to_string(), b.spent()));
+        spent.collect()
+    }
+
     /// Uses a service's retry budget.
     pub fn budget<T>(&self, service: &ServiceId, with: impl FnOnce(&mut Window) -> T) -> T {
         let mut budgets = self.budgets.borrow_mut();
--- a/crates/ashgauged/src/relay/forward.rs
+++ b/crates/ashgauged/src/relay/forward.rs
@@ -111,6 +111,7 @@
         let took = self.took();
         self.desk.metrics.ends.with_label_values(&[what]).inc();
         self.desk.metrics.whole.observe(took.as_secs_f64());
+        let age = self.desk.fresh.borrow().age(self.desk.now());
         let sends: Vec<&str> = self.sends.iter().map(|s| &**s).collect();
         let fields = json!({
             "id": self.id,
@@ -118,6 +119,7 @@
             "end": what,
             "sends": sends,
             "config": self.desk.routing.borrow().version,
+            "config_age_ms": age.map(|a| a.as_millis() as u64),
             "first_ms": self.first.map(|f| f.as_millis() as u64),
             "pause_ms": self.pause.as_millis() as u64,
             "ms": took.as_millis() as u64,
--- a/crates/ashgauged/src/relay/log.rs
+++ b/crates/ashgauged/src/relay/log.rs
@@ -3,8 +3,9 @@
 //! Lines go through a bounded queue to a thread of its own. When the queue is
 //! full, lines are dropped and counted; the box never waits for its log.
 
-use std::sync::Arc;
-use std::time::Duration;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, OnceLock};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use eyre::Result;
 use serde_json::{Map, Value};
@@ -18,12 +19,19 @@
 /// Time between two times that written lines are flushed.
 const FLUSH_EVERY: Duration = Duration::from_millis(500);
 
-/// Sets up the log of the whole process.
+/// Name of the box, which every line has.
+static BOX: OnceLock<String> = OnceLock::new();
+
+/// Lines that found the queue full.
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+
+/// Sets up the log of the whole process, which runs the box `id`.
 ///
 /// # Errors
 ///
 /// Fails if the level is none, or the writing thread cannot be started.
-pub fn start(level: &str) -> Result<()> {
+pub fn start(level: &str, id: &str) -> Result<()> {
+    BOX.get_or_init(|| id.into());
     let level = match level {
         "error" => Level::Error,
         "warn" => Level::Warn,
@@ -49,6 +57,9 @@
     let logger = Logger::builder()
         .sink(Arc::new(sink))
         .level_filter(LevelFilter::MoreSevereEqual(level))
+        .error_handler(|_| {
+            DROPPED.fetch_add(1, Ordering::Relaxed);
+        })
         .build()?;
     let logger = Arc::new(logger);
     logger.set_flush_period(Some(FLUSH_EVERY));
@@ -62,7 +73,14 @@
     if !logger.should_log(level) {
         return;
     }
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
     let mut line = Map::new();
+    // A clock before 1970 is wrong in any case.
+    line.insert(
+        "at_ms".into(),
+        (now.unwrap_or_default().as_millis() as u64).into(),
+    );
+    line.insert("box".into(), BOX.get().map_or("", String::as_str).into());
     line.insert("part".into(), part.into());
     line.insert("what".into(), what.into());
     if let Value::Object(fields) = fields {
@@ -71,6 +89,11 @@
     spdlog::log!(level, "{}", Value::Object(line));
 }
 
+/// Lines that were dropped since the start.
+pub fn dropped() -> u64 {
+    DROPPED.load(Ordering::Relaxed)
+}
+
 /// Writes out what waits, before the process ends.
 pub fn flush() {
     spdlog::default_logger().flush();
--- a/crates/ashgauged/src/relay/metrics.rs
+++ b/crates/ashgauged/src/relay/metrics.rs
@@ -35,6 +35,8 @@
     pub version: IntGauge,
     /// Requests under way.
     pub inflight: IntGauge,
+    /// Lines of the log that were dropped.
+    pub dropped: IntGauge,
 }
 
 impl Metrics {
@@ -78,6 +80,7 @@
             gap: histogram("ashgauge_repair_gap_seconds", "Pause of a repaired stream")?,
             version: gauge("ashgauge_config_version", "Configuration in force")?,
             inflight: gauge("ashgauge_inflight", "Requests under way")?,
+            dropped: gauge("ashgauge_log_dropped", "Lines of the log that were dropped")?,
             suspects,
             registry,
         })
--- a/crates/ashgauged/src/relay/mod.rs
+++ b/crates/ashgauged/src/relay/mod.rs
@@ -15,6 +15,7 @@
 mod probe;
 mod serve;
 mod settings;
+mod status;
 mod stream;
 
 use std::path::Path;
@@ -60,7 +61,7 @@
 /// Fails if the settings are wrong or an address cannot be bound.
 pub fn run(path: &Path) -> Result<()> {
     let settings = Settings::load(path)?;
-    log::start(&settings.log)?;
+    log::start(&settings.log, &settings.id)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
@@ -80,6 +81,7 @@
         "settings": settings.summary(),
         "caller": callers.local_addr()?.to_string(),
         "ready": ready.local_addr()?.to_string(),
+        "metrics": metrics.as_ref().and_then(|m| m.local_addr().ok()).map(|a| a.to_string()),
     });
     log::line(Level::Info, "box", "started", fields);
     let desk = Rc::new(Desk::new(settings, Metrics::new()?));
--- a/crates/ashgauged/src/relay/serve.rs
+++ b/crates/ashgauged/src/relay/serve.rs
@@ -22,12 +22,15 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use super::desk::Desk;
-use super::{forward, log};
+use super::{forward, log, status};
 
 /// Pause after a connection could not be accepted, which mostly means that
 /// the descriptors are used up.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Path of the box's view of the fleet, on the metrics' port.
+const STATUS_PATH: &str = "/status";
+
 /// Least size of hyper's buffer for a head.
 const BUFFER_LEAST: usize = 8192;
 
@@ -75,10 +78,14 @@
     .await;
 }
 
-/// Serves the metrics.
+/// Serves the metrics, and the box's view of the fleet under `/status`.
 pub async fn answer_metrics(desk: Rc<Desk>, listener: TcpListener) {
-    serve_simple(listener, move |_| {
+    serve_simple(listener, move |request| {
+        if request.uri().path() == STATUS_PATH {
+            return (StatusCode::OK, status::write(&desk));
+        }
         desk.metrics.inflight.set(desk.inflight.get() as i64);
+        desk.metrics.dropped.set(log::dropped() as i64);
         (StatusCode::OK, desk.metrics.write())
     })
     .await;
--- /dev/null
+++ b/crates/ashgauged/src/relay/status.rs
@@ -0,0 +1,83 @@
+//! A box's view of the fleet, for operators.
+
+use serde::Serialize;
+
+use super::desk::Desk;
+
+/// What a box knows, and how old it is.
+#[derive(Serialize)]
+struct Status {
+    id: String,
+    data_centre: String,
+    ready: bool,
+    config_version: u64,
+    /// Age of the last proof that this configuration is in force, in
+    /// milliseconds; nothing before the first.
+    config_age_ms: Option<u64>,
+    store_away: bool,
+    boxes: u32,
+    inflight: usize,
+    /// Retries spent in the window, by service.
+    retries: Vec<(String, f64)>,
+    upstreams: Vec<UpstreamStatus>,
+}
+
+/// An upstream as this box sees it.
+#[derive(Serialize)]
+struct UpstreamStatus {
+    id: String,
+    service: String,
+    addr: String,
+    data_centre: String,
+    /// First layer and layer after the last, if it holds any.
+    layers: Option<(u32, u32)>,
+    leaving: bool,
+    suspect: bool,
+    /// Factor on the time of its work.
+    slowness: f64,
+    /// Requests of this box on it.
+    inflight: u32,
+    /// Learned time of an answer, in milliseconds.
+    answer_ms: f64,
+    /// Learned share of requests that failed.
+    failures: f64,
+}
+
+/// Writes the status as JSON.
+pub fn write(desk: &Desk) -> String {
+    let now = desk.now();
+    let settings = desk.settings();
+    let roster = desk.roster.borrow();
+    let upstreams = roster.all().map(|e| UpstreamStatus {
+        id: e.upstream.id.to_string(),
+        service: e.upstream.service.to_string(),
+        addr: e.upstream.addr.clone(),
+        data_centre: e.upstream.place.to_string(),
+        layers: e.upstream.layers.map(|l| (l.first, l.end)),
+        leaving: e.upstream.leaving,
+        suspect: e.is_suspect(now),
+        slowness: e.slowness(now),
+        inflight: e.inflight,
+        answer_ms: e.seconds * 1e3,
+        failures: e.failures,
+    });
+    let mut upstreams: Vec<_> = upstreams.collect();
+    let key = |u: &UpstreamStatus| (u.service.clone(), u.data_centre.clone(), u.layers);
+    upstreams.sort_by_cached_key(key);
+    let status = Status {
+        id: settings.id.clone(),
+        data_centre: settings.data_centre.clone(),
+        ready: desk.is_ready(),
+        config_version: desk.routing.borrow().version,
+        config_age_ms: desk.fresh.borrow().age(now).map(|a| a.as_millis() as u64),
+        store_away: desk.store_away.get(),
+        boxes: desk.boxes(),
+        inflight: desk.inflight.get(),
+        retries: desk.retries(),
+        upstreams,
+    };
+    match serde_json::to_string(&status) {
+        Ok(text) => text,
+        Err(e) => format!("{{\"error\": \"{e}\"}}"),
+    }
+}
