--- a/crates/ashgauged/src/main.rs
+++ b/crates/ashgauged/src/main.rs
@@ -30,7 +30,7 @@
 
   relay            hand requests on whole, on the users' platform; without it
                    the box drives each stage itself
-  --settings FILE  settings in JSON; docs/OPERATING.md lists them
+  --settings FILE  settings in JSON; docs/OPERATIONS.md lists them
   --check          check the settings and exit: 0 if they are fine, 2 if not
   --version        print the version
 
--- a/crates/ashgauged/src/settings.rs
+++ b/crates/ashgauged/src/settings.rs
@@ -195,7 +195,7 @@
         let text = std::fs::read_to_string(path)
             .wrap_err_with(|| format!("cannot read {place}; name a settings file"))?;
         let settings: Settings = serde_json::from_str(&text)
-            .map_err(|e| eyre!("{place}: {e}; docs/OPERATING.md lists the settings"))?;
+            .map_err(|e| eyre!("{place}: {e}; docs/OPERATIONS.md lists the settings"))?;
         settings
             .check()
             .wrap_err_with(|| format!("{place} is not valid"))?;
--- a/crates/ashgauged/tests/settings.rs
+++ b/crates/ashgauged/tests/settings.rs
@@ -48,7 +48,7 @@
 fn unknown_field_is_named() {
     let mut s = settings();
     s["timing"] = json!({"heartbeat_sec": 1});
-    refused("unknown", &s, &["heartbeat_sec", "docs/OPERATING.md"]);
+    refused("unknown", &s, &["heartbeat_sec", "docs/OPERATIONS.md"]);
 }
 
 #[test]
--- a/crates/operator/src/server.rs
+++ b/crates/operator/src/server.rs
@@ -74,7 +74,7 @@
             desk.drain();
             json(StatusCode::OK, &serde_json::json!({"draining": true}))
         }
-        _ => problem(StatusCode::NOT_FOUND, "no such call; see docs/OPERATING.md"),
+        _ => problem(StatusCode::NOT_FOUND, "no such call; see docs/OPERATIONS.md"),
     }
 }
 
