Tell engines a request's rank; bound the bodies that are read at a time

The team's rank, else the route's, goes to engines as their priority; what a caller sends there is dropped. Bodies that are being read take at most 48 MB over all callers, past which a request is refused as not run: a box has 160 MB at the least, and a body may have 4 MB.

--- a/crates/ashgauged/src/relay/desk.rs
+++ b/crates/ashgauged/src/relay/desk.rs
@@ -57,6 +57,8 @@
     pub stopped: Cell<bool>,
     /// Requests under way.
     pub inflight: Cell<usize>,
+    /// Bytes of bodies that are being read.
+    pub bodies: Cell<usize>,
     /// Figures for operators.
     pub metrics: Metrics,
     /// Tells streams that an upstream became suspect.
@@ -86,6 +88,7 @@
             stopping: Cell::new(false),
             stopped: Cell::new(false),
             inflight: Cell::new(0),
+            bodies: Cell::new(0),
             metrics,
             suspects: watch::Sender::new(0),
             probes: Probes::default(),
--- a/crates/ashgauged/src/relay/forward.rs
+++ b/crates/ashgauged/src/relay/forward.rs
@@ -1,5 +1,6 @@
 //! A caller's request: admission, and the sends of a plain service's request.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,7 +11,7 @@
 use bytes::Bytes;
 use http::{Failure, Full};
 use http_body_util::{BodyExt, Empty, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body as HttpBody, Incoming};
 use hyper::http::request;
 use hyper::{Request, Response, StatusCode};
 use platform::engine::{self, Target, Verdict};
@@ -34,6 +35,10 @@
 /// For a request's body to come; those of today's callers come at once.
 const BODY_TIME: Duration = Duration::from_secs(5);
 
+/// Bytes of bodies that may be read at one time, over all callers: a part of
+/// the least memory that the users give a box (160 MB).
+const BODIES_MOST: usize = 48 << 20;
+
 /// Longest answer of a plain service that is held until it is whole.
 const ANSWER_MOST: usize = 16 << 20;
 
@@ -62,6 +67,14 @@
     pub record: Record,
 }
 
+impl Admitted {
+    /// The request's rank: the team's, else the route's.
+    pub fn rank(&self) -> u32 {
+        let team = self.team.as_ref().and_then(|t| t.rank);
+        team.unwrap_or(self.route.rank)
+    }
+}
+
 /// The line and the figures that a request leaves behind.
 pub struct Record {
     desk: Rc<Desk>,
@@ -154,9 +167,10 @@
     let until = arrived + held;
     let body = match read_body(&desk, body, held).await {
         Ok(body) => body,
-        Err(status) => {
-            record.end("bad body");
-            return own(status, Some(&ask), None);
+        Err((status, why)) => {
+            record.end(why);
+            let not_run = status == StatusCode::SERVICE_UNAVAILABLE;
+            return own(status, Some(&ask), not_run.then_some(BACK_FULL));
         }
     };
     let mut handoff = Handoff::new(until, route.attempts, route.may_repeat());
@@ -239,14 +253,51 @@
     own(status, Some(ask), after)
 }
 
-async fn read_body(desk: &Desk, body: Incoming, held: Duration) -> Result<Bytes, StatusCode> {
+/// Reads a request's body, or tells the status and end of the refusal.
+async fn read_body(
+    desk: &Desk,
+    body: Incoming,
+    held: Duration,
+) -> Result<Bytes, (StatusCode, &'static str)> {
     let most = desk.routing().bounds.body;
-    let limited = Limited::new(body, most);
-    match timeout(held.min(BODY_TIME), limited.collect()).await {
+    let told = body.size_hint().upper().map_or(most, |n| n as usize);
+    if told > most {
+        return Err((StatusCode::PAYLOAD_TOO_LARGE, "body too long"));
+    }
+    let Some(_room) = Room::take(&desk.bodies, told) else {
+        return Err((StatusCode::SERVICE_UNAVAILABLE, "no room for the body"));
+    };
+    match timeout(held.min(BODY_TIME), Limited::new(body, most).collect()).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
-        Ok(Err(_)) => Err(StatusCode::BAD_REQUEST),
-        Err(_) => Err(StatusCode::REQUEST_TIMEOUT),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => {
+            Err((StatusCode::PAYLOAD_TOO_LARGE, "body too long"))
+        }
+        Ok(Err(_)) => Err((StatusCode::BAD_REQUEST, "broken body")),
+        Err(_) => Err((StatusCode::REQUEST_TIMEOUT, "slow body")),
+    }
+}
+
+/// A part of the room for bodies, given back when dropped.
+struct Room<'a> {
+    bodies: &'a Cell<usize>,
+    bytes: usize,
+}
+
+impl<'a> Room<'a> {
+    fn take(bodies: &'a Cell<usize>, bytes: usize) -> Option<Self> {
+        let taken = bodies.get() + bytes;
+        // One body may always be read, whatever its bound.
+        if taken > BODIES_MOST && bodies.get() > 0 {
+            return None;
+        }
+        bodies.set(taken);
+        Some(Room { bodies, bytes })
+    }
+}
+
+impl Drop for Room<'_> {
+    fn drop(&mut self) {
+        self.bodies.set(self.bodies.get() - self.bytes);
     }
 }
 
@@ -335,6 +386,7 @@
         id,
         chain: None,
         team: a.team.as_ref().map(|t| t.name.as_str()),
+        rank: a.rank(),
         left,
         last_event: None,
     };
--- a/crates/ashgauged/src/relay/stream.rs
+++ b/crates/ashgauged/src/relay/stream.rs
@@ -185,6 +185,7 @@
         id: &lead,
         chain: text.as_deref(),
         team: a.team.as_ref().map(|t| t.name.as_str()),
+        rank: a.rank(),
         left: handoff.left(desk.now()),
         last_event: last,
     };
--- a/crates/operator/src/server.rs
+++ b/crates/operator/src/server.rs
@@ -74,7 +74,10 @@
             desk.drain();
             json(StatusCode::OK, &serde_json::json!({"draining": true}))
         }
-        _ => problem(StatusCode::NOT_FOUND, "no such call; see docs/OPERATIONS.md"),
+        _ => problem(
+            StatusCode::NOT_FOUND,
+            "no such call; see docs/OPERATIONS.md",
+        ),
     }
 }
 
