Keep earlier orders in a round, place during releases, move beside orders

Change: a round carries what has not shown yet; settling takes 0.7 s at most; up to four orders under way allow for moves.

--- a/crates/ashgauge/src/placement.rs
+++ b/crates/ashgauge/src/placement.rs
@@ -46,9 +46,9 @@
 /// takes the engine away for that much longer.
 const MOVE_LAYER: f64 = 0.06;
 
-/// Moves that are ordered together; what they take away meanwhile must not
-/// be missed.
-const MOVES_MOST: usize = 3;
+/// Orders under way with which more engines may be moved; what moves take away
+/// meanwhile must not be missed.
+const MOVES_MOST: usize = 4;
 
 /// Share by which a range is worth more for each end that it has in common
 /// with another engine's: chains then have fewer stages.
@@ -102,8 +102,8 @@
         out.push(Assignment { id, span });
     }
     // Moves are judged by what those before have brought.
-    let quiet = out.is_empty() && seats.iter().all(|s| s.movable);
-    while quiet && out.len() < MOVES_MOST {
+    let under_way = out.len() + seats.iter().filter(|s| !s.movable).count();
+    for _ in under_way..MOVES_MOST {
         let Some((at, span)) = best_move(model, &mut seats) else {
             break;
         };
--- a/crates/ashgauged/src/relay/place.rs
+++ b/crates/ashgauged/src/relay/place.rs
@@ -37,6 +37,13 @@
 /// The same once layers were given: losses are to be made good soon.
 const RESETTLE_TIME: Duration = Duration::from_millis(300);
 
+/// Longest wait for engines to stop coming and going, once layers were given:
+/// while a release goes on they never do.
+const RESETTLE_MOST: Duration = Duration::from_millis(700);
+
+/// The same before, when the fleet starts; entries come in over some seconds.
+const SETTLE_MOST: Duration = Duration::from_millis(6000);
+
 /// Boxes wait up to this long, each at random, so that mostly one writes.
 const STAGGER_MOST: Duration = Duration::from_millis(300);
 
@@ -62,6 +69,9 @@
     round: u64,
     /// The ranges that it orders.
     ranges: Vec<Assignment>,
+    /// Ranges that were ordered before and had not shown yet.
+    #[serde(default)]
+    earlier: Vec<Assignment>,
 }
 
 /// Follows the engines and places those that hold nothing.
@@ -72,7 +82,10 @@
     /// Round of each service that was taken into `pending`.
     rounds: HashMap<String, u64>,
     edition: u64,
+    /// When engines last came, went or changed.
     changed: Duration,
+    /// When they first did since the last look.
+    unsettled: Option<Duration>,
 }
 
 impl Placer {
@@ -84,6 +97,7 @@
             rounds: HashMap::new(),
             edition: 0,
             changed: Duration::ZERO,
+            unsettled: None,
         };
         tokio::task::spawn_local(placer.run());
     }
@@ -110,15 +124,23 @@
 
     fn has_settled(&mut self) -> bool {
         let now = self.desk.now();
-        let edition = self.desk.roster.borrow().edition();
-        if edition != self.edition {
-            self.edition = edition;
+        let roster = self.desk.roster.borrow();
+        if roster.edition() != self.edition {
+            self.edition = roster.edition();
             self.changed = now;
+            self.unsettled.get_or_insert(now);
         }
-        let roster = self.desk.roster.borrow();
         let placed = roster.all().any(|e| e.upstream.layers.is_some());
-        let time = if placed { RESETTLE_TIME } else { SETTLE_TIME };
-        now >= self.changed + time
+        let (time, most) = match placed {
+            true => (RESETTLE_TIME, RESETTLE_MOST),
+            false => (SETTLE_TIME, SETTLE_MOST),
+        };
+        let long = self.unsettled.is_some_and(|since| now >= since + most);
+        let settled = long || now >= self.changed + time;
+        if settled {
+            self.unsettled = None;
+        }
+        settled
     }
 
     /// Places the engines of a service that hold nothing, if any.
@@ -142,6 +164,7 @@
             by: self.desk.settings().id.clone(),
             round: stored.round + 1,
             ranges,
+            earlier: self.unshown(service),
         };
         let store = &self.desk.store;
         let written = match revision {
@@ -165,6 +188,24 @@
         }
         self.rounds.insert(service.name.to_string(), stored.round);
         self.note(model, &stored.ranges);
+        let unknown = |a: &&Assignment| !self.pending.contains_key(&a.id);
+        let earlier: Vec<_> = stored.earlier.iter().filter(unknown).cloned().collect();
+        self.note(model, &earlier);
+    }
+
+    /// Ranges of a service's engines that were ordered and do not show yet.
+    fn unshown(&self, service: &Service) -> Vec<Assignment> {
+        let roster = self.desk.roster.borrow();
+        let of_service = |id: &str| {
+            let entry = roster.get(id);
+            entry.is_some_and(|e| e.upstream.service == service.name)
+        };
+        let pending = self.pending.iter().filter(|(id, _)| of_service(id));
+        let assignment = |(id, (span, _)): (&UpstreamId, &(Span, Duration))| Assignment {
+            id: id.clone(),
+            span: *span,
+        };
+        pending.map(assignment).collect()
     }
 
     fn note(&mut self, model: &Model, ranges: &[Assignment]) {
