Read less of the store before anything can be served

Until there is a configuration only it is read, not the list of upstreams, and entries are gathered for 0.8 s instead of 0.2 s until engines hold layers.

--- a/crates/ashgauged/src/relay/follow.rs
+++ b/crates/ashgauged/src/relay/follow.rs
@@ -37,6 +37,10 @@
 /// cost one call; a small part of the users' least bound (2 s).
 const GATHER_TIME: Duration = Duration::from_millis(200);
 
+/// The same before any engine holds layers: all entries are new then, and
+/// nothing can be served yet.
+const GATHER_FIRST: Duration = Duration::from_millis(800);
+
 /// Kind of the objects by which boxes count each other.
 const BOX_KIND: &str = "ashgauge-boxes";
 
@@ -117,6 +121,10 @@
             }
         }
         let config_at = self.read_config().await?;
+        if desk.routing().version == 0 && self.failed.get().is_none() {
+            // Nothing can be served yet, and the watch brings the upstreams.
+            return Ok(());
+        }
         let servers_at = self.read_servers().await?;
         self.ledger.borrow_mut().read_all(config_at.min(servers_at));
         self.regained();
@@ -200,7 +208,7 @@
                 Some(Ok((updates, at))) => {
                     after = Some(at.max(from));
                     self.apply(updates);
-                    sleep(GATHER_TIME).await;
+                    sleep(self.gather_time()).await;
                 }
                 Some(Err(fault)) => {
                     after = None;
@@ -272,6 +280,15 @@
         }
     }
 
+    fn gather_time(&self) -> Duration {
+        let roster = self.desk.roster.borrow();
+        let placed = roster.all().any(|e| e.upstream.layers.is_some());
+        match placed || self.desk.is_ready() {
+            true => GATHER_TIME,
+            false => GATHER_FIRST,
+        }
+    }
+
     /// Whether entries may be missing only because the store was away.
     fn is_unsure(&self) -> bool {
         let now = self.desk.now();
