Split the relay's large modules; one computation of an engine's room

stream.rs into stream (the request), open (its beginning) and pump (events and repairs); forward.rs gives record and body away; Model::room serves placement and choice, which had it twice.

--- a/crates/ashgauge/src/choice.rs
+++ b/crates/ashgauge/src/choice.rs
@@ -189,20 +189,8 @@
 
 /// Requests of usual size that an engine has memory for.
 pub fn capacity(model: &Model, entry: &Entry, held: Span) -> f64 {
-    let card = entry
-        .upstream
-        .card
-        .as_ref()
-        .and_then(|c| model.cards.get(c));
-    let memory = card.map_or(0.0, |c| c.memory_mb);
-    let free = (memory - f64::from(held.len()) * model.layer_mb).max(0.0);
-    let share = f64::from(held.len()) / f64::from(model.layers.max(1));
-    let usual = f64::from(model.prompt + model.answer) * model.token_mb * share;
-    if usual > 0.0 {
-        free / usual
-    } else {
-        f64::INFINITY
-    }
+    let card = entry.upstream.card.as_deref().unwrap_or_default();
+    model.room(card, held.len())
 }
 
 fn upstream_cost(scene: &Scene, entry: &Entry) -> f64 {
--- a/crates/ashgauge/src/placement.rs
+++ b/crates/ashgauge/src/placement.rs
@@ -241,11 +241,5 @@
 /// For how many holders an engine counts that holds `len` layers: its memory
 /// for requests bounds how much of the load it takes.
 fn holders(model: &Model, seat: &Seat, len: Layer) -> f64 {
-    let free = (memory(model, seat) - f64::from(len) * model.layer_mb).max(0.0);
-    let share = f64::from(len) / f64::from(model.layers.max(1));
-    let usual = f64::from(model.prompt + model.answer) * model.token_mb * share;
-    match usual > 0.0 {
-        true => (free / usual / HOLDER_REQUESTS).min(HOLDERS_MOST),
-        false => 1.0,
-    }
+    (model.room(&seat.card, len) / HOLDER_REQUESTS).min(HOLDERS_MOST)
 }
--- a/crates/ashgauge/src/routing.rs
+++ b/crates/ashgauge/src/routing.rs
@@ -236,6 +236,22 @@
     }
 }
 
+impl Model {
+    /// Requests of usual size for which a card has memory beside `held`
+    /// layers; 0 for a kind that the configuration does not tell.
+    pub fn room(&self, card: &str, held: Layer) -> f64 {
+        let memory = self.cards.get(card).map_or(0.0, |c| c.memory_mb);
+        let free = (memory - f64::from(held) * self.layer_mb).max(0.0);
+        let share = f64::from(held) / f64::from(self.layers.max(1));
+        let usual = f64::from(self.prompt + self.answer) * self.token_mb * share;
+        if usual > 0.0 {
+            free / usual
+        } else {
+            f64::INFINITY
+        }
+    }
+}
+
 impl Route {
     /// Chooses a service by the route's weights.
     pub fn choose_service(&self, rng: &mut impl Rng) -> Option<&ServiceId> {
--- /dev/null
+++ b/crates/ashgauged/src/relay/body.rs
@@ -0,0 +1,67 @@
+//! Reads callers' bodies, within their bounds.
+
+use std::cell::Cell;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::StatusCode;
+use hyper::body::{Body as HttpBody, Incoming};
+use tokio::time::timeout;
+
+use super::desk::Desk;
+
+/// For a request's body to come; those of today's callers come at once.
+const BODY_TIME: Duration = Duration::from_secs(5);
+
+/// Bytes of bodies that may be read at one time, over all callers: a part of
+/// the least memory that the users give a box (160 MB).
+const BODIES_MOST: usize = 48 << 20;
+
+/// Reads a request's body, or tells the status and end of the refusal.
+pub async fn read(
+    desk: &Desk,
+    body: Incoming,
+    held: Duration,
+) -> Result<Bytes, (StatusCode, &'static str)> {
+    let most = desk.routing().bounds.body;
+    let told = body.size_hint().upper().map_or(most, |n| n as usize);
+    if told > most {
+        return Err((StatusCode::PAYLOAD_TOO_LARGE, "body too long"));
+    }
+    let Some(_room) = Room::take(&desk.bodies, told) else {
+        return Err((StatusCode::SERVICE_UNAVAILABLE, "no room for the body"));
+    };
+    match timeout(held.min(BODY_TIME), Limited::new(body, most).collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => {
+            Err((StatusCode::PAYLOAD_TOO_LARGE, "body too long"))
+        }
+        Ok(Err(_)) => Err((StatusCode::BAD_REQUEST, "broken body")),
+        Err(_) => Err((StatusCode::REQUEST_TIMEOUT, "slow body")),
+    }
+}
+
+/// A part of the room for bodies, given back when dropped.
+struct Room<'a> {
+    bodies: &'a Cell<usize>,
+    bytes: usize,
+}
+
+impl<'a> Room<'a> {
+    fn take(bodies: &'a Cell<usize>, bytes: usize) -> Option<Self> {
+        let taken = bodies.get() + bytes;
+        // One body may always be read, whatever its bound.
+        if taken > BODIES_MOST && bodies.get() > 0 {
+            return None;
+        }
+        bodies.set(taken);
+        Some(Room { bodies, bytes })
+    }
+}
+
+impl Drop for Room<'_> {
+    fn drop(&mut self) {
+        self.bodies.set(self.bodies.get() - self.bytes);
+    }
+}
--- a/crates/ashgauged/src/relay/forward.rs
+++ b/crates/ashgauged/src/relay/forward.rs
@@ -1,6 +1,5 @@
 //! A caller's request: admission, and the sends of a plain service's request.
 
-use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,8 +9,8 @@
 use ashgauge::routing::{Access, Route, Service, Team};
 use bytes::Bytes;
 use http::{Failure, Full};
-use http_body_util::{BodyExt, Empty, LengthLimitError, Limited};
-use hyper::body::{Body as HttpBody, Incoming};
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::body::Incoming;
 use hyper::http::request;
 use hyper::{Request, Response, StatusCode};
 use platform::engine::{self, Target, Verdict};
@@ -23,6 +22,7 @@
 use super::desk::Desk;
 use super::dial;
 use super::log;
+use super::record::Record;
 use super::serve::Body;
 use super::stream;
 
@@ -32,13 +32,6 @@
 /// When to come back if no upstream can take the request.
 const BACK_FULL: Duration = Duration::from_millis(400);
 
-/// For a request's body to come; those of today's callers come at once.
-const BODY_TIME: Duration = Duration::from_secs(5);
-
-/// Bytes of bodies that may be read at one time, over all callers: a part of
-/// the least memory that the users give a box (160 MB).
-const BODIES_MOST: usize = 48 << 20;
-
 /// Longest answer of a plain service that is held until it is whole.
 const ANSWER_MOST: usize = 16 << 20;
 
@@ -75,78 +68,6 @@
     }
 }
 
-/// The line and the figures that a request leaves behind.
-pub struct Record {
-    desk: Rc<Desk>,
-    id: String,
-    route: String,
-    arrived: Duration,
-    /// Upstreams or chains that it was sent to.
-    pub sends: Vec<Arc<str>>,
-    /// Time to the first event of a stream.
-    pub first: Option<Duration>,
-    /// Longest pause between two events that were passed on.
-    pub pause: Duration,
-    ended: bool,
-}
-
-impl Record {
-    fn new(desk: &Rc<Desk>, ask: &Ask, route: &str, arrived: Duration) -> Self {
-        Record {
-            desk: desk.clone(),
-            id: ask.id.clone(),
-            route: route.into(),
-            arrived,
-            sends: Vec::new(),
-            first: None,
-            pause: Duration::ZERO,
-            ended: false,
-        }
-    }
-
-    /// Time since the request arrived.
-    pub fn took(&self) -> Duration {
-        self.desk.now().saturating_sub(self.arrived)
-    }
-
-    /// Writes a line about a step of this request.
-    pub fn step(&self, what: &str, mut fields: serde_json::Value) {
-        fields["id"] = self.id.as_str().into();
-        fields["ms"] = (self.took().as_millis() as u64).into();
-        log::line(Level::Info, "request", what, fields);
-    }
-
-    /// Notes how the request ended.
-    pub fn end(&mut self, what: &str) {
-        if std::mem::replace(&mut self.ended, true) {
-            return;
-        }
-        let took = self.took();
-        self.desk.metrics.ends.with_label_values(&[what]).inc();
-        self.desk.metrics.whole.observe(took.as_secs_f64());
-        let age = self.desk.fresh.borrow().age(self.desk.now());
-        let sends: Vec<&str> = self.sends.iter().map(|s| &**s).collect();
-        let fields = json!({
-            "id": self.id,
-            "route": self.route,
-            "end": what,
-            "sends": sends,
-            "config": self.desk.routing.borrow().version,
-            "config_age_ms": age.map(|a| a.as_millis() as u64),
-            "first_ms": self.first.map(|f| f.as_millis() as u64),
-            "pause_ms": self.pause.as_millis() as u64,
-            "ms": took.as_millis() as u64,
-        });
-        log::line(Level::Info, "request", "ended", fields);
-    }
-}
-
-impl Drop for Record {
-    fn drop(&mut self) {
-        self.end("caller left");
-    }
-}
-
 /// Answers one request.
 pub async fn handle(desk: Rc<Desk>, request: Request<Incoming>) -> Response<Body> {
     let arrived = desk.now();
@@ -165,7 +86,7 @@
     let mut record = Record::new(&desk, &ask, &route.name, arrived);
     let held = ask.patience.unwrap_or(route.timeout).min(route.timeout);
     let until = arrived + held;
-    let body = match read_body(&desk, body, held).await {
+    let body = match super::body::read(&desk, body, held).await {
         Ok(body) => body,
         Err((status, why)) => {
             record.end(why);
@@ -253,54 +174,6 @@
     own(status, Some(ask), after)
 }
 
-/// Reads a request's body, or tells the status and end of the refusal.
-async fn read_body(
-    desk: &Desk,
-    body: Incoming,
-    held: Duration,
-) -> Result<Bytes, (StatusCode, &'static str)> {
-    let most = desk.routing().bounds.body;
-    let told = body.size_hint().upper().map_or(most, |n| n as usize);
-    if told > most {
-        return Err((StatusCode::PAYLOAD_TOO_LARGE, "body too long"));
-    }
-    let Some(_room) = Room::take(&desk.bodies, told) else {
-        return Err((StatusCode::SERVICE_UNAVAILABLE, "no room for the body"));
-    };
-    match timeout(held.min(BODY_TIME), Limited::new(body, most).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => {
-            Err((StatusCode::PAYLOAD_TOO_LARGE, "body too long"))
-        }
-        Ok(Err(_)) => Err((StatusCode::BAD_REQUEST, "broken body")),
-        Err(_) => Err((StatusCode::REQUEST_TIMEOUT, "slow body")),
-    }
-}
-
-/// A part of the room for bodies, given back when dropped.
-struct Room<'a> {
-    bodies: &'a Cell<usize>,
-    bytes: usize,
-}
-
-impl<'a> Room<'a> {
-    fn take(bodies: &'a Cell<usize>, bytes: usize) -> Option<Self> {
-        let taken = bodies.get() + bytes;
-        // One body may always be read, whatever its bound.
-        if taken > BODIES_MOST && bodies.get() > 0 {
-            return None;
-        }
-        bodies.set(taken);
-        Some(Room { bodies, bytes })
-    }
-}
-
-impl Drop for Room<'_> {
-    fn drop(&mut self) {
-        self.bodies.set(self.bodies.get() - self.bytes);
-    }
-}
-
 /// An upstream's whole answer.
 type Whole = Response<Bytes>;
 
--- a/crates/ashgauged/src/relay/mod.rs
+++ b/crates/ashgauged/src/relay/mod.rs
@@ -5,14 +5,18 @@
 //! stage. Everything runs on one thread: a box has a fraction of a core, and
 //! decisions need no locks.
 
+mod body;
 mod desk;
 mod dial;
 mod follow;
 mod forward;
 mod log;
 mod metrics;
+mod open;
 mod place;
 mod probe;
+mod pump;
+mod record;
 mod serve;
 mod settings;
 mod status;
--- /dev/null
+++ b/crates/ashgauged/src/relay/open.rs
@@ -0,0 +1,196 @@
+//! Begins a stream: chooses a chain, sends the request, waits for the head of
+//! the answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use ashgauge::chain::{self, Stage};
+use ashgauge::choice::whole as whole_model;
+use ashgauge::handoff::{Handoff, Outcome};
+use ashgauge::member::UpstreamId;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::Response;
+use hyper::http::response;
+use platform::engine::{self, Target, Verdict};
+use tokio::time::timeout;
+
+use super::desk::Desk;
+use super::dial::{self, Exchange};
+use super::forward::{Admitted, Hold, is_allowed, lost, refused};
+use super::probe::{ask_engines, find_dead};
+
+/// Silence after which a stream whose engines all answer goes on elsewhere;
+/// its caller leaves after two seconds.
+pub const SILENT_MOST: Duration = Duration::from_millis(1300);
+
+/// Longest answer with a failure that is passed on.
+const FAILURE_MOST: usize = 1 << 20;
+
+/// Where a stream runs.
+pub struct Run {
+    /// The engines with their layers.
+    pub stages: Vec<Stage>,
+    /// Address of the first engine.
+    pub first: String,
+    /// The answer on its way.
+    pub exchange: Exchange,
+    /// Counts the stream on its engines.
+    pub hold: Hold,
+}
+
+/// Why a stream did not begin.
+pub enum NotBegun {
+    /// There is no chain.
+    NoChain,
+    /// The key no longer counts.
+    Denied,
+    /// The send brought nothing, with the upstream's own answer if it is one.
+    Failed(Outcome, UpstreamId, Option<Response<Bytes>>),
+}
+
+pub fn head_of(exchange: &Exchange) -> response::Parts {
+    let mut copy = Response::new(());
+    *copy.status_mut() = exchange.response.status();
+    *copy.headers_mut() = exchange.response.headers().clone();
+    copy.into_parts().0
+}
+
+/// Sends the request over a new chain and waits for the head of the answer.
+pub async fn begin(
+    desk: &Rc<Desk>,
+    a: &mut Admitted,
+    handoff: &mut Handoff,
+    avoid: &mut Vec<UpstreamId>,
+    last: Option<u64>,
+) -> Result<Run, NotBegun> {
+    if !is_allowed(desk, a) {
+        return Err(NotBegun::Denied);
+    }
+    let (stages, text, first) = choose(desk, a, handoff, avoid).ok_or(NotBegun::NoChain)?;
+    let lead = stages[0].upstream.clone();
+    let failed = |outcome| NotBegun::Failed(outcome, lead.clone(), None);
+    handoff.send(lead.clone());
+    a.record.sends.push(text.as_deref().unwrap_or(&lead).into());
+    let ids = stages.iter().map(|s| s.upstream.clone()).collect();
+    let hold = Hold::new(desk, ids);
+    let connect = Duration::from_millis(desk.settings().timing.connect_ms);
+    let line = dial::connect(&first, connect.min(handoff.left(desk.now()))).await;
+    let line = line.map_err(|e| failed(lost(&e)))?;
+    if !is_allowed(desk, a) {
+        return Err(failed(Outcome::NotSent));
+    }
+    let target = Target {
+        id: &lead,
+        chain: text.as_deref(),
+        team: a.team.as_ref().map(|t| t.name.as_str()),
+        rank: a.rank(),
+        left: handoff.left(desk.now()),
+        last_event: last,
+    };
+    let request = engine::request(&a.head, a.body.clone(), &target);
+    let sending = line.send(request);
+    let exchange = await_head(desk, a, &stages, sending, handoff, avoid).await;
+    let exchange = exchange.map_err(failed)?;
+    let parts = head_of(&exchange);
+    match engine::judge(&parts, &a.ask.id) {
+        Verdict::Answer if parts.status.is_success() => {}
+        Verdict::Answer => {
+            let failure = read_failure(exchange, parts).await;
+            let outcome = match &failure {
+                Some(_) => Outcome::Failed,
+                None => Outcome::Lost,
+            };
+            return Err(NotBegun::Failed(outcome, lead, failure));
+        }
+        verdict @ (Verdict::Full(_) | Verdict::Stale(_)) => {
+            avoid.push(refused(desk, &lead, verdict));
+            return Err(failed(Outcome::NotRun));
+        }
+        Verdict::Foreign => return Err(failed(Outcome::Lost)),
+    }
+    Ok(Run {
+        stages,
+        first,
+        exchange,
+        hold,
+    })
+}
+
+type Chosen = (Vec<Stage>, Option<String>, String);
+
+/// Chooses a chain, or one engine if each holds the whole model.
+fn choose(desk: &Desk, a: &Admitted, handoff: &Handoff, avoid: &[UpstreamId]) -> Option<Chosen> {
+    match a.service.model.as_ref().filter(|m| m.layers > 0) {
+        Some(model) => {
+            let span = whole_model(model.layers);
+            let stages = desk.choose_chain(&a.service.name, model, span, avoid)?;
+            if !chain::covers(0, model.layers, &stages) {
+                return None;
+            }
+            let (text, first) = desk.chain_text(&stages)?;
+            let tokens = a.ask.prompt + a.ask.answer;
+            desk.note_crossings(model, &stages, tokens);
+            Some((stages, Some(text), first))
+        }
+        None => {
+            let (id, addr) = desk.choose(&a.service.name, handoff.tried())?;
+            let stage = Stage {
+                upstream: id,
+                first: 0,
+                end: 0,
+            };
+            Some((vec![stage], None, addr))
+        }
+    }
+}
+
+/// Waits for the head of an answer; checks the chain's engines when it is
+/// late.
+async fn await_head(
+    desk: &Rc<Desk>,
+    a: &Admitted,
+    stages: &[Stage],
+    sending: impl Future<Output = Result<Exchange, ::http::Failure>>,
+    handoff: &Handoff,
+    avoid: &mut Vec<UpstreamId>,
+) -> Result<Exchange, Outcome> {
+    tokio::pin!(sending);
+    let mut wait = Duration::from_millis(desk.settings().timing.first_ms);
+    let began = desk.now();
+    loop {
+        let left = handoff.left(desk.now());
+        if let Ok(sent) = timeout(wait.min(left), sending.as_mut()).await {
+            return sent.map_err(|e| lost(&e));
+        }
+        let waited = desk.now() - began;
+        let mut dead = find_dead(desk, stages).await;
+        if dead.is_empty() {
+            dead.extend(ask_engines(desk, stages, &a.ask.id).await);
+        }
+        if handoff.left(desk.now()).is_zero() {
+            return Err(Outcome::Lost);
+        }
+        if !dead.is_empty() || waited >= SILENT_MOST {
+            dead.iter()
+                .for_each(|id| desk.suspect(id, "holds up its chain"));
+            avoid.extend(dead);
+            return Err(Outcome::Lost);
+        }
+        wait *= 2;
+    }
+}
+
+async fn read_failure(exchange: Exchange, parts: response::Parts) -> Option<Response<Bytes>> {
+    let limited = Limited::new(exchange.response.into_body(), FAILURE_MOST);
+    let body = limited.collect().await.ok()?.to_bytes();
+    let mut failure = Response::new(body);
+    *failure.status_mut() = parts.status;
+    *failure.headers_mut() = engine::answer_headers(&parts);
+    Some(failure)
+}
+
+pub fn id_at(desk: &Desk, addr: &str) -> Option<UpstreamId> {
+    let roster = desk.roster.borrow();
+    roster.at(addr).map(|e| e.upstream.id.clone())
+}
--- /dev/null
+++ b/crates/ashgauged/src/relay/pump.rs
@@ -0,0 +1,467 @@
+//! Copies a stream's events to its caller, and repairs the stream.
+
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use ashgauge::chain::{self, Stage};
+use ashgauge::events;
+use ashgauge::handoff::{Handoff, Next, Outcome};
+use ashgauge::member::UpstreamId;
+use ashgauge::roster::Span;
+use ashgauge::routing::{Model, StreamRule};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body as HttpBody, Frame};
+use platform::engine::{self, Reply};
+use serde_json::json;
+use tokio::sync::{mpsc, watch};
+use tokio::time::{sleep_until, timeout};
+
+use super::desk::Desk;
+use super::forward::{Admitted, Hold, note_outcome};
+use super::open::{NotBegun, Run, SILENT_MOST, begin, id_at};
+use super::probe::{ask_engines, find_dead};
+use super::serve::Broken;
+
+/// Pieces that may wait for a slow caller.
+const WAITING_MOST: usize = 64;
+
+/// Bytes of an event that is not whole yet, at most.
+const EVENT_MOST: usize = 1 << 20;
+
+/// A stream counts as silent after this multiple of its own pace.
+const SILENT_FACTOR: f64 = 2.5;
+
+/// Weight of the newest pause in a stream's pace.
+const PACE_WEIGHT: f64 = 0.2;
+
+/// Repairs of one stream at most; each one lost an engine.
+const REPAIRS_MOST: u32 = 6;
+
+/// For an engine's answer to a change of the chain, which takes milliseconds.
+const REPATH_TIME: Duration = Duration::from_millis(150);
+
+/// Starts passing a stream's events on; the body ends the task when dropped.
+pub fn start(desk: Rc<Desk>, a: Admitted, handoff: Handoff, rule: StreamRule, run: Run) -> Pieces {
+    let (sender, pieces) = mpsc::channel(WAITING_MOST);
+    let now = desk.now();
+    let pump = Pump {
+        last: a.ask.last_event,
+        passed: false,
+        buffer: BytesMut::new(),
+        heard: now,
+        event_at: now,
+        pace: 0.0,
+        checks: 0,
+        repairs: 0,
+        broke: None,
+        suspects: desk.suspects.subscribe(),
+        sender,
+        run,
+        rule,
+        handoff,
+        a,
+        desk,
+    };
+    let task = tokio::task::spawn_local(pump.run());
+    Pieces { pieces, task }
+}
+
+/// Copies one stream.
+struct Pump {
+    desk: Rc<Desk>,
+    a: Admitted,
+    handoff: Handoff,
+    rule: StreamRule,
+    run: Run,
+    sender: mpsc::Sender<Result<Bytes, Broken>>,
+    suspects: watch::Receiver<u64>,
+    /// Bytes of an event that is not whole yet.
+    buffer: BytesMut,
+    /// Id of the last whole event that the caller has.
+    last: Option<u64>,
+    /// Whether an event was passed on.
+    passed: bool,
+    /// When the last bytes came, or a repair began to count anew.
+    heard: Duration,
+    /// When the last event was passed on.
+    event_at: Duration,
+    /// Learned pause between pieces, in seconds.
+    pace: f64,
+    /// Checks of the engines since the last bytes.
+    checks: u32,
+    repairs: u32,
+    /// When the last bytes before a repair came, until the next come.
+    broke: Option<Duration>,
+}
+
+/// What a pump saw next.
+enum Seen {
+    Data(Bytes),
+    End,
+    Broken(String),
+    Silence,
+    Suspect,
+    Deadline,
+    Left,
+}
+
+/// Whether a stream goes on.
+#[derive(PartialEq)]
+enum Go {
+    On,
+    Done,
+    Break(&'static str),
+}
+
+impl Pump {
+    async fn run(mut self) {
+        loop {
+            let go = match self.next().await {
+                Seen::Data(bytes) => self.take(bytes).await,
+                Seen::End if self.buffer.is_empty() => Go::Done,
+                Seen::End => self.resume("half an event at the end", false).await,
+                Seen::Broken(cause) => self.broken(&cause).await,
+                Seen::Silence => self.check().await,
+                Seen::Suspect => self.leave_suspects().await,
+                Seen::Deadline => Go::Break("late"),
+                Seen::Left => return,
+            };
+            match go {
+                Go::On => {}
+                Go::Done => {
+                    self.a.record.end("answered");
+                    return;
+                }
+                Go::Break(why) => {
+                    self.a.record.end(why);
+                    // A caller that left does not miss it.
+                    let _ = self.sender.send(Err(Broken)).await;
+                    return;
+                }
+            }
+        }
+    }
+
+    async fn next(&mut self) -> Seen {
+        let silent = self.silent_at();
+        let until = self.handoff.until();
+        let now = self.desk.now();
+        let wait = silent.min(until).saturating_sub(now);
+        let alarm = tokio::time::Instant::now() + wait;
+        let body = self.run.exchange.response.body_mut();
+        tokio::select! {
+            biased;
+            frame = body.frame() => match frame {
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(data) => Seen::Data(data),
+                    Err(_) => Seen::Data(Bytes::new()),
+                },
+                Some(Err(e)) => Seen::Broken(e.to_string()),
+                None => Seen::End,
+            },
+            () = self.sender.closed() => Seen::Left,
+            Ok(()) = self.suspects.changed() => Seen::Suspect,
+            () = sleep_until(alarm) => match self.desk.now() >= until {
+                true => Seen::Deadline,
+                false => Seen::Silence,
+            },
+        }
+    }
+
+    /// When the stream counts as silent; later after each check in vain.
+    fn silent_at(&self) -> Duration {
+        let timing = self.desk.settings().timing.clone();
+        let least = match self.passed {
+            true => timing.silence_ms,
+            false => timing.first_ms,
+        };
+        let pace = Duration::from_secs_f64(self.pace * SILENT_FACTOR);
+        let silence = pace.max(Duration::from_millis(least));
+        self.heard + silence * 2u32.pow(self.checks.min(5))
+    }
+
+    /// Passes whole events on.
+    async fn take(&mut self, bytes: Bytes) -> Go {
+        let now = self.desk.now();
+        let pause = (now - self.heard).as_secs_f64();
+        if self.passed {
+            self.pace = match self.pace {
+                0.0 => pause,
+                old => old + PACE_WEIGHT * (pause - old),
+            };
+        }
+        self.heard = now;
+        self.checks = 0;
+        if let Some(broke) = self.broke.take() {
+            self.desk.metrics.gap.observe((now - broke).as_secs_f64());
+        }
+        self.buffer.extend_from_slice(&bytes);
+        let whole = events::cut(&self.buffer);
+        if whole.len == 0 {
+            return match self.buffer.len() > EVENT_MOST {
+                true => Go::Break("event too long"),
+                false => Go::On,
+            };
+        }
+        if !self.follows(whole.first) {
+            return self.resume("events out of order", false).await;
+        }
+        let piece = self.buffer.split_to(whole.len).freeze();
+        self.last = whole.last.or(self.last);
+        self.note_pause(now);
+        self.passed |= whole.count > 0;
+        let left = self.handoff.left(now);
+        match timeout(left, self.sender.send(Ok(piece))).await {
+            Ok(Ok(())) => Go::On,
+            Ok(Err(_)) => Go::Break("caller left"),
+            Err(_) => Go::Break("late"),
+        }
+    }
+
+    /// Notes the pause before an event, for the request's line.
+    fn note_pause(&mut self, now: Duration) {
+        let record = &mut self.a.record;
+        match self.passed {
+            true => record.pause = record.pause.max(now - self.event_at),
+            false => record.first = Some(record.took()),
+        }
+        self.event_at = now;
+    }
+
+    /// Whether an event with this id comes next.
+    fn follows(&self, first: Option<u64>) -> bool {
+        match (self.last, first) {
+            (Some(last), Some(first)) => first == last + 1,
+            _ => true,
+        }
+    }
+
+    async fn broken(&mut self, cause: &str) -> Go {
+        self.a
+            .record
+            .step("stream broke", json!({"cause": cause, "last": self.last}));
+        let dead = find_dead(&self.desk, &self.run.stages).await;
+        dead.iter()
+            .for_each(|id| self.desk.suspect(id, "no connection"));
+        self.resume("broken", false).await
+    }
+
+    /// Looks for the cause of a silence.
+    async fn check(&mut self) -> Go {
+        self.checks += 1;
+        let dead = find_dead(&self.desk, &self.run.stages).await;
+        if !dead.is_empty() {
+            dead.iter()
+                .for_each(|id| self.desk.suspect(id, "no connection"));
+            return self.repair(dead).await;
+        }
+        if self.desk.now() >= self.heard + SILENT_MOST {
+            return self.resume("silent", true).await;
+        }
+        match ask_engines(&self.desk, &self.run.stages, &self.a.ask.id).await {
+            Some(id) => {
+                self.desk.suspect(&id, "reported as stalled");
+                self.repair(vec![id]).await
+            }
+            None => Go::On,
+        }
+    }
+
+    /// Repairs the chain if another stream found one of its engines lost.
+    async fn leave_suspects(&mut self) -> Go {
+        let now = self.desk.now();
+        let lost = {
+            let roster = self.desk.roster.borrow();
+            let is_lost = |id: &str| roster.get(id).is_none_or(|e| e.is_suspect(now));
+            let ids = self.run.stages.iter().map(|s| &s.upstream);
+            ids.filter(|id| is_lost(id)).cloned().collect::<Vec<_>>()
+        };
+        match lost.is_empty() {
+            true => Go::On,
+            false => self.repair(lost).await,
+        }
+    }
+
+    /// Leads the stream around lost engines, or lets it go on elsewhere.
+    ///
+    /// A detour through another data centre sends all tokens so far over its
+    /// pipe, which takes seconds if many streams lose the same engine; a whole
+    /// chain elsewhere reads them anew in a fraction of that.
+    async fn repair(&mut self, lost: Vec<UpstreamId>) -> Go {
+        let first = &self.run.stages[0].upstream;
+        if lost.contains(first) {
+            self.handoff.lose();
+            return self.resume("first engine lost", true).await;
+        }
+        if self.repairs >= REPAIRS_MOST {
+            return self.resume("repaired too often", true).await;
+        }
+        let Some((stages, text)) = self.detour(&lost) else {
+            return self.resume("no detour", true).await;
+        };
+        let before = self.desk.count_crossings(&self.run.stages);
+        let crosses = self.desk.count_crossings(&stages) > before;
+        if crosses && self.try_resume("the detour crosses").await {
+            return Go::On;
+        }
+        self.repairs += 1;
+        if self.repath(&lost, stages, &text).await {
+            return Go::On;
+        }
+        self.resume("not led around", true).await
+    }
+
+    /// Orders the first engine to lead the stream over another chain; returns
+    /// whether it does.
+    async fn repath(&mut self, lost: &[UpstreamId], stages: Vec<Stage>, text: &str) -> bool {
+        let (client, id) = (&self.desk.client, &self.a.ask.id);
+        let reply = engine::repath(client, &self.run.first, id, text, REPATH_TIME).await;
+        let done = matches!(reply, Reply::Begun | Reply::Holds);
+        let label = if done { "led around" } else { "not led around" };
+        self.desk.metrics.repairs.with_label_values(&[label]).inc();
+        let fields = json!({
+            "lost": lost.iter().map(|l| &**l).collect::<Vec<_>>(),
+            "chain": text,
+            "reply": format!("{reply:?}"),
+            "last": self.last,
+        });
+        self.a.record.step("repath", fields);
+        if let Reply::Unfit(Some(addr)) = &reply
+            && let Some(id) = id_at(&self.desk, addr)
+        {
+            let now = self.desk.now();
+            self.desk.roster.borrow_mut().note_full(now, &id);
+        }
+        if !done {
+            return false;
+        }
+        if let Some(model) = &self.a.service.model {
+            let tokens = self.a.ask.prompt + self.a.ask.answer;
+            self.desk.note_crossings(model, &stages, tokens);
+        }
+        let ids = stages.iter().map(|s| s.upstream.clone()).collect();
+        self.run.hold = Hold::new(&self.desk, ids);
+        self.run.stages = stages;
+        self.count_anew();
+        true
+    }
+
+    /// The chain with the lost engines' ranges given to others.
+    fn detour(&self, lost: &[UpstreamId]) -> Option<(Vec<Stage>, String)> {
+        let model = self.a.service.model.as_ref()?;
+        let mut stages: Vec<Stage> = Vec::new();
+        for stage in &self.run.stages {
+            if !lost.contains(&stage.upstream) {
+                stages.push(stage.clone());
+                continue;
+            }
+            let mut avoid = lost.to_vec();
+            // An engine may be named only once in a chain.
+            avoid.extend(self.run.stages.iter().map(|s| s.upstream.clone()));
+            avoid.extend(stages.iter().map(|s| s.upstream.clone()));
+            stages.extend(self.fill(model, stage, &avoid)?);
+        }
+        if !chain::covers(0, model.layers, &stages) {
+            return None;
+        }
+        let (text, _) = self.desk.chain_text(&stages)?;
+        Some((stages, text))
+    }
+
+    fn fill(&self, model: &Model, stage: &Stage, avoid: &[UpstreamId]) -> Option<Vec<Stage>> {
+        let span = Span {
+            first: stage.first,
+            end: stage.end,
+        };
+        self.desk
+            .choose_chain(&self.a.service.name, model, span, avoid)
+    }
+
+    /// Lets another chain go on behind the last event that was passed on.
+    ///
+    /// If that cannot be and `alive` says that the present answer may still
+    /// go on, it is waited for.
+    async fn resume(&mut self, why: &'static str, alive: bool) -> Go {
+        match self.try_resume(why).await || alive {
+            true => Go::On,
+            false => Go::Break("broken"),
+        }
+    }
+
+    /// As [`Pump::resume`]; returns whether it goes on elsewhere.
+    async fn try_resume(&mut self, why: &str) -> bool {
+        if !self.rule.resume || (self.last.is_none() && self.passed) {
+            return false;
+        }
+        let mut avoid = vec![self.run.stages[0].upstream.clone()];
+        let mut outcome = Outcome::Lost;
+        loop {
+            let now = self.desk.now();
+            let handoff = &mut self.handoff;
+            let service = &self.a.service.name;
+            let next = self
+                .desk
+                .budget(service, |b| handoff.after(now, outcome, b));
+            if next != Next::Again {
+                return false;
+            }
+            let (desk, a) = (&self.desk, &mut self.a);
+            match begin(desk, a, &mut self.handoff, &mut avoid, self.last).await {
+                Ok(run) => {
+                    self.resumed(why, run);
+                    return true;
+                }
+                Err(NotBegun::NoChain | NotBegun::Denied) => return false,
+                Err(NotBegun::Failed(new, id, _)) => {
+                    note_outcome(&self.desk, &self.a, &id, new);
+                    outcome = new;
+                }
+            }
+        }
+    }
+
+    fn resumed(&mut self, why: &str, run: Run) {
+        let resumed = self.desk.metrics.repairs.with_label_values(&["resumed"]);
+        resumed.inc();
+        let fields = json!({"why": why, "last": self.last, "first": run.first});
+        self.a.record.step("resumed", fields);
+        self.run = run;
+        self.buffer.clear();
+        self.count_anew();
+    }
+
+    /// Counts the silence of the stream from now on.
+    fn count_anew(&mut self) {
+        self.broke.get_or_insert(self.heard);
+        self.heard = self.desk.now();
+        self.checks = 0;
+    }
+}
+
+/// The body of a stream's answer; ends its task when it is dropped.
+pub struct Pieces {
+    pieces: mpsc::Receiver<Result<Bytes, Broken>>,
+    task: tokio::task::JoinHandle<()>,
+}
+
+impl HttpBody for Pieces {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        let piece = self.pieces.poll_recv(cx);
+        piece.map(|p| p.map(|p| p.map(Frame::data)))
+    }
+}
+
+impl Drop for Pieces {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
--- /dev/null
+++ b/crates/ashgauged/src/relay/record.rs
@@ -0,0 +1,85 @@
+//! What a request leaves behind: its lines in the log, and its figures.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use platform::ingress::Ask;
+use serde_json::json;
+use spdlog::Level;
+
+use super::desk::Desk;
+use super::log;
+
+/// The line and the figures that a request leaves behind.
+pub struct Record {
+    desk: Rc<Desk>,
+    id: String,
+    route: String,
+    arrived: Duration,
+    /// Upstreams or chains that it was sent to.
+    pub sends: Vec<Arc<str>>,
+    /// Time to the first event of a stream.
+    pub first: Option<Duration>,
+    /// Longest pause between two events that were passed on.
+    pub pause: Duration,
+    ended: bool,
+}
+
+impl Record {
+    /// Begins the record of a request that arrived at `arrived`.
+    pub fn new(desk: &Rc<Desk>, ask: &Ask, route: &str, arrived: Duration) -> Self {
+        Record {
+            desk: desk.clone(),
+            id: ask.id.clone(),
+            route: route.into(),
+            arrived,
+            sends: Vec::new(),
+            first: None,
+            pause: Duration::ZERO,
+            ended: false,
+        }
+    }
+
+    /// Time since the request arrived.
+    pub fn took(&self) -> Duration {
+        self.desk.now().saturating_sub(self.arrived)
+    }
+
+    /// Writes a line about a step of this request.
+    pub fn step(&self, what: &str, mut fields: serde_json::Value) {
+        fields["id"] = self.id.as_str().into();
+        fields["ms"] = (self.took().as_millis() as u64).into();
+        log::line(Level::Info, "request", what, fields);
+    }
+
+    /// Notes how the request ended.
+    pub fn end(&mut self, what: &str) {
+        if std::mem::replace(&mut self.ended, true) {
+            return;
+        }
+        let took = self.took();
+        self.desk.metrics.ends.with_label_values(&[what]).inc();
+        self.desk.metrics.whole.observe(took.as_secs_f64());
+        let age = self.desk.fresh.borrow().age(self.desk.now());
+        let sends: Vec<&str> = self.sends.iter().map(|s| &**s).collect();
+        let fields = json!({
+            "id": self.id,
+            "route": self.route,
+            "end": what,
+            "sends": sends,
+            "config": self.desk.routing.borrow().version,
+            "config_age_ms": age.map(|a| a.as_millis() as u64),
+            "first_ms": self.first.map(|f| f.as_millis() as u64),
+            "pause_ms": self.pause.as_millis() as u64,
+            "ms": took.as_millis() as u64,
+        });
+        log::line(Level::Info, "request", "ended", fields);
+    }
+}
+
+impl Drop for Record {
+    fn drop(&mut self) {
+        self.end("caller left");
+    }
+}
