Close half a head in its own time; end connections that nobody reads

Found while splitting the tests: a half-sent head was closed after the time to rest (15 s) and not after its own (3 s), since the connection's timer was set once and looked at only when it fired. A head that begins now wakes the connection's task.

--- a/crates/ashgauged/src/relay/serve.rs
+++ b/crates/ashgauged/src/relay/serve.rs
@@ -19,6 +19,7 @@
 use serde_json::json;
 use spdlog::Level;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, sleep_until};
 
 use super::desk::Desk;
@@ -28,6 +29,10 @@
 /// the descriptors are used up.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Longest time for one request on a connection. Requests have limits of their
+/// own, far below; this ends connections whose callers never read.
+const BUSY_MOST: Duration = Duration::from_secs(600);
+
 /// Path of the box's view of the fleet, on the metrics' port.
 const STATUS_PATH: &str = "/status";
 
@@ -131,6 +136,8 @@
 struct Activity {
     phase: Cell<Phase>,
     since: Cell<Instant>,
+    /// Tells that a head has begun, which may take less time than a rest.
+    begun: Notify,
 }
 
 impl Activity {
@@ -146,6 +153,7 @@
     let activity = Rc::new(Activity {
         phase: Cell::new(Phase::Idle),
         since: Cell::new(Instant::now()),
+        begun: Notify::new(),
     });
     let io = Timed {
         inner: TokioIo::new(stream),
@@ -177,6 +185,7 @@
         tokio::select! {
             // The caller sees its connection end; there is nobody to tell.
             _ = serving.as_mut() => return,
+            () = activity.begun.notified() => {}
             () = sleep_until(until) => {
                 if Instant::now() >= limit(&desk, &activity) {
                     return;
@@ -193,8 +202,7 @@
     match activity.phase.get() {
         Phase::Idle => since + bounds.idle_time,
         Phase::Head => since + bounds.head_time,
-        // Requests have their own limits.
-        Phase::Busy => Instant::now() + bounds.idle_time,
+        Phase::Busy => since + BUSY_MOST,
     }
 }
 
@@ -214,6 +222,7 @@
         let idle = self.activity.phase.get() == Phase::Idle;
         if idle && matches!(polled, Poll::Ready(Ok(()))) {
             self.activity.set(Phase::Head);
+            self.activity.begun.notify_one();
         }
         polled
     }
