Give the orders of a round whose answer was lost

Found while reading: a box whose conditional write was done but not answered took its own round for another's and waited until the layers had not shown in time. It now gives the orders; each names the count of orders before it, so giving them twice is safe. The test was red before: the orders came with a second round seconds later.

--- a/crates/ashgauged/src/relay/place.rs
+++ b/crates/ashgauged/src/relay/place.rs
@@ -155,6 +155,10 @@
             Err(Fault::Missing) => (Stored::default(), None),
             Err(fault) => return Err(fault),
         };
+        if self.is_unheard(service, &stored) {
+            self.give(service, model, stored);
+            return Ok(());
+        }
         self.take_in(service, model, &stored);
         let ranges = self.wanted(service, model);
         if ranges.is_empty() {
@@ -180,6 +184,14 @@
         Ok(())
     }
 
+    /// Whether this box wrote the round without hearing of it: the answer was
+    /// lost, or the process ended before the orders. Giving them again is safe,
+    /// as each names the count of orders before it.
+    fn is_unheard(&self, service: &Service, stored: &Stored) -> bool {
+        let known = self.rounds.get(&*service.name).copied().unwrap_or(0);
+        stored.round > known && stored.by == self.desk.settings().id
+    }
+
     /// Takes a stored round into account, once.
     fn take_in(&mut self, service: &Service, model: &Model, stored: &Stored) {
         let known = self.rounds.get(&*service.name).copied().unwrap_or(0);
