--- a/crates/ashgauge/src/choice.rs
+++ b/crates/ashgauge/src/choice.rs
@@ -29,6 +29,11 @@
 /// changes of data centre.
 const FULL_SECONDS: f64 = 8.0;
 
+/// Seconds that a first engine counts for that failed all its requests lately;
+/// after one failure it is a change of data centre for the caller's request
+/// and a good deal more.
+const FAILING_SECONDS: f64 = 8.0;
+
 /// Requests that an upstream without room counts as having ahead of a new one.
 const FULL_AHEAD: f64 = 20.0;
 
@@ -42,7 +47,7 @@
 
 /// Seconds that it counts for if the first engine is in another data centre:
 /// only the request and its events cross.
-const ENTRY_SECONDS: f64 = 0.2;
+const ENTRY_SECONDS: f64 = 3.0;
 
 /// Share of a pipe that may be used; past it what crosses waits for seconds.
 const PIPE_SHARE: f64 = 0.75;
@@ -143,6 +148,7 @@
     let mut places: Vec<&Arc<str>> = vec![scene.place];
     let mut edges = Vec::new();
     let streams = own_streams(scene, model);
+    let holders = Holders::count(scene, model);
     for entry in scene.roster.of(scene.service) {
         let (Some(held), true) = (entry.upstream.layers, entry.is_usable(scene.now)) else {
             continue;
@@ -158,11 +164,18 @@
         });
         // A slow engine gets through less; its room counts for as much less.
         let slowness = entry.slowness(scene.now);
-        let load = expected_load(scene, entry, streams) * slowness;
+        let load = expected_load(scene, entry, streams, &holders) * slowness;
         let full = match entry.is_full(scene.now) {
             true => 1.0,
             false => load / capacity(model, entry, held).max(1.0),
         };
+        let mut failing = 0.0;
+        let mut full = full;
+        if span.first == 0 && held.first == 0 {
+            // It may become the chain's first, which answers for all.
+            full = full.max(lead_share(scene, entry));
+            failing = FAILING_SECONDS * entry.failures(scene.now);
+        }
         let filling = jitter(rng) / (1.0 - full.min(FULL));
         let fixed = ENGINE_SECONDS + f64::from(model.answer) * HOP_SECONDS;
         let over = if full < FULL {
@@ -174,7 +187,7 @@
             upstream: entry.upstream.id.clone(),
             first: held.first,
             end: held.end,
-            fixed: fixed * filling + over,
+            fixed: fixed * filling + over + failing + entry.backlog(scene.now),
             layer: layer_seconds(model, entry, load) * slowness * filling,
             place,
         });
@@ -207,7 +220,7 @@
         true => 1.0,
         false => AWAY_FACTOR,
     };
-    let failing = 1.0 / (1.0 - entry.failures.min(0.95));
+    let failing = 1.0 / (1.0 - entry.failures(scene.now).min(0.95));
     let ahead = if entry.is_full(scene.now) {
         ahead + FULL_AHEAD
     } else {
@@ -227,17 +240,75 @@
     layers.sum::<f64>() / f64::from(model.layers.max(1))
 }
 
+/// How many engines of a data centre hold each layer.
+struct Holders<'a>(HashMap<&'a Arc<str>, Vec<f64>>);
+
+impl<'a> Holders<'a> {
+    fn count(scene: &Scene<'a>, model: &Model) -> Self {
+        let mut all: HashMap<&Arc<str>, Vec<f64>> = HashMap::new();
+        for entry in scene.roster.of(scene.service) {
+            let place = all.entry(&entry.upstream.place);
+            let counts = place.or_insert_with(|| vec![0.0; model.layers as usize]);
+            let span = entry.upstream.layers.unwrap_or(whole(0));
+            for layer in span.first..span.end.min(model.layers) {
+                counts[layer as usize] += 1.0;
+            }
+        }
+        Holders(all)
+    }
+
+    /// Engines among which an engine's requests are spread, itself included.
+    fn of(&self, entry: &Entry) -> f64 {
+        let span = entry.upstream.layers.unwrap_or(whole(0));
+        let counts = self.0.get(&entry.upstream.place).map_or(&[][..], |c| c);
+        let counts = counts.iter().take(span.end as usize);
+        let sum: f64 = counts.skip(span.first as usize).sum();
+        (sum / f64::from(span.len().max(1))).max(1.0)
+    }
+}
+
 /// Requests that all boxes together have on an engine, as far as this box can
 /// tell from its own: its neighbours are taken to do as it does, and the boxes
-/// elsewhere to use their own engines in the same way.
-fn expected_load(scene: &Scene, entry: &Entry, streams: f64) -> f64 {
+/// elsewhere to spread as many over the engines there.
+fn expected_load(scene: &Scene, entry: &Entry, streams: f64, holders: &Holders) -> f64 {
     let own = f64::from(entry.inflight);
     match entry.upstream.place == *scene.place {
         true => own * scene.neighbours,
-        false => own * scene.boxes + streams * scene.neighbours,
+        false => own * scene.boxes + streams * scene.neighbours / holders.of(entry),
+    }
+}
+
+/// Share of an engine's slots that is taken by the requests that were sent to
+/// it; those that are led through it take none.
+fn lead_share(scene: &Scene, entry: &Entry) -> f64 {
+    let leads = f64::from(entry.leads) * likes(scene, entry);
+    leads / f64::from(entry.upstream.slots.max(1))
+}
+
+/// Boxes that are taken to use an engine as this one does.
+fn likes(scene: &Scene, entry: &Entry) -> f64 {
+    match entry.upstream.place == *scene.place {
+        true => scene.neighbours,
+        false => scene.boxes,
     }
 }
 
+/// Seconds that an engine needs to read `tokens` through some of its layers,
+/// for this box and those that are taken to give it as much.
+pub fn reading_seconds(
+    scene: &Scene,
+    model: &Model,
+    entry: &Entry,
+    layers: Layer,
+    tokens: u32,
+) -> f64 {
+    let card = entry.upstream.card.as_ref();
+    let factor = card.and_then(|c| model.cards.get(c));
+    let factor = factor.map_or(1.0, |c| c.read_factor) * entry.slowness(scene.now);
+    let whole = f64::from(tokens) / model.read_rate.max(1.0) * factor;
+    whole * f64::from(layers) / f64::from(model.layers.max(1)) * likes(scene, entry)
+}
+
 /// Seconds that one layer costs a usual request on an engine with this load.
 fn layer_seconds(model: &Model, entry: &Entry, load: f64) -> f64 {
     let card = entry
--- a/crates/ashgauge/src/lib.rs
+++ b/crates/ashgauge/src/lib.rs
@@ -64,6 +64,7 @@
 pub mod message;
 pub mod node;
 pub mod order;
+pub mod pending;
 pub mod placement;
 pub mod policy;
 pub mod queue;
--- /dev/null
+++ b/crates/ashgauge/src/pending.rs
@@ -0,0 +1,93 @@
+//! Ranges of layers that were ordered and do not show yet.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::member::UpstreamId;
+use crate::placement::Assignment;
+use crate::roster::Span;
+
+/// A range that does not show yet, as one box tells it to others.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Unshown {
+    /// The range and its engine.
+    #[serde(flatten)]
+    pub range: Assignment,
+    /// How much longer it may take to show, in milliseconds, from the moment
+    /// of telling.
+    pub left_ms: u64,
+}
+
+/// What was ordered of engines, and until when it may take to show.
+///
+/// Boxes tell each other what they wait for, with the time that is left. An
+/// order that was lost thus lapses everywhere, however often it is told on.
+///
+/// # Example
+///
+/// ```
+/// use std::time::Duration;
+/// use ashgauge::pending::Pending;
+/// use ashgauge::placement::Assignment;
+/// use ashgauge::roster::Span;
+///
+/// let second = Duration::from_secs(1);
+/// let range = Assignment { id: "e1".into(), span: Span { first: 0, end: 4 } };
+/// let (mut here, mut there) = (Pending::default(), Pending::default());
+/// here.order(Duration::ZERO, &[range], second * 5);
+/// there.hear(second * 2, &here.tell(second * 2));
+/// assert!(there.span("e1").is_some());
+/// there.expire(second * 5);
+/// assert!(there.span("e1").is_none());
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Pending(HashMap<UpstreamId, (Span, Duration)>);
+
+impl Pending {
+    /// Notes ranges that are ordered now and may take `time` to show.
+    pub fn order(&mut self, now: Duration, ranges: &[Assignment], time: Duration) {
+        for range in ranges {
+            self.0.insert(range.id.clone(), (range.span, now + time));
+        }
+    }
+
+    /// Takes what another box told; what this box knows itself goes before it.
+    pub fn hear(&mut self, now: Duration, told: &[Unshown]) {
+        for unshown in told {
+            let until = now + Duration::from_millis(unshown.left_ms);
+            let range = &unshown.range;
+            let known = self.0.entry(range.id.clone());
+            known.or_insert((range.span, until));
+        }
+    }
+
+    /// What other boxes are to know.
+    pub fn tell(&self, now: Duration) -> Vec<Unshown> {
+        let unshown = self.0.iter().map(|(id, (span, until))| Unshown {
+            range: Assignment {
+                id: id.clone(),
+                span: *span,
+            },
+            left_ms: until.saturating_sub(now).as_millis() as u64,
+        });
+        unshown.collect()
+    }
+
+    /// Forgets what had its time.
+    pub fn expire(&mut self, now: Duration) {
+        self.0.retain(|_, (_, until)| now < *until);
+    }
+
+    /// Forgets ranges for which `is_open` says no: those that show, or whose
+    /// engine is gone.
+    pub fn keep(&mut self, is_open: impl Fn(&str, Span) -> bool) {
+        self.0.retain(|id, (span, _)| is_open(id, *span));
+    }
+
+    /// The range that an engine was ordered to hold and does not show yet.
+    pub fn span(&self, id: &str) -> Option<Span> {
+        self.0.get(id).map(|(span, _)| *span)
+    }
+}
--- a/crates/ashgauge/src/placement.rs
+++ b/crates/ashgauge/src/placement.rs
@@ -7,6 +7,7 @@
 //! left becomes second holders, so that the loss of an engine leaves a chain.
 //! Where losses have left some layers thin, engines are moved there.
 
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
 use crate::chain::Layer;
@@ -18,18 +19,33 @@
 ///
 /// What is left holds requests. Measured on the users' sites: at 0.9 too few
 /// requests fit, at 0.55 too few layers (docs/MEASUREMENTS.md).
-const FILLS: [f64; 4] = [0.60, 0.66, 0.72, 0.78];
+const FILLS: [f64; 4] = [0.60, 0.66, 0.72, FILL_MOST];
+
+/// The largest of those shares.
+const FILL_MOST: f64 = 0.78;
 
 /// Copies of the model in a data centre at which no more memory is given to
 /// weights: one chain, and second holders for some of the layers.
 const COPIES: f64 = 1.15;
 
+/// The same where the memory allows a second copy of every layer: the loss of
+/// any engine then leaves a chain in the data centre, and the loss of most
+/// pairs. Measured against the figure above: docs/MEASUREMENTS.md.
+const COPIES_SPARE: f64 = 2.4;
+
+/// Copies that the memory must allow for that.
+const COPIES_SECOND: f64 = 2.0;
+
 /// Requests of usual size for which an engine's memory counts as one holder.
 const HOLDER_REQUESTS: f64 = 100.0;
 
 /// Holders for which one engine counts at most: its processor bounds it too.
 const HOLDERS_MOST: f64 = 2.0;
 
+/// The same in a data centre with memory for a second copy of every layer:
+/// however much room an engine has, its loss leaves one holder less.
+const HOLDERS_SPARE: f64 = 1.0;
+
 /// Weight of a layer's holders within a data centre, against all holders.
 const HERE_WEIGHT: f64 = 1.0;
 
@@ -127,12 +143,13 @@
 /// for requests.
 pub fn cover(model: &Model, seats: &[Seat], place: Option<&str>) -> Vec<f64> {
     let mut cover = vec![0.0; model.layers as usize];
+    let rich = rich_places(model, seats);
     let here = |s: &&Seat| place.is_none_or(|p| *s.place == *p);
     for seat in seats.iter().filter(here) {
         let Some(span) = seat.span else {
             continue;
         };
-        let holders = holders(model, seat, span.len());
+        let holders = holders(model, seat, span.len(), &rich);
         for layer in span.first..span.end.min(model.layers) {
             cover[layer as usize] += holders;
         }
@@ -146,14 +163,29 @@
 
 /// The least share of memory at which a data centre holds enough copies.
 fn choose_fill(model: &Model, seats: &[Seat], place: &str) -> f64 {
-    let wanted = COPIES * f64::from(model.layers);
+    let copies = match rich_places(model, seats).contains(place) {
+        true => COPIES_SPARE,
+        false => COPIES,
+    };
     let held = |fill: f64| -> f64 {
         let here = seats.iter().filter(|s| *s.place == *place);
         here.map(|s| f64::from(capacity(model, &s.card, fill)))
             .sum()
     };
+    let wanted = copies * f64::from(model.layers);
     let enough = FILLS.iter().find(|fill| held(**fill) >= wanted);
-    *enough.unwrap_or(&FILLS[FILLS.len() - 1])
+    *enough.unwrap_or(&FILL_MOST)
+}
+
+/// Data centres with memory for a second copy of every layer.
+fn rich_places<'a>(model: &Model, seats: &'a [Seat]) -> HashSet<&'a str> {
+    let mut held: HashMap<&str, f64> = HashMap::new();
+    for seat in seats {
+        let layers = capacity(model, &seat.card, FILL_MOST);
+        *held.entry(&seat.place).or_default() += f64::from(layers);
+    }
+    held.retain(|_, held| *held >= COPIES_SECOND * f64::from(model.layers));
+    held.into_keys().collect()
 }
 
 /// The move of one engine that gains most, if it gains enough: its index and
@@ -226,7 +258,7 @@
 
 /// What each layer gains by one more holder, which holds `len` layers in all.
 fn layer_gains(model: &Model, seats: &[Seat], at: usize, len: Layer) -> Vec<f64> {
-    let more = holders(model, &seats[at], len);
+    let more = holders(model, &seats[at], len, &rich_places(model, seats));
     let here = cover(model, seats, Some(&seats[at].place));
     let all = cover(model, seats, None);
     let worth = |x: f64| -1.0 / (x + SMOOTHING);
@@ -240,6 +272,10 @@
 
 /// For how many holders an engine counts that holds `len` layers: its memory
 /// for requests bounds how much of the load it takes.
-fn holders(model: &Model, seat: &Seat, len: Layer) -> f64 {
-    (model.room(&seat.card, len) / HOLDER_REQUESTS).min(HOLDERS_MOST)
+fn holders(model: &Model, seat: &Seat, len: Layer, rich: &HashSet<&str>) -> f64 {
+    let most = match rich.contains(&*seat.place) {
+        true => HOLDERS_SPARE,
+        false => HOLDERS_MOST,
+    };
+    (model.room(&seat.card, len) / HOLDER_REQUESTS).min(most)
 }
--- a/crates/ashgauge/src/roster.rs
+++ b/crates/ashgauge/src/roster.rs
@@ -37,6 +37,11 @@
 /// Weight of the newest outcome in the learned share of failures.
 const LEARN_FAILURE: f64 = 0.25;
 
+/// Time over which a learned share of failures fades: an upstream that gets no
+/// requests for its failures must be tried again. The users' upstreams fail
+/// for some seconds at a time.
+const FAILURE_TIME: Duration = Duration::from_secs(8);
+
 /// An upstream as it announces itself.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Upstream {
@@ -76,16 +81,21 @@
     pub upstream: Upstream,
     /// Requests of this box that it works on.
     pub inflight: u32,
+    /// Those of them that were sent to it; the others it got from an engine
+    /// before it in their chain.
+    pub leads: u32,
     /// Learned time of an answer, in seconds; 0 if unknown.
     pub seconds: f64,
-    /// Learned share of requests that failed.
-    pub failures: f64,
     /// Load that it last told: requests running and waiting.
     pub load: Option<(u32, u32)>,
+    /// Learned share of requests that failed, at a time.
+    failing: (f64, Duration),
     suspect: Option<Duration>,
     full: Option<Duration>,
     slow: Option<(f64, Duration)>,
     missing: Option<Duration>,
+    /// Seconds of reading that it was given and that were not over at a time.
+    reading: (f64, Duration),
 }
 
 /// All upstreams.
@@ -135,6 +145,19 @@
         told.map_or(1.0, |(factor, _)| factor.max(1.0))
     }
 
+    /// Learned share of requests that failed lately, 0 to 1.
+    pub fn failures(&self, now: Duration) -> f64 {
+        let (share, at) = self.failing;
+        let age = now.saturating_sub(at).as_secs_f64();
+        share * (-age / FAILURE_TIME.as_secs_f64()).exp()
+    }
+
+    /// Seconds for which it has prompts to read, as far as is known.
+    pub fn backlog(&self, now: Duration) -> f64 {
+        let (seconds, at) = self.reading;
+        (seconds - now.saturating_sub(at).as_secs_f64()).max(0.0)
+    }
+
     /// Whether it had no room a moment ago.
     pub fn is_full(&self, now: Duration) -> bool {
         self.full.is_some_and(|until| now < until)
@@ -171,13 +194,15 @@
         let entry = Entry {
             upstream,
             inflight: 0,
+            leads: 0,
             seconds: 0.0,
-            failures: 0.0,
+            failing: (0.0, Duration::ZERO),
             load: None,
             suspect: None,
             full: None,
             slow: None,
             missing: None,
+            reading: (0.0, Duration::ZERO),
         };
         self.entries.insert(entry.upstream.id.clone(), entry);
     }
@@ -256,8 +281,30 @@
         }
     }
 
+    /// Notes that a request of this box was sent to an upstream, not only led
+    /// through it.
+    pub fn lead(&mut self, id: &str) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.leads += 1;
+        }
+    }
+
+    /// Notes that such a request is no longer there.
+    pub fn end_lead(&mut self, id: &str) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.leads = entry.leads.saturating_sub(1);
+        }
+    }
+
+    /// Notes that an upstream was given prompts that take it `seconds` to read.
+    pub fn note_reading(&mut self, now: Duration, id: &str, seconds: f64) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.reading = (entry.backlog(now) + seconds, now);
+        }
+    }
+
     /// Learns from an answer that took `took`.
-    pub fn learn(&mut self, id: &str, took: Duration) {
+    pub fn learn(&mut self, now: Duration, id: &str, took: Duration) {
         let Some(entry) = self.entries.get_mut(id) else {
             return;
         };
@@ -266,14 +313,15 @@
             0.0 => seconds,
             old => old + LEARN * (seconds - old),
         };
-        entry.failures *= 1.0 - LEARN_FAILURE;
+        entry.failing = (entry.failures(now) * (1.0 - LEARN_FAILURE), now);
         entry.suspect = None;
     }
 
     /// Learns from a request that brought no answer or a faulty one.
-    pub fn fail(&mut self, id: &str) {
+    pub fn fail(&mut self, now: Duration, id: &str) {
         if let Some(entry) = self.entries.get_mut(id) {
-            entry.failures += LEARN_FAILURE * (1.0 - entry.failures);
+            let share = entry.failures(now);
+            entry.failing = (share + LEARN_FAILURE * (1.0 - share), now);
         }
     }
 
--- a/crates/ashgauge/tests/knowledge.rs
+++ b/crates/ashgauge/tests/knowledge.rs
@@ -102,7 +102,7 @@
     assert!(!usable(&roster, SECOND * 2));
     assert!(usable(&roster, SECOND * 6));
     roster.suspect(SECOND * 6, "e1");
-    roster.learn("e1", SECOND);
+    roster.learn(SECOND, "e1", SECOND);
     assert!(usable(&roster, SECOND * 6));
 }
 
--- a/crates/ashgauge/tests/placement.rs
+++ b/crates/ashgauge/tests/placement.rs
@@ -76,6 +76,21 @@
     }
 }
 
+/// With a share of 0.6 for weights a rich data centre held 1.9 copies, and most
+/// losses of two engines left some layer there without a holder.
+#[test]
+fn rich_data_centre_survives_the_loss_of_any_engine() {
+    let groups = [("a", "medium", 3), ("a", "small", 9), ("a", "tiny", 13)];
+    let mut seats = seats(&groups);
+    settle(&model(), &mut seats);
+    for lost in 0..seats.len() {
+        let mut left = seats.clone();
+        left.remove(lost);
+        let cover = cover(&model(), &left, Some("a"));
+        assert!(cover.iter().all(|c| *c > 0.0), "{lost}: {cover:?}");
+    }
+}
+
 fn any_seats() -> impl Strategy<Value = Vec<Seat>> {
     let place = prop::sample::select(vec!["a", "b", "c", "d"]);
     let card = prop::sample::select(vec!["large", "medium", "small", "tiny", "unknown"]);
--- a/crates/ashgauged/src/relay/desk.rs
+++ b/crates/ashgauged/src/relay/desk.rs
@@ -34,6 +34,9 @@
 /// the part of the retry budget is small.
 const BOXES_ASSUMED: u32 = 16;
 
+/// Time since the start after which a small count of the boxes is believed.
+const TRUST_AFTER: Duration = Duration::from_secs(3);
+
 /// What the tasks of one box share.
 pub struct Desk {
     settings: RefCell<Rc<Settings>>,
@@ -61,7 +64,7 @@
     pub bodies: Cell<usize>,
     /// Figures for operators.
     pub metrics: Metrics,
-    /// Tells streams that an upstream became suspect.
+    /// Tells streams that an upstream became suspect, or gives up what it held.
     pub suspects: watch::Sender<u64>,
     /// Probes of upstreams of the last moments.
     pub probes: Probes,
@@ -69,6 +72,7 @@
     place: Arc<str>,
     budgets: RefCell<HashMap<ServiceId, Window>>,
     boxes: Cell<u32>,
+    counted: Cell<u32>,
     rng: RefCell<SmallRng>,
     epoch: Instant,
 }
@@ -96,6 +100,7 @@
             place: settings.data_centre.as_str().into(),
             budgets: RefCell::default(),
             boxes: Cell::new(BOXES_ASSUMED),
+            counted: Cell::new(0),
             rng: RefCell::new(SmallRng::from_os_rng()),
             epoch: Instant::now(),
             settings: RefCell::new(Rc::new(settings)),
@@ -143,6 +148,12 @@
 
     /// Notes how many boxes share the fleet's budgets.
     pub fn set_boxes(&self, boxes: u32) {
+        self.counted.set(boxes);
+        // A small first count may be from before the others had started.
+        let boxes = match self.epoch.elapsed() < TRUST_AFTER {
+            true => boxes.max(BOXES_ASSUMED),
+            false => boxes,
+        };
         if self.boxes.replace(boxes) == boxes {
             return;
         }
@@ -152,6 +163,11 @@
         log::line(Level::Info, "fleet", "boxes", json!({"boxes": boxes}));
     }
 
+    /// Boxes that were counted so far; 0 before the first count.
+    pub fn counted_boxes(&self) -> u32 {
+        self.counted.get()
+    }
+
     /// Boxes that share the fleet's budgets, as far as is known.
     pub fn boxes(&self) -> u32 {
         self.boxes.get()
@@ -237,6 +253,32 @@
         }
     }
 
+    /// Notes that engines are to read `tokens` tokens, each through its stage.
+    pub fn note_reading<'a>(
+        &self,
+        model: &Model,
+        service: &str,
+        stages: impl Iterator<Item = &'a Stage>,
+        tokens: u32,
+    ) {
+        let mut roster = self.roster.borrow_mut();
+        let pipes = self.pipes.borrow();
+        for stage in stages {
+            let layers = stage.end - stage.first;
+            let scene = self.scene(&roster, &pipes, service);
+            let entry = roster.get(&stage.upstream);
+            let seconds = entry.map(|e| choice::reading_seconds(&scene, model, e, layers, tokens));
+            if let Some(seconds) = seconds {
+                roster.note_reading(self.now(), &stage.upstream, seconds);
+            }
+        }
+    }
+
+    /// Tells the streams that the upstreams that they use may have changed.
+    pub fn wake_streams(&self) {
+        self.suspects.send_modify(|n| *n += 1);
+    }
+
     /// Notes that an upstream does not answer and tells the streams on it.
     pub fn suspect(&self, id: &str, why: &str) {
         let new = self.roster.borrow_mut().suspect(self.now(), id);
@@ -248,7 +290,7 @@
                 "suspect",
                 json!({"upstream": id, "why": why}),
             );
-            self.suspects.send_modify(|n| *n += 1);
+            self.wake_streams();
         }
     }
 
--- a/crates/ashgauged/src/relay/follow.rs
+++ b/crates/ashgauged/src/relay/follow.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use ashgauge::fresh::Ledger;
+use ashgauge::roster::Upstream;
 use platform::servers::Update;
 use platform::store::Revision;
 use platform::{Fault, config, servers};
@@ -16,7 +17,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::desk::Desk;
-use super::log;
+use super::{log, place};
 
 /// First pause after a call that failed; doubled up to [`PAUSE_MOST`].
 const PAUSE_FIRST: Duration = Duration::from_millis(100);
@@ -33,29 +34,36 @@
 /// upstreams live; the users' figure.
 const RETURN_TIME: Duration = Duration::from_secs(2);
 
-/// Pause after a watch that brought changes, so that those which come together
-/// cost one call; a small part of the users' least bound (2 s).
-const GATHER_TIME: Duration = Duration::from_millis(200);
+/// Share of the operators' bounds for which changes are gathered after a watch
+/// brought some, so that those which come together cost one call. What is left
+/// is for the call itself and for requests on their way.
+const GATHER_SHARE: f64 = 0.35;
 
-/// The same before any engine holds layers: all entries are new then, and
-/// nothing can be served yet.
-const GATHER_FIRST: Duration = Duration::from_millis(800);
+/// How long they are gathered before any engine holds layers: all entries are
+/// new then, and nothing can be served yet.
+const GATHER_FIRST: Duration = Duration::from_millis(1200);
 
 /// Kind of the objects by which boxes count each other.
 const BOX_KIND: &str = "ashgauge-boxes";
 
-/// Time from announcing this box to the first count, so that boxes that start
-/// together see each other; the cheap read is some seconds old.
-const COUNT_FIRST: Duration = Duration::from_secs(5);
+/// Time from announcing this box to the second count, so that boxes that start
+/// together see each other; the cheap read is some seconds old. The first
+/// count, at once, serves a box that joins a fleet.
+const COUNT_AGAIN: Duration = Duration::from_secs(5);
 
 /// Time between two counts of the boxes.
-const COUNT_EVERY: Duration = Duration::from_secs(10);
+const COUNT_EVERY: Duration = Duration::from_secs(15);
 
 /// What the following tasks tell each other.
 pub struct Follower {
     desk: Rc<Desk>,
     /// Changes of the store that were read.
     ledger: RefCell<Ledger>,
+    /// Revision up to which the configuration is known; nothing until it was
+    /// read, or once the history behind it is gone.
+    config_at: Cell<Option<Revision>>,
+    /// The same for the list of upstreams.
+    servers_at: Cell<Option<Revision>>,
     /// When a call to the store last failed, while it is away.
     failed: Cell<Option<Duration>>,
     /// When the store last came back.
@@ -73,6 +81,8 @@
         let follower = Rc::new(Follower {
             desk,
             ledger: RefCell::default(),
+            config_at: Cell::new(None),
+            servers_at: Cell::new(None),
             failed: Cell::new(None),
             returned: Cell::new(None),
             restart: Notify::new(),
@@ -115,23 +125,49 @@
             let asked = desk.now();
             let at = config::revision(&desk.store).await?;
             self.count_call();
-            if self.ledger.borrow().covers(at) {
+            if self.covers(at).await {
                 desk.fresh.borrow_mut().confirm(asked);
                 return Ok(());
             }
         }
-        let config_at = self.read_config().await?;
+        self.read_config().await?;
         if desk.routing().version == 0 && self.failed.get().is_none() {
             // Nothing can be served yet, and the watch brings the upstreams.
             return Ok(());
         }
-        let servers_at = self.read_servers().await?;
-        self.ledger.borrow_mut().read_all(config_at.min(servers_at));
+        self.read_servers().await?;
         self.regained();
         Ok(())
     }
 
-    async fn read_config(&self) -> Result<Revision, Fault> {
+    /// Whether all changes up to a revision are known: those that watches
+    /// brought, and the boxes' own rounds of orders, which no watch brings.
+    async fn covers(&self, at: Revision) -> bool {
+        if self.ledger.borrow().covers(at) {
+            return true;
+        }
+        match place::written_rounds(&self.desk.store).await {
+            Ok(rounds) => {
+                let mut ledger = self.ledger.borrow_mut();
+                rounds.into_iter().for_each(|revision| ledger.add(revision));
+                ledger.covers(at)
+            }
+            Err(fault) => {
+                let fields = json!({"fault": fault.to_string()});
+                log::line(Level::Debug, "store", "rounds not read", fields);
+                false
+            }
+        }
+    }
+
+    /// Notes that everything up to what was read of both kinds is known.
+    fn note_read(&self) {
+        if let (Some(config), Some(servers)) = (self.config_at.get(), self.servers_at.get()) {
+            self.ledger.borrow_mut().read_all(config.min(servers));
+        }
+    }
+
+    async fn read_config(&self) -> Result<(), Fault> {
         let asked = self.desk.now();
         let (config, at) = config::read(&self.desk.store, skipped).await?;
         self.count_call();
@@ -139,7 +175,9 @@
             self.adopt(config);
             self.desk.fresh.borrow_mut().confirm(asked);
         }
-        Ok(at)
+        advance(&self.config_at, at);
+        self.note_read();
+        Ok(())
     }
 
     /// Puts a configuration in force unless a newer one is.
@@ -157,76 +195,87 @@
         log::line(Level::Info, "config", "in force", fields);
     }
 
-    async fn read_servers(&self) -> Result<Revision, Fault> {
+    async fn read_servers(&self) -> Result<(), Fault> {
         let (list, at) = servers::list(&self.desk.store, skipped).await?;
         self.count_call();
         let count = list.len();
         let sure = !self.is_unsure();
         let now = self.desk.now();
+        self.log_changed(&list, at);
         self.desk.roster.borrow_mut().replace(now, list, sure);
         self.desk.listed.set(true);
         let fields = json!({"upstreams": count, "at": at, "sure": sure});
         log::line(Level::Info, "roster", "listed", fields);
-        Ok(at)
+        advance(&self.servers_at, at);
+        self.note_read();
+        Ok(())
+    }
+
+    /// Writes a line for each upstream of a list that no watch had brought.
+    fn log_changed(&self, list: &[Upstream], at: Revision) {
+        let roster = self.desk.roster.borrow();
+        let is_known = |u: &&Upstream| roster.get(&u.id).is_some_and(|e| e.upstream == **u);
+        let changed = list.iter().filter(|u| !is_known(u));
+        changed.for_each(|upstream| log_announced(upstream, at));
     }
 
     async fn follow_config(self: Rc<Self>) {
-        let mut after = None;
         loop {
-            let Some(from) = after else {
-                after = self.begin("config", self.read_config().await).await;
+            let Some(from) = self.config_at.get() else {
+                self.begin("config", self.read_config().await).await;
                 continue;
             };
             let watch = config::watch(&self.desk.store, from, self.watch_time(), skipped);
             match self.unless_restarted(watch).await {
                 Some(Ok((configs, at))) => {
-                    after = Some(at.max(from));
+                    let changed = !configs.is_empty();
                     for (config, revision) in configs {
                         self.ledger.borrow_mut().add(revision);
                         self.adopt(config);
                     }
-                    sleep(GATHER_TIME).await;
+                    advance(&self.config_at, at);
+                    if changed {
+                        sleep(self.config_gather()).await;
+                    }
                 }
                 Some(Err(fault)) => {
-                    after = None;
+                    self.config_at.set(None);
                     self.wait_out("config", &fault).await;
                 }
-                None => after = None,
+                None => {}
             }
         }
     }
 
     async fn follow_servers(self: Rc<Self>) {
-        let mut after = None;
         loop {
-            let Some(from) = after else {
-                after = self.begin("servers", self.read_servers().await).await;
+            let Some(from) = self.servers_at.get() else {
+                self.begin("servers", self.read_servers().await).await;
                 continue;
             };
             let watch = servers::watch(&self.desk.store, from, self.watch_time(), skipped);
             match self.unless_restarted(watch).await {
                 Some(Ok((updates, at))) => {
-                    after = Some(at.max(from));
+                    let changed = !updates.is_empty();
                     self.apply(updates);
-                    sleep(self.gather_time()).await;
+                    advance(&self.servers_at, at);
+                    if changed {
+                        sleep(self.servers_gather()).await;
+                    }
                 }
                 Some(Err(fault)) => {
-                    after = None;
+                    self.servers_at.set(None);
                     self.wait_out("servers", &fault).await;
                 }
-                None => after = None,
+                None => {}
             }
         }
     }
 
-    /// The revision to watch from, once the list was read.
-    async fn begin(&self, what: &str, read: Result<Revision, Fault>) -> Option<Revision> {
-        match read {
-            Ok(at) => Some(at),
-            Err(fault) => {
-                self.wait_out(what, &fault).await;
-                None
-            }
+    /// Waits if a first reading failed.
+    async fn begin(&self, what: &str, read: Result<(), Fault>) {
+        if let Err(fault) = read {
+            self.wait_out(what, &fault).await;
         }
     }
 
@@ -251,19 +300,19 @@
 
     fn apply(&self, updates: Vec<Update>) {
         let now = self.desk.now();
+        // A list that was read while the watch was under way is newer.
+        let known = self.servers_at.get().unwrap_or(0);
         for update in updates {
             match update {
+                Update::Put(_, revision) | Update::Gone(_, revision) if revision <= known => {}
                 Update::Put(upstream, revision) => {
                     self.ledger.borrow_mut().add(revision);
-                    let fields = json!({
-                        "upstream": &*upstream.id,
-                        "addr": upstream.addr,
-                        "leaving": upstream.leaving,
-                        "layers": upstream.layers,
-                        "revision": revision,
-                    });
-                    log::line(Level::Info, "roster", "announced", fields);
+                    log_announced(&upstream, revision);
+                    let gives_up = self.gives_up(&upstream);
                     self.desk.roster.borrow_mut().put(upstream);
+                    if gives_up {
+                        self.desk.wake_streams();
+                    }
                 }
                 Update::Gone(id, revision) => {
                     self.ledger.borrow_mut().add(revision);
@@ -280,15 +329,29 @@
         }
     }
 
-    fn gather_time(&self) -> Duration {
+    /// Whether an upstream begins to leave, or gives up layers that it held.
+    fn gives_up(&self, upstream: &Upstream) -> bool {
+        let roster = self.desk.roster.borrow();
+        let before = roster.get(&upstream.id).map(|e| &e.upstream);
+        before.is_some_and(|b| {
+            let leaves = upstream.leaving && !b.leaving;
+            leaves || (b.layers.is_some() && b.layers != upstream.layers)
+        })
+    }
+
+    fn servers_gather(&self) -> Duration {
         let roster = self.desk.roster.borrow();
         let placed = roster.all().any(|e| e.upstream.layers.is_some());
         match placed || self.desk.is_ready() {
-            true => GATHER_TIME,
+            true => self.desk.settings().drain_time().mul_f64(GATHER_SHARE),
             false => GATHER_FIRST,
         }
     }
 
+    fn config_gather(&self) -> Duration {
+        self.desk.settings().apply_time().mul_f64(GATHER_SHARE)
+    }
+
     /// Whether entries may be missing only because the store was away.
     fn is_unsure(&self) -> bool {
         let now = self.desk.now();
@@ -352,17 +415,41 @@
             }
             sleep(PAUSE_MOST).await;
         }
-        sleep(COUNT_FIRST).await;
+        self.count_once().await;
+        sleep(COUNT_AGAIN).await;
         loop {
-            match store.count_stale(BOX_KIND).await {
-                // It must at least have this box.
-                Ok(0) => {}
-                Ok(count) => self.desk.set_boxes(count as u32),
-                Err(fault) => self.lost("boxes", &fault),
-            }
+            self.count_once().await;
             sleep(COUNT_EVERY).await;
         }
     }
+
+    async fn count_once(&self) {
+        match self.desk.store.count_stale(BOX_KIND).await {
+            // An older state of the store may lack even this box.
+            Ok(count) if count as u32 > self.desk.counted_boxes() => {
+                self.desk.set_boxes(count as u32);
+            }
+            Ok(_) => {}
+            Err(fault) => self.lost("boxes", &fault),
+        }
+    }
+}
+
+/// Moves a known revision on; a reading that was overtaken does not move it
+/// back.
+fn advance(known: &Cell<Option<Revision>>, at: Revision) {
+    known.set(known.get().max(Some(at)));
+}
+
+fn log_announced(upstream: &Upstream, revision: Revision) {
+    let fields = json!({
+        "upstream": &*upstream.id,
+        "addr": upstream.addr,
+        "leaving": upstream.leaving,
+        "layers": upstream.layers,
+        "revision": revision,
+    });
+    log::line(Level::Info, "roster", "announced", fields);
 }
 
 fn skipped(name: &str, fault: &Fault) {
--- a/crates/ashgauged/src/relay/forward.rs
+++ b/crates/ashgauged/src/relay/forward.rs
@@ -22,6 +22,7 @@
 use super::desk::Desk;
 use super::dial;
 use super::log;
+use super::probe;
 use super::record::Record;
 use super::serve::Body;
 use super::stream;
@@ -225,7 +226,12 @@
     match outcome {
         Outcome::NotSent => desk.suspect(id, "no connection"),
         Outcome::NotRun => {}
-        Outcome::Failed | Outcome::Lost => desk.roster.borrow_mut().fail(id),
+        // Which engine of a chain was lost is looked into where it is seen.
+        Outcome::Lost if a.route.stream.is_some() => {}
+        Outcome::Failed | Outcome::Lost => {
+            let now = desk.now();
+            desk.roster.borrow_mut().fail(now, id);
+        }
     }
 }
 
@@ -275,7 +281,8 @@
         roster.report(id, running, waiting);
     }
     if !answer.status().is_server_error() {
-        roster.learn(id, desk.now() - began);
+        let now = desk.now();
+        roster.learn(now, id, now - began);
         desk.metrics.first.observe(a.record.took().as_secs_f64());
     }
     Ok(answer)
@@ -293,7 +300,7 @@
 
 /// Sends on a fresh connection and reads the whole answer.
 async fn collect(
-    desk: &Desk,
+    desk: &Rc<Desk>,
     upstream: &UpstreamId,
     line: dial::Line,
     request: Request<Full<Bytes>>,
@@ -320,7 +327,10 @@
 
 /// Learns from a refusal of an upstream, or of an engine that it names;
 /// returns whose it was.
-pub fn refused(desk: &Desk, upstream: &UpstreamId, verdict: Verdict) -> UpstreamId {
+///
+/// An engine of a chain that is dead is named in the same way as one that has
+/// no room, so one that another engine names is checked.
+pub fn refused(desk: &Rc<Desk>, upstream: &UpstreamId, verdict: Verdict) -> UpstreamId {
     let (Verdict::Full(at) | Verdict::Stale(at)) = &verdict else {
         return upstream.clone();
     };
@@ -328,11 +338,15 @@
     let named = at.as_ref().and_then(|addr| roster.at(addr));
     let id = named.map_or(upstream, |e| &e.upstream.id).clone();
     let fields = json!({"upstream": &*id, "verdict": format!("{verdict:?}")});
-    log::line(Level::Debug, "request", "refused", fields);
+    log::line(Level::Info, "request", "refused", fields);
     match verdict {
         Verdict::Stale(_) => roster.note_stale(desk.now(), &id),
         _ => roster.note_full(desk.now(), &id),
     }
+    drop(roster);
+    if id != *upstream {
+        tokio::task::spawn_local(probe::check(desk.clone(), id.clone()));
+    }
     id
 }
 
@@ -368,7 +382,8 @@
     answer.map(|body| Full::new(body).map_err(|e| match e {}).boxed_unsync())
 }
 
-/// Counts a request on its upstreams until it is dropped.
+/// Counts a request on its upstreams, the first of which it was sent to, until
+/// it is dropped.
 pub struct Hold {
     desk: Rc<Desk>,
     ids: Vec<UpstreamId>,
@@ -379,6 +394,9 @@
     pub fn new(desk: &Rc<Desk>, ids: Vec<UpstreamId>) -> Self {
         let mut roster = desk.roster.borrow_mut();
         ids.iter().for_each(|id| roster.begin(id));
+        if let Some(first) = ids.first() {
+            roster.lead(first);
+        }
         drop(roster);
         Hold {
             desk: desk.clone(),
@@ -391,5 +409,8 @@
     fn drop(&mut self) {
         let mut roster = self.desk.roster.borrow_mut();
         self.ids.iter().for_each(|id| roster.end(id));
+        if let Some(first) = self.ids.first() {
+            roster.end_lead(first);
+        }
     }
 }
--- a/crates/ashgauged/src/relay/open.rs
+++ b/crates/ashgauged/src/relay/open.rs
@@ -96,6 +96,7 @@
     match engine::judge(&parts, &a.ask.id) {
         Verdict::Answer if parts.status.is_success() => {}
         Verdict::Answer => {
+            avoid.push(lead.clone());
             let failure = read_failure(exchange, parts).await;
             let outcome = match &failure {
                 Some(_) => Outcome::Failed,
@@ -131,6 +132,7 @@
             let (text, first) = desk.chain_text(&stages)?;
             let tokens = a.ask.prompt + a.ask.answer;
             desk.note_crossings(model, &stages, tokens);
+            desk.note_reading(model, &a.service.name, stages.iter(), a.ask.prompt);
             Some((stages, Some(text), first))
         }
         None => {
@@ -156,12 +158,25 @@
     avoid: &mut Vec<UpstreamId>,
 ) -> Result<Exchange, Outcome> {
     tokio::pin!(sending);
+    let lead = &stages[0].upstream;
     let mut wait = Duration::from_millis(desk.settings().timing.first_ms);
     let began = desk.now();
     loop {
         let left = handoff.left(desk.now());
         if let Ok(sent) = timeout(wait.min(left), sending.as_mut()).await {
-            return sent.map_err(|e| lost(&e));
+            let now = desk.now();
+            let mut roster = desk.roster.borrow_mut();
+            return match sent {
+                Ok(exchange) => {
+                    roster.learn(now, lead, now - began);
+                    Ok(exchange)
+                }
+                Err(failure) => {
+                    roster.fail(now, lead);
+                    avoid.push(lead.clone());
+                    Err(lost(&failure))
+                }
+            };
         }
         let waited = desk.now() - began;
         let mut dead = find_dead(desk, stages).await;
@@ -174,6 +189,11 @@
         if !dead.is_empty() || waited >= SILENT_MOST {
             dead.iter()
                 .for_each(|id| desk.suspect(id, "holds up its chain"));
+            if dead.is_empty() {
+                let now = desk.now();
+                desk.roster.borrow_mut().fail(now, lead);
+                avoid.push(lead.clone());
+            }
             avoid.extend(dead);
             return Err(Outcome::Lost);
         }
--- a/crates/ashgauged/src/relay/place.rs
+++ b/crates/ashgauged/src/relay/place.rs
@@ -9,12 +9,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ashgauge::member::UpstreamId;
+use ashgauge::pending::{Pending, Unshown};
 use ashgauge::placement::{self, Assignment, Seat};
-use ashgauge::roster::{Entry, Span};
+use ashgauge::roster::Entry;
 use ashgauge::routing::{Model, Service};
-use platform::Fault;
 use platform::engine::{self, Reply};
+use platform::store::Revision;
+use platform::{Fault, Store};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
@@ -57,6 +58,10 @@
 /// taken, and then the engine's report shows it.
 const ORDER_PAUSE: Duration = Duration::from_millis(1200);
 
+/// Revisions of earlier rounds that are kept; rounds follow each other within
+/// seconds at the most, and boxes look as often.
+const WRITTEN_MOST: usize = 16;
+
 /// What an engine's announcement may lag behind its loading.
 const SHOW_TIME: Duration = Duration::from_secs(3);
 
@@ -71,14 +76,33 @@
     ranges: Vec<Assignment>,
     /// Ranges that were ordered before and had not shown yet.
     #[serde(default)]
-    earlier: Vec<Assignment>,
+    earlier: Vec<Unshown>,
+    /// Revisions of the store at which the last rounds before were written.
+    #[serde(default)]
+    written: Vec<Revision>,
+}
+
+/// Revisions at which boxes wrote rounds of orders lately, as they were known
+/// some seconds ago.
+///
+/// # Errors
+///
+/// As every call of the store.
+pub async fn written_rounds(store: &Store) -> Result<Vec<Revision>, Fault> {
+    let stored = store.list_stale::<Stored>(KIND).await?;
+    let revisions = stored.into_iter().flat_map(|object| {
+        let mut revisions = object.value.written;
+        revisions.push(object.revision);
+        revisions
+    });
+    Ok(revisions.collect())
 }
 
 /// Follows the engines and places those that hold nothing.
 pub struct Placer {
     desk: Rc<Desk>,
-    /// Ranges ordered by some box, and until when they may take to show.
-    pending: HashMap<UpstreamId, (Span, Duration)>,
+    /// Ranges ordered by some box that do not show yet.
+    pending: Pending,
     /// Round of each service that was taken into `pending`.
     rounds: HashMap<String, u64>,
     edition: u64,
@@ -93,7 +117,7 @@
     pub fn start(desk: Rc<Desk>) {
         let placer = Placer {
             desk,
-            pending: HashMap::new(),
+            pending: Pending::default(),
             rounds: HashMap::new(),
             edition: 0,
             changed: Duration::ZERO,
@@ -169,6 +193,7 @@
             round: stored.round + 1,
             ranges,
             earlier: self.unshown(service),
+            written: last_revisions(stored.written, revision),
         };
         let store = &self.desk.store;
         let written = match revision {
@@ -200,31 +225,24 @@
         }
         self.rounds.insert(service.name.to_string(), stored.round);
         self.note(model, &stored.ranges);
-        let unknown = |a: &&Assignment| !self.pending.contains_key(&a.id);
-        let earlier: Vec<_> = stored.earlier.iter().filter(unknown).cloned().collect();
-        self.note(model, &earlier);
+        self.pending.hear(self.desk.now(), &stored.earlier);
     }
 
     /// Ranges of a service's engines that were ordered and do not show yet.
-    fn unshown(&self, service: &Service) -> Vec<Assignment> {
+    fn unshown(&self, service: &Service) -> Vec<Unshown> {
         let roster = self.desk.roster.borrow();
         let of_service = |id: &str| {
             let entry = roster.get(id);
             entry.is_some_and(|e| e.upstream.service == service.name)
         };
-        let pending = self.pending.iter().filter(|(id, _)| of_service(id));
-        let assignment = |(id, (span, _)): (&UpstreamId, &(Span, Duration))| Assignment {
-            id: id.clone(),
-            span: *span,
-        };
-        pending.map(assignment).collect()
+        let mut told = self.pending.tell(self.desk.now());
+        told.retain(|unshown| of_service(&unshown.range.id));
+        told
     }
 
     fn note(&mut self, model: &Model, ranges: &[Assignment]) {
-        let until = self.desk.now() + load_time(model, ranges) + SHOW_TIME;
-        for range in ranges {
-            self.pending.insert(range.id.clone(), (range.span, until));
-        }
+        let time = load_time(model, ranges) + SHOW_TIME;
+        self.pending.order(self.desk.now(), ranges, time);
     }
 
     /// Ranges for the engines that hold nothing and were ordered nothing, or
@@ -232,9 +250,10 @@
     fn wanted(&mut self, service: &Service, model: &Model) -> Vec<Assignment> {
         let now = self.desk.now();
         let roster = self.desk.roster.borrow();
-        self.pending.retain(|id, (span, until)| {
+        self.pending.expire(now);
+        self.pending.keep(|id, span| {
             let entry = roster.get(id);
-            entry.is_some_and(|e| now < *until && e.upstream.layers != Some(*span))
+            entry.is_some_and(|e| e.upstream.layers != Some(span))
         });
         let entries = roster.of(&service.name).filter(|e| e.is_usable(now));
         let seats: Vec<Seat> = entries.filter_map(|e| self.seat(e)).collect();
@@ -243,7 +262,7 @@
 
     fn seat(&self, entry: &Entry) -> Option<Seat> {
         let upstream = &entry.upstream;
-        let ordered = self.pending.get(&upstream.id).map(|(span, _)| *span);
+        let ordered = self.pending.span(&upstream.id);
         Some(Seat {
             id: upstream.id.clone(),
             place: upstream.place.clone(),
@@ -263,12 +282,21 @@
         log::line(Level::Info, "placement", "ordering", fields);
         self.rounds.insert(service.name.to_string(), stored.round);
         self.note(model, &stored.ranges);
+        let time = load_time(model, &stored.ranges) + SHOW_TIME;
         for range in stored.ranges {
-            tokio::task::spawn_local(order(self.desk.clone(), range));
+            tokio::task::spawn_local(give_order(self.desk.clone(), range, time));
         }
     }
 }
 
+/// The revisions of earlier rounds with that of the last one.
+fn last_revisions(mut written: Vec<Revision>, last: Option<Revision>) -> Vec<Revision> {
+    written.extend(last);
+    let old = written.len().saturating_sub(WRITTEN_MOST);
+    written.drain(..old);
+    written
+}
+
 /// Time until engines that begin together have loaded their ranges.
 fn load_time(model: &Model, ranges: &[Assignment]) -> Duration {
     let layers: u32 = ranges.iter().map(|r| r.span.len()).sum();
@@ -278,6 +306,25 @@
     model.load.mul_f64(worst / f64::from(model.layers.max(1)))
 }
 
+/// Orders one engine to hold a range, and writes a line if it does not show
+/// the range in time.
+async fn give_order(desk: Rc<Desk>, range: Assignment, time: Duration) {
+    order(desk.clone(), range.clone()).await;
+    sleep(time).await;
+    let Some((addr, _)) = open_order(&desk, &range) else {
+        return;
+    };
+    let report = engine::report(&desk.client, &addr, ORDER_TIME).await;
+    let fields = json!({
+        "upstream": &*range.id,
+        "layers": range.span,
+        "busy": report.as_ref().map(|r| r.busy).ok(),
+        "orders": report.as_ref().map(|r| r.orders).ok(),
+        "fault": report.err().map(|e| e.to_string()),
+    });
+    log::line(Level::Warn, "placement", "not shown", fields);
+}
+
 /// Orders one engine to hold a range, until it says that it does.
 async fn order(desk: Rc<Desk>, range: Assignment) {
     for attempt in 1..=ORDER_TRIES {
--- a/crates/ashgauged/src/relay/probe.rs
+++ b/crates/ashgauged/src/relay/probe.rs
@@ -115,6 +115,13 @@
     cell.get_or_init(|| ask).await.clone()
 }
 
+/// Suspects an upstream if it takes no connection.
+pub async fn check(desk: Rc<Desk>, id: UpstreamId) {
+    if !is_alive(&desk, &id).await {
+        desk.suspect(&id, "named by another, no connection");
+    }
+}
+
 /// Whether an upstream takes a connection; one that is gone does not.
 async fn is_alive(desk: &Desk, id: &str) -> bool {
     let Some(addr) = address(desk, id) else {
--- a/crates/ashgauged/src/relay/pump.rs
+++ b/crates/ashgauged/src/relay/pump.rs
@@ -9,7 +9,7 @@
 use ashgauge::events;
 use ashgauge::handoff::{Handoff, Next, Outcome};
 use ashgauge::member::UpstreamId;
-use ashgauge::roster::Span;
+use ashgauge::roster::{Entry, Span};
 use ashgauge::routing::{Model, StreamRule};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -54,6 +54,7 @@
         heard: now,
         event_at: now,
         pace: 0.0,
+        left: Vec::new(),
         checks: 0,
         repairs: 0,
         broke: None,
@@ -90,6 +91,8 @@
     event_at: Duration,
     /// Learned pause between pieces, in seconds.
     pace: f64,
+    /// Engines that the stream left, or could not leave, before their end.
+    left: Vec<UpstreamId>,
     /// Checks of the engines since the last bytes.
     checks: u32,
     repairs: u32,
@@ -262,29 +265,69 @@
             return self.resume("silent", true).await;
         }
         match ask_engines(&self.desk, &self.run.stages, &self.a.ask.id).await {
-            Some(id) => {
+            // A report lags; it may name an engine that was led around already.
+            Some(id) if self.run.stages.iter().any(|s| s.upstream == id) => {
                 self.desk.suspect(&id, "reported as stalled");
                 self.repair(vec![id]).await
             }
-            None => Go::On,
+            _ => Go::On,
         }
     }
 
-    /// Repairs the chain if another stream found one of its engines lost.
+    /// Repairs the chain if another stream found one of its engines lost, or
+    /// leads it away from engines that will soon be.
     async fn leave_suspects(&mut self) -> Go {
         let now = self.desk.now();
-        let lost = {
-            let roster = self.desk.roster.borrow();
-            let is_lost = |id: &str| roster.get(id).is_none_or(|e| e.is_suspect(now));
-            let ids = self.run.stages.iter().map(|s| &s.upstream);
-            ids.filter(|id| is_lost(id)).cloned().collect::<Vec<_>>()
+        let lost = self.stages_where(|e, _| e.is_suspect(now));
+        if !lost.is_empty() {
+            return self.repair(lost).await;
+        }
+        self.leave_early().await;
+        Go::On
+    }
+
+    /// Leads the stream away from engines that leave or give up their part,
+    /// while they still work: a stream that waits for their end breaks off, and
+    /// holds up their new orders until then.
+    ///
+    /// The first engine cannot be changed without another run. A stream that
+    /// will have ended before an engine leaves stays.
+    async fn leave_early(&mut self) {
+        let stays = self.most_left() < self.desk.settings().drain_time();
+        let mut ends = self.stages_where(|e, stage| {
+            let held = e.upstream.layers.unwrap_or(Span { first: 0, end: 0 });
+            let gives_up = held.first > stage.first || held.end < stage.end;
+            gives_up || (e.upstream.leaving && !stays)
+        });
+        let first = self.run.stages[0].upstream.clone();
+        ends.retain(|id| *id != first && !self.left.contains(id));
+        if ends.is_empty() || self.repairs >= REPAIRS_MOST {
+            return;
+        }
+        self.left.extend(ends.iter().cloned());
+        let Some((stages, text)) = self.detour(&ends) else {
+            return;
         };
-        match lost.is_empty() {
-            true => Go::On,
-            false => self.repair(lost).await,
+        if self.desk.count_crossings(&stages) <= self.desk.count_crossings(&self.run.stages) {
+            self.repath(&ends, stages, &text).await;
         }
     }
 
+    /// Engines of the chain, but for those that are gone, for which `is_so`.
+    fn stages_where(&self, is_so: impl Fn(&Entry, &Stage) -> bool) -> Vec<UpstreamId> {
+        let roster = self.desk.roster.borrow();
+        let stages = self.run.stages.iter();
+        let found = stages.filter(|s| roster.get(&s.upstream).is_some_and(|e| is_so(e, s)));
+        found.map(|s| s.upstream.clone()).collect()
+    }
+
+    /// The longest that the rest of the answer may take at its own pace.
+    fn most_left(&self) -> Duration {
+        let events = f64::from(self.a.ask.answer);
+        let past = self.last.unwrap_or(0) as f64;
+        Duration::from_secs_f64((events - past).max(0.0) * self.pace)
+    }
+
     /// Leads the stream around lost engines, or lets it go on elsewhere.
     ///
     /// A detour through another data centre sends all tokens so far over its
@@ -341,6 +384,9 @@
         if let Some(model) = &self.a.service.model {
             let tokens = self.a.ask.prompt + self.a.ask.answer;
             self.desk.note_crossings(model, &stages, tokens);
+            let new = stages.iter().filter(|s| !self.run.stages.contains(s));
+            let service = &self.a.service.name;
+            self.desk.note_reading(model, service, new, tokens);
         }
         let ids = stages.iter().map(|s| s.upstream.clone()).collect();
         self.run.hold = Hold::new(&self.desk, ids);
--- a/crates/ashgauged/src/relay/settings.rs
+++ b/crates/ashgauged/src/relay/settings.rs
@@ -45,6 +45,10 @@
     pub strict_keys: bool,
     /// Longest use of a key after it was withdrawn.
     pub revoke_ms: f64,
+    /// Time within which boxes must know that an upstream is leaving.
+    pub drain_ms: f64,
+    /// Time within which a configuration must be in force.
+    pub apply_ms: f64,
     /// Time from the signal to stop until the process is killed.
     pub stop_s: f64,
     /// Retries for each first try of a service, over the fleet.
@@ -62,6 +66,8 @@
         Bounds {
             strict_keys: true,
             revoke_ms: 5000.0,
+            drain_ms: 2000.0,
+            apply_ms: 2000.0,
             stop_s: 8.0,
             retry_share: 0.1,
             retry_extra: 50.0,
@@ -94,8 +100,8 @@
     fn default() -> Self {
         Timing {
             store_ms: 1000,
-            watch_ms: 15_000,
-            confirm_ms: 2000,
+            watch_ms: 30_000,
+            confirm_ms: 2600,
             connect_ms: 150,
             first_ms: 250,
             silence_ms: 100,
@@ -142,10 +148,22 @@
         }
     }
 
-    /// Time between two proofs that the configuration in force is known; two
-    /// fit into the age of a key.
+    /// Time between two proofs that the configuration in force is known; one
+    /// that gets no answer leaves time for another within the age of a key.
     pub fn confirm_time(&self) -> Duration {
-        Duration::from_millis(self.timing.confirm_ms).min(self.key_age() / 2)
+        let spare = self.store_time() + CONFIRM_SPARE;
+        let most = self.key_age().saturating_sub(spare).max(self.key_age() / 2);
+        Duration::from_millis(self.timing.confirm_ms).min(most)
+    }
+
+    /// Time within which boxes must know that an upstream is leaving.
+    pub fn drain_time(&self) -> Duration {
+        Duration::from_secs_f64(self.bounds.drain_ms / 1e3)
+    }
+
+    /// Time within which a configuration must be in force.
+    pub fn apply_time(&self) -> Duration {
+        Duration::from_secs_f64(self.bounds.apply_ms / 1e3)
     }
 
     /// For an answer of the store; one that takes longer cannot prove anything
@@ -183,6 +201,8 @@
         let (b, t) = (&self.bounds, &self.timing);
         let positive = [
             ("bounds.revoke_ms", b.revoke_ms),
+            ("bounds.drain_ms", b.drain_ms),
+            ("bounds.apply_ms", b.apply_ms),
             ("bounds.stop_s", b.stop_s),
             ("bounds.retry_window_s", b.retry_window_s),
             ("timing.store_ms", t.store_ms as f64),
@@ -213,4 +233,10 @@
 const TIME_MOST: f64 = 86_400_000.0;
 
 /// Share of the bound on withdrawn keys that knowledge may age.
-const KEY_SHARE: f64 = 0.7;
+///
+/// What is left covers the way from the check to the upstream: the bytes go out
+/// in the same turn of the loop, and a box that stood still checks again.
+const KEY_SHARE: f64 = 0.8;
+
+/// For the pause after a proof without an answer, and for the next one.
+const CONFIRM_SPARE: Duration = Duration::from_millis(300);
--- a/crates/ashgauged/src/relay/status.rs
+++ b/crates/ashgauged/src/relay/status.rs
@@ -59,7 +59,7 @@
         slowness: e.slowness(now),
         inflight: e.inflight,
         answer_ms: e.seconds * 1e3,
-        failures: e.failures,
+        failures: e.failures(now),
     });
     let mut upstreams: Vec<_> = upstreams.collect();
     let key = |u: &UpstreamStatus| (u.service.clone(), u.data_centre.clone(), u.layers);
