--- a/crates/ashgauge/src/lib.rs
+++ b/crates/ashgauge/src/lib.rs
@@ -41,8 +41,8 @@
 //! - [`member`], [`message`]: boxes and upstreams, and what boxes tell each
 //!   other.
 //! - [`clock`], [`record`]: the time line.
-//! - [`routing`], [`roster`], [`placement`], [`handoff`], [`events`],
-//!   [`fresh`]: what a box decides where engines pass activations on among
+//! - [`routing`], [`roster`], [`placement`], [`pending`], [`handoff`],
+//!   [`events`], [`fresh`]: what a box decides where engines pass activations on among
 //!   themselves and a request is handed on whole.
 
 #![warn(missing_docs)]
--- a/crates/ashgauge/src/placement.rs
+++ b/crates/ashgauge/src/placement.rs
@@ -7,7 +7,7 @@
 //! left becomes second holders, so that the loss of an engine leaves a chain.
 //! Where losses have left some layers thin, engines are moved there.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::sync::Arc;
 
 use crate::chain::Layer;
@@ -36,6 +36,10 @@
 /// Copies that the memory must allow for that.
 const COPIES_SECOND: f64 = 2.0;
 
+/// An accelerator counts as fast if the slowest kind takes this many times as
+/// long for a step.
+const FAST_RATIO: f64 = 4.0;
+
 /// Requests of usual size for which an engine's memory counts as one holder.
 const HOLDER_REQUESTS: f64 = 100.0;
 
@@ -100,33 +104,24 @@
 /// The same seats bring the same ranges, in whatever order they are given.
 /// No engine gets more layers than [`capacity`] allows.
 pub fn plan(model: &Model, seats: &[Seat]) -> Vec<Assignment> {
-    let mut seats: Vec<Seat> = seats.to_vec();
-    seats.sort_by(|a, b| {
-        let size = |s: &Seat| memory(model, s);
-        size(b).total_cmp(&size(a)).then_with(|| a.id.cmp(&b.id))
-    });
+    let mut board = Board::new(model, seats);
     let mut out = Vec::new();
-    for at in 0..seats.len() {
-        if seats[at].span.is_some() {
+    for at in 0..board.seats.len() {
+        if board.seats[at].span.is_some() {
             continue;
         }
-        let Some((span, _)) = best_span(model, &seats, at) else {
-            continue;
-        };
-        seats[at].span = Some(span);
-        let id = seats[at].id.clone();
-        out.push(Assignment { id, span });
+        if let Some((span, _)) = board.best_span(at) {
+            out.push(board.assign(at, span));
+        }
     }
     // Moves are judged by what those before have brought.
-    let under_way = out.len() + seats.iter().filter(|s| !s.movable).count();
+    let under_way = out.len() + board.seats.iter().filter(|s| !s.movable).count();
     for _ in under_way..MOVES_MOST {
-        let Some((at, span)) = best_move(model, &mut seats) else {
+        let Some((at, span)) = board.best_move() else {
             break;
         };
-        seats[at].span = Some(span);
-        seats[at].movable = false;
-        let id = seats[at].id.clone();
-        out.push(Assignment { id, span });
+        board.seats[at].movable = false;
+        out.push(board.assign(at, span));
     }
     out
 }
@@ -142,140 +137,219 @@
 /// Holders of each layer within `place`, or anywhere, counted by their memory
 /// for requests.
 pub fn cover(model: &Model, seats: &[Seat], place: Option<&str>) -> Vec<f64> {
-    let mut cover = vec![0.0; model.layers as usize];
-    let rich = rich_places(model, seats);
-    let here = |s: &&Seat| place.is_none_or(|p| *s.place == *p);
-    for seat in seats.iter().filter(here) {
-        let Some(span) = seat.span else {
-            continue;
-        };
-        let holders = holders(model, seat, span.len(), &rich);
-        for layer in span.first..span.end.min(model.layers) {
-            cover[layer as usize] += holders;
-        }
+    let board = Board::new(model, seats);
+    match place {
+        Some(place) => match board.sites.get(place) {
+            Some(site) => site.cover.clone(),
+            None => vec![0.0; model.layers as usize],
+        },
+        None => board.all,
     }
-    cover
 }
 
-fn memory(model: &Model, seat: &Seat) -> f64 {
-    model.cards.get(&seat.card).map_or(0.0, |c| c.memory_mb)
+/// The engines with what has to be known of them together, kept up to date
+/// while ranges change: plans are made several times a second on a fraction of
+/// a core.
+struct Board<'a> {
+    model: &'a Model,
+    /// Largest memory first, then by id.
+    seats: Vec<Seat>,
+    /// Holders of each layer.
+    all: Vec<f64>,
+    /// Data centres by name.
+    sites: HashMap<Arc<str>, Site>,
 }
 
-/// The least share of memory at which a data centre holds enough copies.
-fn choose_fill(model: &Model, seats: &[Seat], place: &str) -> f64 {
-    let copies = match rich_places(model, seats).contains(place) {
-        true => COPIES_SPARE,
-        false => COPIES,
-    };
-    let held = |fill: f64| -> f64 {
-        let here = seats.iter().filter(|s| *s.place == *place);
-        here.map(|s| f64::from(capacity(model, &s.card, fill)))
-            .sum()
-    };
-    let wanted = copies * f64::from(model.layers);
-    let enough = FILLS.iter().find(|fill| held(**fill) >= wanted);
-    *enough.unwrap_or(&FILL_MOST)
+/// A data centre.
+struct Site {
+    /// Whether its memory allows a second copy of every layer.
+    is_rich: bool,
+    /// Share of an engine's memory that weights may take.
+    fill: f64,
+    /// Holders of each layer.
+    cover: Vec<f64>,
 }
 
-/// Data centres with memory for a second copy of every layer.
-fn rich_places<'a>(model: &Model, seats: &'a [Seat]) -> HashSet<&'a str> {
-    let mut held: HashMap<&str, f64> = HashMap::new();
-    for seat in seats {
-        let layers = capacity(model, &seat.card, FILL_MOST);
-        *held.entry(&seat.place).or_default() += f64::from(layers);
+impl<'a> Board<'a> {
+    fn new(model: &'a Model, seats: &[Seat]) -> Self {
+        let mut seats = seats.to_vec();
+        seats.sort_by(|a, b| {
+            let size = |s: &Seat| memory(model, s);
+            size(b).total_cmp(&size(a)).then_with(|| a.id.cmp(&b.id))
+        });
+        let mut sites = HashMap::new();
+        for seat in &seats {
+            let place = &seat.place;
+            if !sites.contains_key(place) {
+                sites.insert(place.clone(), Site::new(model, &seats, place));
+            }
+        }
+        let mut board = Board {
+            model,
+            seats,
+            all: vec![0.0; model.layers as usize],
+            sites,
+        };
+        for at in 0..board.seats.len() {
+            board.count(at, 1.0);
+        }
+        board
     }
-    held.retain(|_, held| *held >= COPIES_SECOND * f64::from(model.layers));
-    held.into_keys().collect()
-}
 
-/// The move of one engine that gains most, if it gains enough: its index and
-/// new range.
-fn best_move(model: &Model, seats: &mut [Seat]) -> Option<(usize, Span)> {
-    let mut best: Option<(f64, usize, Span)> = None;
-    for at in 0..seats.len() {
-        let Some(old) = seats[at].span.filter(|_| seats[at].movable) else {
-            continue;
+    /// Adds an engine's range to the covers, or takes it away.
+    fn count(&mut self, at: usize, sign: f64) {
+        let seat = &self.seats[at];
+        let Some(span) = seat.span else {
+            return;
         };
-        seats[at].span = None;
-        let found = best_span(model, seats, at);
-        let kept = gain(model, seats, at, old);
-        seats[at].span = Some(old);
-        let Some((span, gained)) = found else {
-            continue;
+        let more = sign * self.holders(seat, span.len());
+        let Some(site) = self.sites.get_mut(&seat.place) else {
+            return;
         };
-        let loaded = (span.first..span.end).filter(|l| !old.holds(*l)).count();
-        let more = gained - kept - MOVE_LAYER * loaded as f64;
-        if more >= MOVE_LEAST && best.is_none_or(|(most, ..)| more > most) {
-            best = Some((more, at, span));
+        for layer in span.first..span.end.min(self.model.layers) {
+            site.cover[layer as usize] += more;
+            self.all[layer as usize] += more;
         }
     }
-    best.map(|(_, at, span)| (at, span))
-}
 
-/// The range for an engine that gains most, and the gain; the lowest of those
-/// that gain the same.
-fn best_span(model: &Model, seats: &[Seat], at: usize) -> Option<(Span, f64)> {
-    let seat = &seats[at];
-    let fill = choose_fill(model, seats, &seat.place);
-    let len = capacity(model, &seat.card, fill);
-    if len == 0 {
-        return None;
+    fn set_span(&mut self, at: usize, span: Option<Span>) {
+        self.count(at, -1.0);
+        self.seats[at].span = span;
+        self.count(at, 1.0);
+    }
+
+    fn assign(&mut self, at: usize, span: Span) -> Assignment {
+        self.set_span(at, Some(span));
+        let id = self.seats[at].id.clone();
+        Assignment { id, span }
     }
-    let gains = layer_gains(model, seats, at, len);
-    let edges = boundaries(model, seats, &seat.place);
-    let mut best: Option<(Span, f64, f64)> = None;
-    for first in 0..=model.layers - len {
-        let end = first + len;
-        let sum: f64 = gains[first as usize..end as usize].iter().sum();
-        let aligned = edges[first as usize] as u32 + edges[end as usize] as u32;
-        let worth = sum * (1.0 + ALIGNED_SHARE * f64::from(aligned));
-        if best.is_none_or(|(_, _, most)| worth > most + 1e-9) {
-            best = Some((Span { first, end }, sum, worth));
+
+    /// The move of one engine that gains most, if it gains enough: its index
+    /// and new range.
+    fn best_move(&mut self) -> Option<(usize, Span)> {
+        let mut best: Option<(f64, usize, Span)> = None;
+        for at in 0..self.seats.len() {
+            let Some(old) = self.seats[at].span.filter(|_| self.seats[at].movable) else {
+                continue;
+            };
+            self.set_span(at, None);
+            let found = self.best_span(at);
+            let kept = self.gain(at, old);
+            self.set_span(at, Some(old));
+            let Some((span, gained)) = found else {
+                continue;
+            };
+            let loaded = (span.first..span.end).filter(|l| !old.holds(*l)).count();
+            let more = gained - kept - MOVE_LAYER * loaded as f64;
+            if more >= MOVE_LEAST && best.is_none_or(|(most, ..)| more > most) {
+                best = Some((more, at, span));
+            }
         }
+        best.map(|(_, at, span)| (at, span))
+    }
+
+    /// The range for an engine that gains most, and the gain; the lowest of
+    /// those that gain the same.
+    fn best_span(&self, at: usize) -> Option<(Span, f64)> {
+        let seat = &self.seats[at];
+        let layers = self.model.layers;
+        let site = self.sites.get(&seat.place)?;
+        let fill = match site.is_rich && is_fast(self.model, &seat.card) {
+            true => FILLS[0],
+            false => site.fill,
+        };
+        let len = capacity(self.model, &seat.card, fill);
+        if len == 0 {
+            return None;
+        }
+        let gains = self.layer_gains(at, len);
+        let edges = self.boundaries(&seat.place);
+        let mut best: Option<(Span, f64, f64)> = None;
+        for first in 0..=layers - len {
+            let end = first + len;
+            let sum: f64 = gains[first as usize..end as usize].iter().sum();
+            let aligned = edges[first as usize] as u32 + edges[end as usize] as u32;
+            let worth = sum * (1.0 + ALIGNED_SHARE * f64::from(aligned));
+            if best.is_none_or(|(_, _, most)| worth > most + 1e-9) {
+                best = Some((Span { first, end }, sum, worth));
+            }
+        }
+        best.map(|(span, sum, _)| (span, sum))
     }
-    best.map(|(span, sum, _)| (span, sum))
-}
 
-/// Which layers some engine of a data centre begins with or ends before.
-fn boundaries(model: &Model, seats: &[Seat], place: &str) -> Vec<bool> {
-    let mut edges = vec![false; model.layers as usize + 1];
-    edges[0] = true;
-    edges[model.layers as usize] = true;
-    let here = seats.iter().filter(|s| *s.place == *place);
-    for span in here.filter_map(|s| s.span) {
-        for edge in [span.first, span.end] {
-            edges[edge.min(model.layers) as usize] = true;
+    /// Which layers some engine of a data centre begins with or ends before.
+    fn boundaries(&self, place: &str) -> Vec<bool> {
+        let layers = self.model.layers;
+        let mut edges = vec![false; layers as usize + 1];
+        edges[0] = true;
+        edges[layers as usize] = true;
+        let here = self.seats.iter().filter(|s| *s.place == *place);
+        for span in here.filter_map(|s| s.span) {
+            for edge in [span.first, span.end] {
+                edges[edge.min(layers) as usize] = true;
+            }
         }
+        edges
+    }
+
+    /// What an engine gains by holding a range, if it holds nothing else.
+    fn gain(&self, at: usize, span: Span) -> f64 {
+        let gains = self.layer_gains(at, span.len());
+        gains[span.first as usize..span.end as usize].iter().sum()
+    }
+
+    /// What each layer gains by one more holder, which holds `len` layers in
+    /// all.
+    fn layer_gains(&self, at: usize, len: Layer) -> Vec<f64> {
+        let seat = &self.seats[at];
+        let more = self.holders(seat, len);
+        let here = self.sites.get(&seat.place).map_or(&[][..], |s| &s.cover);
+        let worth = |x: f64| -1.0 / (x + SMOOTHING);
+        let layers = here.iter().zip(&self.all);
+        let layers = layers.map(|(here, all)| {
+            let fleet = worth(all + more) - worth(*all);
+            fleet + HERE_WEIGHT * (worth(here + more) - worth(*here))
+        });
+        layers.collect()
+    }
+
+    /// For how many holders an engine counts that holds `len` layers: its
+    /// memory for requests bounds how much of the load it takes.
+    fn holders(&self, seat: &Seat, len: Layer) -> f64 {
+        let is_rich = self.sites.get(&seat.place).is_some_and(|s| s.is_rich);
+        let most = if is_rich { HOLDERS_SPARE } else { HOLDERS_MOST };
+        (self.model.room(&seat.card, len) / HOLDER_REQUESTS).min(most)
     }
-    edges
 }
 
-/// What an engine gains by holding a range, if it holds nothing else.
-fn gain(model: &Model, seats: &[Seat], at: usize, span: Span) -> f64 {
-    let gains = layer_gains(model, seats, at, span.len());
-    gains[span.first as usize..span.end as usize].iter().sum()
+impl Site {
+    fn new(model: &Model, seats: &[Seat], place: &str) -> Self {
+        let held = |fill: f64| -> f64 {
+            let here = seats.iter().filter(|s| *s.place == *place);
+            here.map(|s| f64::from(capacity(model, &s.card, fill)))
+                .sum()
+        };
+        let layers = f64::from(model.layers);
+        let is_rich = held(FILL_MOST) >= COPIES_SECOND * layers;
+        let copies = if is_rich { COPIES_SPARE } else { COPIES };
+        let enough = FILLS.iter().find(|fill| held(**fill) >= copies * layers);
+        Site {
+            is_rich,
+            fill: *enough.unwrap_or(&FILL_MOST),
+            cover: vec![0.0; model.layers as usize],
+        }
+    }
 }
 
-/// What each layer gains by one more holder, which holds `len` layers in all.
-fn layer_gains(model: &Model, seats: &[Seat], at: usize, len: Layer) -> Vec<f64> {
-    let more = holders(model, &seats[at], len, &rich_places(model, seats));
-    let here = cover(model, seats, Some(&seats[at].place));
-    let all = cover(model, seats, None);
-    let worth = |x: f64| -1.0 / (x + SMOOTHING);
-    let layers = here.iter().zip(&all);
-    let layers = layers.map(|(here, all)| {
-        let fleet = worth(all + more) - worth(*all);
-        fleet + HERE_WEIGHT * (worth(here + more) - worth(*here))
-    });
-    layers.collect()
+/// Whether chains prefer an engine for its speed, so that it needs room for
+/// most of a data centre's requests.
+fn is_fast(model: &Model, card: &str) -> bool {
+    let slowest = model.cards.values().map(|c| c.step_factor);
+    let slowest = slowest.fold(0.0, f64::max);
+    let card = model.cards.get(card);
+    card.is_some_and(|c| c.step_factor * FAST_RATIO <= slowest)
 }
 
-/// For how many holders an engine counts that holds `len` layers: its memory
-/// for requests bounds how much of the load it takes.
-fn holders(model: &Model, seat: &Seat, len: Layer, rich: &HashSet<&str>) -> f64 {
-    let most = match rich.contains(&*seat.place) {
-        true => HOLDERS_SPARE,
-        false => HOLDERS_MOST,
-    };
-    (model.room(&seat.card, len) / HOLDER_REQUESTS).min(most)
+fn memory(model: &Model, seat: &Seat) -> f64 {
+    model.cards.get(&seat.card).map_or(0.0, |c| c.memory_mb)
 }
--- a/crates/ashgauge/tests/choice.rs
+++ b/crates/ashgauge/tests/choice.rs
@@ -83,6 +83,99 @@
     }
 }
 
+/// A roster in which two like engines hold the first half, and two the second.
+fn twins() -> Roster {
+    let mut roster = Roster::default();
+    for (n, (id, first)) in [("a1", 0), ("a2", 0), ("b1", 40), ("b2", 40)]
+        .into_iter()
+        .enumerate()
+    {
+        let end = first + 40;
+        let span = Some(Span { first, end });
+        roster.put(engines::upstream(id, "a", "large", span, n));
+    }
+    roster
+}
+
+fn chosen(roster: &Roster, seed: u64) -> Vec<String> {
+    let (pipes, place) = (Pipes::default(), Arc::from("a"));
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let scene = scene(roster, &pipes, &place);
+    let stages = choice::chain(&scene, &model(), choice::whole(80), &[], &mut rng);
+    let stages = stages.expect("a chain");
+    stages.iter().map(|s| s.upstream.to_string()).collect()
+}
+
+/// An engine that said it was well and failed all requests that were sent to
+/// it was chosen as often as before.
+#[test]
+fn first_engine_that_fails_is_avoided() {
+    let mut roster = twins();
+    roster.fail(Duration::from_secs(100), "a1");
+    for seed in 0..20 {
+        assert_eq!(chosen(&roster, seed)[0], "a2");
+    }
+}
+
+/// Only the first engine of a chain answers for it.
+#[test]
+fn later_engine_is_not_blamed() {
+    let mut roster = twins();
+    roster.fail(Duration::from_secs(100), "b1");
+    assert!((0..20).any(|seed| chosen(&roster, seed)[1] == "b1"));
+}
+
+/// All boxes led their streams around a lost engine to the same holder of its
+/// range, which then read their prompts one after the other.
+#[test]
+fn engine_with_prompts_to_read_is_avoided() {
+    let mut roster = twins();
+    roster.note_reading(Duration::from_secs(100), "b1", 0.4);
+    for seed in 0..20 {
+        assert_eq!(chosen(&roster, seed)[1], "b2");
+    }
+}
+
+/// An engine refuses what is sent to it past its slots, and all chains of a
+/// data centre began at one.
+#[test]
+fn first_engine_without_slots_is_avoided() {
+    let mut roster = twins();
+    let neighbours = BOXES / 3.0;
+    for _ in 0..(192.0 / neighbours) as u32 {
+        roster.lead("a1");
+    }
+    for seed in 0..20 {
+        assert_eq!(chosen(&roster, seed)[0], "a2");
+    }
+}
+
+/// What a box expects elsewhere is spread over the holders there; each was
+/// taken to have it all, and a data centre with two holders of each layer
+/// looked full.
+#[test]
+fn holders_elsewhere_share_their_load() {
+    let mut roster = Roster::default();
+    let now = Duration::from_secs(100);
+    for quarter in 0..4 {
+        let (first, end) = (quarter * 20, quarter * 20 + 20);
+        let put = |roster: &mut Roster, place: &str, n: u32| {
+            let id = format!("{place}{quarter}-{n}");
+            let at = (quarter * 4 + n) as usize;
+            let span = Some(Span { first, end });
+            roster.put(engines::upstream(&id, place, "large", span, at));
+            id
+        };
+        // The own data centre's engines have no room: 100 requests of this
+        // box, 267 with its neighbours'.
+        let own = put(&mut roster, "a", 0);
+        (0..100).for_each(|_| roster.begin(&own));
+        roster.note_full(now, &own);
+        (1..4).for_each(|n| drop(put(&mut roster, "c", n)));
+    }
+    assert!(chosen(&roster, 1).iter().all(|id| id.starts_with('c')));
+}
+
 /// Once chains crossed so often that the pipes were asked for twice of what
 /// they carry, and nine of ten such requests failed.
 #[test]
--- a/crates/ashgauge/tests/knowledge.rs
+++ b/crates/ashgauge/tests/knowledge.rs
@@ -106,6 +106,31 @@
     assert!(usable(&roster, SECOND * 6));
 }
 
+/// An upstream that gets no requests for its failures could never show that it
+/// is well again.
+#[test]
+fn failures_fade_while_an_upstream_is_avoided() {
+    let mut roster = Roster::default();
+    roster.put(upstream("e1", "a", "small", None, 1));
+    for _ in 0..10 {
+        roster.fail(SECOND, "e1");
+    }
+    let failures = |now| roster.get("e1").map_or(0.0, |e| e.failures(now));
+    assert!(failures(SECOND) > 0.9);
+    assert!(failures(SECOND * 40) < 0.05);
+}
+
+#[test]
+fn reading_under_way_is_over_in_its_time() {
+    let mut roster = Roster::default();
+    roster.put(upstream("e1", "a", "small", None, 1));
+    roster.note_reading(SECOND, "e1", 1.0);
+    roster.note_reading(SECOND, "e1", 0.5);
+    let backlog = |now| roster.get("e1").map_or(9.0, |e| e.backlog(now));
+    assert!((backlog(SECOND * 2) - 0.5).abs() < 1e-9);
+    assert_eq!(backlog(SECOND * 3), 0.0);
+}
+
 fn stream(lens: &[usize]) -> Vec<u8> {
     let mut bytes = Vec::new();
     for (n, len) in lens.iter().enumerate() {
--- a/crates/ashgauged/src/relay/desk.rs
+++ b/crates/ashgauged/src/relay/desk.rs
@@ -24,6 +24,7 @@
 use serde_json::json;
 use spdlog::Level;
 use tokio::sync::watch;
+use tokio::time::timeout;
 
 use super::log;
 use super::metrics::Metrics;
@@ -54,6 +55,8 @@
     pub store_away: Cell<bool>,
     /// Whether the list of upstreams was read.
     pub listed: Cell<bool>,
+    /// Whether a configuration and the list of upstreams were read.
+    known: watch::Sender<bool>,
     /// Whether the box is stopping.
     pub stopping: Cell<bool>,
     /// Whether new requests are refused, as the process is about to end.
@@ -89,6 +92,7 @@
             fresh: RefCell::new(Freshness::new(settings.key_age())),
             store_away: Cell::new(false),
             listed: Cell::new(false),
+            known: watch::Sender::new(false),
             stopping: Cell::new(false),
             stopped: Cell::new(false),
             inflight: Cell::new(0),
@@ -146,6 +150,21 @@
         known && sure && !self.stopping.get()
     }
 
+    /// Notes that something was read for the first time.
+    pub fn note_read(&self) {
+        let known = self.routing.borrow().version > 0 && self.listed.get();
+        self.known
+            .send_if_modified(|k| std::mem::replace(k, known) != known);
+    }
+
+    /// Waits until a box that has just started knows enough to serve, or for
+    /// `most`.
+    pub async fn wait_known(&self, most: Duration) {
+        let mut known = self.known.subscribe();
+        // Either way the request is judged by what is known then.
+        let _ = timeout(most, known.wait_for(|k| *k)).await;
+    }
+
     /// Notes how many boxes share the fleet's budgets.
     pub fn set_boxes(&self, boxes: u32) {
         self.counted.set(boxes);
--- a/crates/ashgauged/src/relay/follow.rs
+++ b/crates/ashgauged/src/relay/follow.rs
@@ -10,7 +10,8 @@
 use ashgauge::roster::Upstream;
 use platform::servers::Update;
 use platform::store::Revision;
-use platform::{Fault, config, servers};
+use platform::{Fault, Store, config, servers};
+use serde::de::IgnoredAny;
 use serde_json::json;
 use spdlog::Level;
 use tokio::sync::Notify;
@@ -43,6 +44,9 @@
 /// new then, and nothing can be served yet.
 const GATHER_FIRST: Duration = Duration::from_millis(1200);
 
+/// For the call of a watch that has gathered changes.
+const GATHER_SLACK: Duration = Duration::from_millis(100);
+
 /// Kind of the objects by which boxes count each other.
 const BOX_KIND: &str = "ashgauge-boxes";
 
@@ -98,6 +102,7 @@
     async fn confirm(self: Rc<Self>) {
         let mut pause = PAUSE_FIRST;
         loop {
+            let began = self.desk.now();
             let confirmed = self.confirm_once().await;
             self.desk.roster.borrow_mut().expire(self.desk.now());
             match confirmed {
@@ -105,7 +110,8 @@
                     pause = PAUSE_FIRST;
                     // A watch that failed asks earlier.
                     let every = self.desk.settings().confirm_time();
-                    let _ = timeout(every, self.check.notified()).await;
+                    let rest = (began + every).saturating_sub(self.desk.now());
+                    let _ = timeout(rest, self.check.notified()).await;
                 }
                 Err(fault) => {
                     self.lost("confirm", &fault);
@@ -120,8 +126,11 @@
     /// everything anew.
     async fn confirm_once(&self) -> Result<(), Fault> {
         let desk = &self.desk;
-        let known = desk.routing().version > 0 && desk.listed.get();
-        if known && self.failed.get().is_none() {
+        if self.failed.get().is_none() {
+            if desk.routing().version == 0 || !desk.listed.get() {
+                // The watches' first reading is under way.
+                return Ok(());
+            }
             let asked = desk.now();
             let at = config::revision(&desk.store).await?;
             self.count_call();
@@ -131,31 +140,44 @@
             }
         }
         self.read_config().await?;
-        if desk.routing().version == 0 && self.failed.get().is_none() {
-            // Nothing can be served yet, and the watch brings the upstreams.
-            return Ok(());
-        }
         self.read_servers().await?;
         self.regained();
         Ok(())
     }
 
     /// Whether all changes up to a revision are known: those that watches
-    /// brought, and the boxes' own rounds of orders, which no watch brings.
+    /// brought, and the boxes' own objects, which no watch brings and which are
+    /// read at a tenth.
     async fn covers(&self, at: Revision) -> bool {
         if self.ledger.borrow().covers(at) {
             return true;
         }
-        match place::written_rounds(&self.desk.store).await {
-            Ok(rounds) => {
+        // The watch may be gathering what is missing. What was known before
+        // ages meanwhile, so there is time for one such wait.
+        sleep(self.servers_gather() + GATHER_SLACK).await;
+        self.ledger.borrow().covers(at) || self.covers_own(at).await
+    }
+
+    async fn covers_own(&self, at: Revision) -> bool {
+        let store = &self.desk.store;
+        self.add_known(place::written_rounds(store).await);
+        if self.ledger.borrow().covers(at) {
+            return true;
+        }
+        self.add_known(written_boxes(store).await);
+        self.ledger.borrow().covers(at)
+    }
+
+    fn add_known(&self, read: Result<Vec<Revision>, Fault>) {
+        match read {
+            Ok(revisions) => {
                 let mut ledger = self.ledger.borrow_mut();
-                rounds.into_iter().for_each(|revision| ledger.add(revision));
-                ledger.covers(at)
+                revisions.into_iter().for_each(|r| ledger.add(r));
             }
+            // Everything is read anew then.
             Err(fault) => {
                 let fields = json!({"fault": fault.to_string()});
-                log::line(Level::Debug, "store", "rounds not read", fields);
-                false
+                log::line(Level::Debug, "store", "own objects not read", fields);
             }
         }
     }
@@ -177,6 +199,7 @@
         }
         advance(&self.config_at, at);
         self.note_read();
+        self.desk.note_read();
         Ok(())
     }
 
@@ -202,12 +225,17 @@
         let sure = !self.is_unsure();
         let now = self.desk.now();
         self.log_changed(&list, at);
+        let gives_up = list.iter().any(|u| self.gives_up(u));
         self.desk.roster.borrow_mut().replace(now, list, sure);
+        if gives_up {
+            self.desk.wake_streams();
+        }
         self.desk.listed.set(true);
         let fields = json!({"upstreams": count, "at": at, "sure": sure});
         log::line(Level::Info, "roster", "listed", fields);
         advance(&self.servers_at, at);
         self.note_read();
+        self.desk.note_read();
         Ok(())
     }
 
@@ -229,10 +257,16 @@
             match self.unless_restarted(watch).await {
                 Some(Ok((configs, at))) => {
                     let changed = !configs.is_empty();
+                    let first = self.desk.routing().version == 0;
                     for (config, revision) in configs {
                         self.ledger.borrow_mut().add(revision);
                         self.adopt(config);
                     }
+                    if changed && first {
+                        // A watch proves nothing.
+                        self.desk.note_read();
+                        self.check.notify_one();
+                    }
                     advance(&self.config_at, at);
                     if changed {
                         sleep(self.config_gather()).await;
@@ -435,6 +469,13 @@
     }
 }
 
+/// Revisions at which boxes announced themselves, as they were known some
+/// seconds ago.
+async fn written_boxes(store: &Store) -> Result<Vec<Revision>, Fault> {
+    let boxes = store.list_stale::<IgnoredAny>(BOX_KIND).await?;
+    Ok(boxes.into_iter().map(|object| object.revision).collect())
+}
+
 /// Moves a known revision on; a reading that was overtaken does not move it
 /// back.
 fn advance(known: &Cell<Option<Revision>>, at: Revision) {
--- a/crates/ashgauged/src/relay/forward.rs
+++ b/crates/ashgauged/src/relay/forward.rs
@@ -30,6 +30,10 @@
 /// When to come back to a box that does not know its configuration.
 const BACK_UNSURE: Duration = Duration::from_millis(1000);
 
+/// How long a request waits for a box that has just started to read what it
+/// needs, which takes some 40 ms; a small part of the users' aims.
+const KNOW_TIME: Duration = Duration::from_millis(100);
+
 /// When to come back if no upstream can take the request.
 const BACK_FULL: Duration = Duration::from_millis(400);
 
@@ -80,6 +84,7 @@
             return own(StatusCode::BAD_REQUEST, None, None);
         }
     };
+    desk.wait_known(KNOW_TIME).await;
     let (route, service, team) = match admit(&desk, &ask) {
         Ok(admitted) => admitted,
         Err(refusal) => return refuse(&desk, &ask, refusal, arrived),
--- a/crates/ashgauged/src/relay/place.rs
+++ b/crates/ashgauged/src/relay/place.rs
@@ -11,7 +11,7 @@
 
 use ashgauge::pending::{Pending, Unshown};
 use ashgauge::placement::{self, Assignment, Seat};
-use ashgauge::roster::Entry;
+use ashgauge::roster::{Entry, Span};
 use ashgauge::routing::{Model, Service};
 use platform::engine::{self, Reply};
 use platform::store::Revision;
@@ -31,6 +31,10 @@
 /// Time between two looks for engines that hold nothing.
 const LOOK_EVERY: Duration = Duration::from_millis(250);
 
+/// Pause after a look that found nothing to do; an engine that becomes suspect
+/// or lets an order lapse is noticed as late.
+const REST_TIME: Duration = Duration::from_millis(750);
+
 /// How long no engine may have come or gone before ranges are chosen, so that
 /// those of one start are placed together.
 const SETTLE_TIME: Duration = Duration::from_millis(800);
@@ -108,6 +112,8 @@
     edition: u64,
     /// When engines last came, went or changed.
     changed: Duration,
+    /// Until when nothing is looked for, unless engines come, go or change.
+    rest_until: Duration,
     /// When they first did since the last look.
     unsettled: Option<Duration>,
 }
@@ -121,6 +127,7 @@
             rounds: HashMap::new(),
             edition: 0,
             changed: Duration::ZERO,
+            rest_until: Duration::ZERO,
             unsettled: None,
         };
         tokio::task::spawn_local(placer.run());
@@ -130,7 +137,7 @@
         loop {
             sleep(LOOK_EVERY).await;
             let idle = self.desk.stopping.get() || self.desk.store_away.get();
-            if idle || !self.has_settled() {
+            if idle || !self.has_settled() || self.desk.now() < self.rest_until {
                 continue;
             }
             let routing = self.desk.routing();
@@ -152,6 +159,7 @@
         if roster.edition() != self.edition {
             self.edition = roster.edition();
             self.changed = now;
+            self.rest_until = now;
             self.unsettled.get_or_insert(now);
         }
         let placed = roster.all().any(|e| e.upstream.layers.is_some());
@@ -170,6 +178,7 @@
     /// Places the engines of a service that hold nothing, if any.
     async fn look(&mut self, service: &Service, model: &Model) -> Result<(), Fault> {
         if self.wanted(service, model).is_empty() {
+            self.rest_until = self.desk.now() + REST_TIME;
             return Ok(());
         }
         let stagger = self.desk.rng().random_range(Duration::ZERO..STAGGER_MOST);
@@ -327,10 +336,17 @@
 
 /// Orders one engine to hold a range, until it says that it does.
 async fn order(desk: Rc<Desk>, range: Assignment) {
+    let mut before = None;
     for attempt in 1..=ORDER_TRIES {
-        let Some((addr, empty)) = open_order(&desk, &range) else {
+        let Some((addr, held)) = open_order(&desk, &range) else {
             return;
         };
+        // It has carried out another box's order meanwhile, which is newer.
+        let first = *before.get_or_insert(held);
+        if held.is_some() && held != first {
+            return;
+        }
+        let empty = held.is_none();
         // An engine that holds nothing has mostly taken no order; of others,
         // and after an order in vain, the count must be asked for.
         let orders = match empty && attempt == 1 {
@@ -386,11 +402,10 @@
     log::line(Level::Info, "placement", "ordered", fields);
 }
 
-/// Address of an engine that does not show the range yet, and whether it
-/// holds nothing.
-fn open_order(desk: &Desk, range: &Assignment) -> Option<(String, bool)> {
+/// Address of an engine that does not show the range yet, and what it holds.
+fn open_order(desk: &Desk, range: &Assignment) -> Option<(String, Option<Span>)> {
     let roster = desk.roster.borrow();
     let upstream = &roster.get(&range.id)?.upstream;
     let shown = upstream.layers == Some(range.span) || upstream.leaving;
-    (!shown).then(|| (upstream.addr.clone(), upstream.layers.is_none()))
+    (!shown).then(|| (upstream.addr.clone(), upstream.layers))
 }
--- a/crates/ashgauged/src/relay/pump.rs
+++ b/crates/ashgauged/src/relay/pump.rs
@@ -40,6 +40,9 @@
 /// Repairs of one stream at most; each one lost an engine.
 const REPAIRS_MOST: u32 = 6;
 
+/// Pause before a stream looks again for a way around engines that leave.
+const LEAVE_EVERY: Duration = Duration::from_millis(500);
+
 /// For an engine's answer to a change of the chain, which takes milliseconds.
 const REPATH_TIME: Duration = Duration::from_millis(150);
 
@@ -55,6 +58,7 @@
         event_at: now,
         pace: 0.0,
         left: Vec::new(),
+        leave_at: None,
         checks: 0,
         repairs: 0,
         broke: None,
@@ -91,8 +95,10 @@
     event_at: Duration,
     /// Learned pause between pieces, in seconds.
     pace: f64,
-    /// Engines that the stream left, or could not leave, before their end.
+    /// Engines that the stream left before their end, or tried to.
     left: Vec<UpstreamId>,
+    /// When to look again for a way around engines that leave.
+    leave_at: Option<Duration>,
     /// Checks of the engines since the last bytes.
     checks: u32,
     repairs: u32,
@@ -152,7 +158,8 @@
         let silent = self.silent_at();
         let until = self.handoff.until();
         let now = self.desk.now();
-        let wait = silent.min(until).saturating_sub(now);
+        let leave = self.leave_at.unwrap_or(until);
+        let wait = silent.min(until).min(leave).saturating_sub(now);
         let alarm = tokio::time::Instant::now() + wait;
         let body = self.run.exchange.response.body_mut();
         tokio::select! {
@@ -167,9 +174,10 @@
             },
             () = self.sender.closed() => Seen::Left,
             Ok(()) = self.suspects.changed() => Seen::Suspect,
-            () = sleep_until(alarm) => match self.desk.now() >= until {
-                true => Seen::Deadline,
-                false => Seen::Silence,
+            () = sleep_until(alarm) => match self.desk.now() {
+                now if now >= until => Seen::Deadline,
+                now if now < silent && now >= leave => Seen::Suspect,
+                _ => Seen::Silence,
             },
         }
     }
@@ -293,6 +301,7 @@
     /// The first engine cannot be changed without another run. A stream that
     /// will have ended before an engine leaves stays.
     async fn leave_early(&mut self) {
+        self.leave_at = None;
         let stays = self.most_left() < self.desk.settings().drain_time();
         let mut ends = self.stages_where(|e, stage| {
             let held = e.upstream.layers.unwrap_or(Span { first: 0, end: 0 });
@@ -304,13 +313,15 @@
         if ends.is_empty() || self.repairs >= REPAIRS_MOST {
             return;
         }
-        self.left.extend(ends.iter().cloned());
-        let Some((stages, text)) = self.detour(&ends) else {
+        let before = self.desk.count_crossings(&self.run.stages);
+        let detour = self.detour(&ends);
+        let detour = detour.filter(|(stages, _)| self.desk.count_crossings(stages) <= before);
+        let Some((stages, text)) = detour else {
+            self.leave_at = Some(self.desk.now() + LEAVE_EVERY);
             return;
         };
-        if self.desk.count_crossings(&stages) <= self.desk.count_crossings(&self.run.stages) {
-            self.repath(&ends, stages, &text).await;
-        }
+        self.left.extend(ends.iter().cloned());
+        self.repath(&ends, stages, &text).await;
     }
 
     /// Engines of the chain, but for those that are gone, for which `is_so`.
