Ask for the first configuration again and again; split census and pieces off

Cause (by reading): since proofs left the first reading to the watches, a box whose first watch hung asked nothing for 30 s. The first proof alone is left to them now; later ones read until something is known, as before.

--- a/crates/ashgauged/src/relay/follow.rs
+++ b/crates/ashgauged/src/relay/follow.rs
@@ -10,15 +10,14 @@
 use ashgauge::roster::Upstream;
 use platform::servers::Update;
 use platform::store::Revision;
-use platform::{Fault, Store, config, servers};
-use serde::de::IgnoredAny;
+use platform::{Fault, config, servers};
 use serde_json::json;
 use spdlog::Level;
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
 use super::desk::Desk;
-use super::{log, place};
+use super::{census, log, place};
 
 /// First pause after a call that failed; doubled up to [`PAUSE_MOST`].
 const PAUSE_FIRST: Duration = Duration::from_millis(100);
@@ -47,17 +46,6 @@
 /// For the call of a watch that has gathered changes.
 const GATHER_SLACK: Duration = Duration::from_millis(100);
 
-/// Kind of the objects by which boxes count each other.
-const BOX_KIND: &str = "ashgauge-boxes";
-
-/// Time from announcing this box to the second count, so that boxes that start
-/// together see each other; the cheap read is some seconds old. The first
-/// count, at once, serves a box that joins a fleet.
-const COUNT_AGAIN: Duration = Duration::from_secs(5);
-
-/// Time between two counts of the boxes.
-const COUNT_EVERY: Duration = Duration::from_secs(15);
-
 /// What the following tasks tell each other.
 pub struct Follower {
     desk: Rc<Desk>,
@@ -68,6 +56,8 @@
     config_at: Cell<Option<Revision>>,
     /// The same for the list of upstreams.
     servers_at: Cell<Option<Revision>>,
+    /// Whether the first proof was left to the watches' first reading.
+    begun: Cell<bool>,
     /// When a call to the store last failed, while it is away.
     failed: Cell<Option<Duration>>,
     /// When the store last came back.
@@ -87,6 +77,7 @@
             ledger: RefCell::default(),
             config_at: Cell::new(None),
             servers_at: Cell::new(None),
+            begun: Cell::new(false),
             failed: Cell::new(None),
             returned: Cell::new(None),
             restart: Notify::new(),
@@ -95,7 +86,7 @@
         tokio::task::spawn_local(follower.clone().confirm());
         tokio::task::spawn_local(follower.clone().follow_config());
         tokio::task::spawn_local(follower.clone().follow_servers());
-        tokio::task::spawn_local(follower.count_boxes());
+        tokio::task::spawn_local(census::count(follower.desk.clone()));
     }
 
     /// Proves again and again that what is known is still so.
@@ -122,29 +113,43 @@
         }
     }
 
-    /// Asks for the store's revision; if changes up to it are missing, reads
-    /// everything anew.
+    /// Proves that all changes are known; if some are missing, reads everything
+    /// anew.
     async fn confirm_once(&self) -> Result<(), Fault> {
         let desk = &self.desk;
         if self.failed.get().is_none() {
-            if desk.routing().version == 0 || !desk.listed.get() {
+            let known = desk.routing().version > 0 && desk.listed.get();
+            if !known && !self.begun.replace(true) {
                 // The watches' first reading is under way.
                 return Ok(());
             }
-            let asked = desk.now();
-            let at = config::revision(&desk.store).await?;
-            self.count_call();
-            if self.covers(at).await {
-                desk.fresh.borrow_mut().confirm(asked);
+            if known && self.prove().await? {
                 return Ok(());
             }
         }
         self.read_config().await?;
+        if desk.routing().version == 0 && self.failed.get().is_none() {
+            // Nothing can be served yet, and the watch brings the upstreams.
+            return Ok(());
+        }
         self.read_servers().await?;
         self.regained();
         Ok(())
     }
 
+    /// Asks for the store's revision; returns whether all changes up to it are
+    /// known.
+    async fn prove(&self) -> Result<bool, Fault> {
+        let asked = self.desk.now();
+        let at = config::revision(&self.desk.store).await?;
+        self.count_call();
+        let covered = self.covers(at).await;
+        if covered {
+            self.desk.fresh.borrow_mut().confirm(asked);
+        }
+        Ok(covered)
+    }
+
     /// Whether all changes up to a revision are known: those that watches
     /// brought, and the boxes' own objects, which no watch brings and which are
     /// read at a tenth.
@@ -164,7 +169,7 @@
         if self.ledger.borrow().covers(at) {
             return true;
         }
-        self.add_known(written_boxes(store).await);
+        self.add_known(census::written(store).await);
         self.ledger.borrow().covers(at)
     }
 
@@ -435,45 +440,6 @@
         log::line(Level::Info, "store", "regained", fields);
         self.restart.notify_waiters();
     }
-
-    /// Announces this box to the others and counts them, for the part of the
-    /// retry budget.
-    ///
-    /// Boxes that are gone for good stay counted, so the parts only shrink.
-    async fn count_boxes(self: Rc<Self>) {
-        let (store, id) = (&self.desk.store, &self.desk.settings().id);
-        loop {
-            match store.create(BOX_KIND, id, &json!({})).await {
-                Ok(()) | Err(Fault::Conflict) => break,
-                Err(fault) => self.lost("boxes", &fault),
-            }
-            sleep(PAUSE_MOST).await;
-        }
-        self.count_once().await;
-        sleep(COUNT_AGAIN).await;
-        loop {
-            self.count_once().await;
-            sleep(COUNT_EVERY).await;
-        }
-    }
-
-    async fn count_once(&self) {
-        match self.desk.store.count_stale(BOX_KIND).await {
-            // An older state of the store may lack even this box.
-            Ok(count) if count as u32 > self.desk.counted_boxes() => {
-                self.desk.set_boxes(count as u32);
-            }
-            Ok(_) => {}
-            Err(fault) => self.lost("boxes", &fault),
-        }
-    }
-}
-
-/// Revisions at which boxes announced themselves, as they were known some
-/// seconds ago.
-async fn written_boxes(store: &Store) -> Result<Vec<Revision>, Fault> {
-    let boxes = store.list_stale::<IgnoredAny>(BOX_KIND).await?;
-    Ok(boxes.into_iter().map(|object| object.revision).collect())
 }
 
 /// Moves a known revision on; a reading that was overtaken does not move it
--- a/crates/ashgauged/src/relay/mod.rs
+++ b/crates/ashgauged/src/relay/mod.rs
@@ -6,6 +6,7 @@
 //! decisions need no locks.
 
 mod body;
+mod census;
 mod desk;
 mod dial;
 mod follow;
@@ -13,6 +14,7 @@
 mod log;
 mod metrics;
 mod open;
+mod pieces;
 mod place;
 mod probe;
 mod pump;
--- a/crates/ashgauged/src/relay/pump.rs
+++ b/crates/ashgauged/src/relay/pump.rs
@@ -1,8 +1,6 @@
 //! Copies a stream's events to its caller, and repairs the stream.
 
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
 use std::time::Duration;
 
 use ashgauge::chain::{self, Stage};
@@ -13,7 +11,6 @@
 use ashgauge::routing::{Model, StreamRule};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::body::{Body as HttpBody, Frame};
 use platform::engine::{self, Reply};
 use serde_json::json;
 use tokio::sync::{mpsc, watch};
@@ -22,6 +19,7 @@
 use super::desk::Desk;
 use super::forward::{Admitted, Hold, note_outcome};
 use super::open::{NotBegun, Run, SILENT_MOST, begin, id_at};
+use super::pieces::Pieces;
 use super::probe::{ask_engines, find_dead};
 use super::serve::Broken;
 
@@ -497,28 +495,3 @@
         self.checks = 0;
     }
 }
-
-/// The body of a stream's answer; ends its task when it is dropped.
-pub struct Pieces {
-    pieces: mpsc::Receiver<Result<Bytes, Broken>>,
-    task: tokio::task::JoinHandle<()>,
-}
-
-impl HttpBody for Pieces {
-    type Data = Bytes;
-    type Error = Broken;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
-        let piece = self.pieces.poll_recv(cx);
-        piece.map(|p| p.map(|p| p.map(Frame::data)))
-    }
-}
-
-impl Drop for Pieces {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
