Weigh engines in one place; say what the cost of a chain elsewhere is for

No change of behaviour: the choice of a chain had grown to 60 lines; what it weighs engines by is worked out once and stands in its own type.

--- a/crates/ashgauge/src/choice.rs
+++ b/crates/ashgauge/src/choice.rs
@@ -45,8 +45,10 @@
 /// delays: all activations go over a pipe that is shared and soon full.
 const CROSSING_SECONDS: f64 = 3.0;
 
-/// Seconds that it counts for if the first engine is in another data centre:
-/// only the request and its events cross.
+/// Seconds that a chain in another data centre counts for. Only the request and
+/// its events cross; but boxes that all prefer the same fast engines fill them,
+/// so a chain elsewhere is for boxes that lack one or whose engines are filling
+/// up. Measured at 0.2 to 3 (docs/MEASUREMENTS.md).
 const ENTRY_SECONDS: f64 = 3.0;
 
 /// Share of a pipe that may be used; past it what crosses waits for seconds.
@@ -147,8 +149,7 @@
 ) -> Option<Vec<Stage>> {
     let mut places: Vec<&Arc<str>> = vec![scene.place];
     let mut edges = Vec::new();
-    let streams = own_streams(scene, model);
-    let holders = Holders::count(scene, model);
+    let scale = Scale::new(scene, model);
     for entry in scene.roster.of(scene.service) {
         let (Some(held), true) = (entry.upstream.layers, entry.is_usable(scene.now)) else {
             continue;
@@ -162,33 +163,14 @@
             places.push(name);
             places.len() - 1
         });
-        // A slow engine gets through less; its room counts for as much less.
-        let slowness = entry.slowness(scene.now);
-        let load = expected_load(scene, entry, streams, &holders) * slowness;
-        let full = match entry.is_full(scene.now) {
-            true => 1.0,
-            false => load / capacity(model, entry, held).max(1.0),
-        };
-        let mut failing = 0.0;
-        let mut full = full;
-        if span.first == 0 && held.first == 0 {
-            // It may become the chain's first, which answers for all.
-            full = full.max(lead_share(scene, entry));
-            failing = FAILING_SECONDS * entry.failures(scene.now);
-        }
-        let filling = jitter(rng) / (1.0 - full.min(FULL));
-        let fixed = ENGINE_SECONDS + f64::from(model.answer) * HOP_SECONDS;
-        let over = if full < FULL {
-            0.0
-        } else {
-            FULL_SECONDS * full
-        };
+        let leads = span.first == 0 && held.first == 0;
+        let (fixed, layer) = scale.weigh(entry, held, leads, jitter(rng));
         edges.push(Edge {
             upstream: entry.upstream.id.clone(),
             first: held.first,
             end: held.end,
-            fixed: fixed * filling + over + failing + entry.backlog(scene.now),
-            layer: layer_seconds(model, entry, load) * slowness * filling,
+            fixed,
+            layer,
             place,
         });
     }
@@ -240,44 +222,86 @@
     layers.sum::<f64>() / f64::from(model.layers.max(1))
 }
 
-/// How many engines of a data centre hold each layer.
-struct Holders<'a>(HashMap<&'a Arc<str>, Vec<f64>>);
+/// What engines are weighed by, worked out once for a choice.
+struct Scale<'a> {
+    scene: &'a Scene<'a>,
+    model: &'a Model,
+    /// Requests of this box that run on the service's engines.
+    streams: f64,
+    /// How many engines of a data centre hold each layer.
+    holders: HashMap<&'a Arc<str>, Vec<f64>>,
+}
 
-impl<'a> Holders<'a> {
-    fn count(scene: &Scene<'a>, model: &Model) -> Self {
-        let mut all: HashMap<&Arc<str>, Vec<f64>> = HashMap::new();
+impl<'a> Scale<'a> {
+    fn new(scene: &'a Scene<'a>, model: &'a Model) -> Self {
+        let mut holders: HashMap<&Arc<str>, Vec<f64>> = HashMap::new();
         for entry in scene.roster.of(scene.service) {
-            let place = all.entry(&entry.upstream.place);
+            let place = holders.entry(&entry.upstream.place);
             let counts = place.or_insert_with(|| vec![0.0; model.layers as usize]);
             let span = entry.upstream.layers.unwrap_or(whole(0));
             for layer in span.first..span.end.min(model.layers) {
                 counts[layer as usize] += 1.0;
             }
         }
-        Holders(all)
+        Scale {
+            scene,
+            model,
+            streams: own_streams(scene, model),
+            holders,
+        }
+    }
+
+    /// Seconds that any use of an engine costs, and each of its layers; `leads`
+    /// says that it may become the chain's first, which answers for all.
+    fn weigh(&self, entry: &Entry, held: Span, leads: bool, jitter: f64) -> (f64, f64) {
+        let (scene, model) = (self.scene, self.model);
+        // A slow engine gets through less; its room counts for as much less.
+        let slowness = entry.slowness(scene.now);
+        let load = self.expected_load(entry) * slowness;
+        let mut full = match entry.is_full(scene.now) {
+            true => 1.0,
+            false => load / capacity(model, entry, held).max(1.0),
+        };
+        let mut fixed = entry.backlog(scene.now);
+        if leads {
+            full = full.max(lead_share(scene, entry));
+            fixed += FAILING_SECONDS * entry.failures(scene.now);
+        }
+        if full >= FULL {
+            fixed += FULL_SECONDS * full;
+        }
+        let filling = jitter / (1.0 - full.min(FULL));
+        let engine = ENGINE_SECONDS + f64::from(model.answer) * HOP_SECONDS;
+        let layer = layer_seconds(model, entry, load) * slowness * filling;
+        (fixed + engine * filling, layer)
+    }
+
+    /// Requests that all boxes together have on an engine, as far as this box
+    /// can tell from its own: its neighbours are taken to do as it does, and
+    /// the boxes elsewhere to spread as many over the engines there.
+    fn expected_load(&self, entry: &Entry) -> f64 {
+        let scene = self.scene;
+        let own = f64::from(entry.inflight);
+        match entry.upstream.place == *scene.place {
+            true => own * scene.neighbours,
+            false => {
+                let spread = self.streams * scene.neighbours / self.sharers(entry);
+                own * scene.boxes + spread
+            }
+        }
     }
 
     /// Engines among which an engine's requests are spread, itself included.
-    fn of(&self, entry: &Entry) -> f64 {
+    fn sharers(&self, entry: &Entry) -> f64 {
         let span = entry.upstream.layers.unwrap_or(whole(0));
-        let counts = self.0.get(&entry.upstream.place).map_or(&[][..], |c| c);
+        let counts = self.holders.get(&entry.upstream.place);
+        let counts = counts.map_or(&[][..], |c| c);
         let counts = counts.iter().take(span.end as usize);
         let sum: f64 = counts.skip(span.first as usize).sum();
         (sum / f64::from(span.len().max(1))).max(1.0)
     }
 }
 
-/// Requests that all boxes together have on an engine, as far as this box can
-/// tell from its own: its neighbours are taken to do as it does, and the boxes
-/// elsewhere to spread as many over the engines there.
-fn expected_load(scene: &Scene, entry: &Entry, streams: f64, holders: &Holders) -> f64 {
-    let own = f64::from(entry.inflight);
-    match entry.upstream.place == *scene.place {
-        true => own * scene.neighbours,
-        false => own * scene.boxes + streams * scene.neighbours / holders.of(entry),
-    }
-}
-
 /// Share of an engine's slots that is taken by the requests that were sent to
 /// it; those that are led through it take none.
 fn lead_share(scene: &Scene, entry: &Entry) -> f64 {
--- a/crates/ashgauged/src/relay/pump.rs
+++ b/crates/ashgauged/src/relay/pump.rs
@@ -330,11 +330,12 @@
         found.map(|s| s.upstream.clone()).collect()
     }
 
-    /// The longest that the rest of the answer may take at its own pace.
+    /// The longest that the rest of the answer may take at its own pace, if each
+    /// token were an event; an event may hold several.
     fn most_left(&self) -> Duration {
-        let events = f64::from(self.a.ask.answer);
-        let past = self.last.unwrap_or(0) as f64;
-        Duration::from_secs_f64((events - past).max(0.0) * self.pace)
+        let tokens = f64::from(self.a.ask.answer);
+        let events = self.last.unwrap_or(0) as f64;
+        Duration::from_secs_f64((tokens - events).max(0.0) * self.pace)
     }
 
     /// Leads the stream around lost engines, or lets it go on elsewhere.
