--- a/crates/ashgauged/src/relay/settings.rs
+++ b/crates/ashgauged/src/relay/settings.rs
@@ -101,7 +101,7 @@
         Timing {
             store_ms: 1000,
             watch_ms: 30_000,
-            confirm_ms: 2600,
+            confirm_ms: 2000,
             connect_ms: 150,
             first_ms: 250,
             silence_ms: 100,
@@ -236,7 +236,7 @@
 ///
 /// What is left covers the way from the check to the upstream: the bytes go out
 /// in the same turn of the loop, and a box that stood still checks again.
-const KEY_SHARE: f64 = 0.8;
+const KEY_SHARE: f64 = 0.9;
 
 /// For the pause after a proof without an answer, and for the next one.
 const CONFIRM_SPARE: Duration = Duration::from_millis(300);
