Place the fastest engines first, at the share of memory that carries most

Cause: engines were placed by memory, and weights took one of four fixed shares of it. On the tills' site slow cards held layers of every chain: a request then holds memory in fast engines too for the slow ones' time (3.7 to 4.7 s instead of some 2), and a share of 0.60 left small cards at 4 layers where 0.61 is 5.

Now the fastest go first, and the share is the one at which chains of the fastest engines carry most requests a second (rate::chain_rate) among those that leave the copies that were asked for before.

--- a/crates/ashgauge/src/lib.rs
+++ b/crates/ashgauge/src/lib.rs
@@ -41,7 +41,7 @@
 //! - [`member`], [`message`]: boxes and upstreams, and what boxes tell each
 //!   other.
 //! - [`clock`], [`record`]: the time line.
-//! - [`routing`], [`roster`], [`placement`], [`pending`], [`handoff`],
+//! - [`routing`], [`roster`], [`placement`], [`rate`], [`pending`], [`handoff`],
 //!   [`events`], [`fresh`]: what a box decides where engines pass activations on among
 //!   themselves and a request is handed on whole.
 
@@ -68,6 +68,7 @@
 pub mod placement;
 pub mod policy;
 pub mod queue;
+pub mod rate;
 pub mod record;
 pub mod retry;
 pub mod roster;
--- a/crates/ashgauge/src/placement.rs
+++ b/crates/ashgauge/src/placement.rs
@@ -12,18 +12,25 @@
 
 use crate::chain::Layer;
 use crate::member::UpstreamId;
+use crate::rate;
 use crate::roster::Span;
 use crate::routing::Model;
 
-/// Shares of an engine's memory that weights may take, from the least.
+/// Least and largest share of an engine's memory that weights may take.
 ///
 /// What is left holds requests. Measured on the users' sites: at 0.9 too few
 /// requests fit, at 0.55 too few layers (docs/MEASUREMENTS.md).
-const FILLS: [f64; 4] = [0.60, 0.66, 0.72, FILL_MOST];
-
-/// The largest of those shares.
+const FILL_LEAST: f64 = 0.5;
 const FILL_MOST: f64 = 0.78;
 
+/// Distance of the shares that are weighed: engines hold whole layers, so a
+/// hundredth of a small one's memory may be a layer more.
+const FILL_STEP: f64 = 0.01;
+
+/// Least share in a data centre with memory for a second copy of every layer,
+/// and that of its fast cards: chains prefer them.
+const FILL_SPARE: f64 = 0.60;
+
 /// Copies of the model in a data centre at which no more memory is given to
 /// weights: one chain, and second holders for some of the layers.
 const COPIES: f64 = 1.15;
@@ -152,7 +159,8 @@
 /// a core.
 struct Board<'a> {
     model: &'a Model,
-    /// Largest memory first, then by id.
+    /// Fastest first, then the largest memory, then by id: chains of fast engines
+    /// alone hold memory for less time than mixed ones.
     seats: Vec<Seat>,
     /// Holders of each layer.
     all: Vec<f64>,
@@ -175,7 +183,9 @@
         let mut seats = seats.to_vec();
         seats.sort_by(|a, b| {
             let size = |s: &Seat| memory(model, s);
-            size(b).total_cmp(&size(a)).then_with(|| a.id.cmp(&b.id))
+            let faster = step_factor(model, a).total_cmp(&step_factor(model, b));
+            let larger = size(b).total_cmp(&size(a));
+            faster.then(larger).then_with(|| a.id.cmp(&b.id))
         });
         let mut sites = HashMap::new();
         for seat in &seats {
@@ -255,7 +265,7 @@
         let layers = self.model.layers;
         let site = self.sites.get(&seat.place)?;
         let fill = match site.is_rich && is_fast(self.model, &seat.card) {
-            true => FILLS[0],
+            true => FILL_SPARE,
             false => site.fill,
         };
         let len = capacity(self.model, &seat.card, fill);
@@ -331,16 +341,59 @@
         };
         let layers = f64::from(model.layers);
         let is_rich = held(FILL_MOST) >= COPIES_SECOND * layers;
-        let copies = if is_rich { COPIES_SPARE } else { COPIES };
-        let enough = FILLS.iter().find(|fill| held(**fill) >= copies * layers);
+        let fill = match is_rich {
+            true => {
+                let enough = |fill: &f64| held(*fill) >= COPIES_SPARE * layers;
+                fills(FILL_SPARE).find(enough).unwrap_or(FILL_MOST)
+            }
+            false => best_fill(model, seats, place, |fill| held(fill) / layers),
+        };
         Site {
             is_rich,
-            fill: *enough.unwrap_or(&FILL_MOST),
+            fill,
             cover: vec![0.0; model.layers as usize],
         }
     }
 }
 
+/// Shares of memory that weights may take, from `least` up.
+fn fills(least: f64) -> impl Iterator<Item = f64> {
+    let steps = ((FILL_MOST - least) / FILL_STEP).round() as u32;
+    (0..=steps).map(move |n| least + FILL_STEP * f64::from(n))
+}
+
+/// The share of memory for weights at which a data centre carries most, if it
+/// holds [`COPIES`] of the model; `copies` gives how many it holds.
+fn best_fill(model: &Model, seats: &[Seat], place: &str, copies: impl Fn(f64) -> f64) -> f64 {
+    let mut best = (0.0, FILL_MOST);
+    for fill in fills(FILL_LEAST).filter(|fill| copies(*fill) >= COPIES) {
+        let rate = site_rate(model, seats, place, fill);
+        if rate > best.0 {
+            best = (rate, fill);
+        }
+    }
+    best.1
+}
+
+/// Requests a second that a data centre carries in chains of its engines, the
+/// fastest together.
+fn site_rate(model: &Model, seats: &[Seat], place: &str, fill: f64) -> f64 {
+    let (mut rate, mut parts, mut missing) = (0.0, Vec::new(), model.layers);
+    for seat in seats.iter().filter(|s| *s.place == *place) {
+        let layers = capacity(model, &seat.card, fill).min(missing);
+        if layers == 0 {
+            continue;
+        }
+        parts.push((seat.card.as_str(), layers));
+        missing -= layers;
+        if missing == 0 {
+            rate += rate::chain_rate(model, &parts);
+            (parts, missing) = (Vec::new(), model.layers);
+        }
+    }
+    rate
+}
+
 /// Whether chains prefer an engine for its speed, so that it needs room for
 /// most of a data centre's requests.
 fn is_fast(model: &Model, card: &str) -> bool {
@@ -350,6 +403,11 @@
     card.is_some_and(|c| c.step_factor * FAST_RATIO <= slowest)
 }
 
+fn step_factor(model: &Model, seat: &Seat) -> f64 {
+    let card = model.cards.get(&seat.card);
+    card.map_or(f64::INFINITY, |c| c.step_factor)
+}
+
 fn memory(model: &Model, seat: &Seat) -> f64 {
     model.cards.get(&seat.card).map_or(0.0, |c| c.memory_mb)
 }
