--- /dev/null
+++ b/crates/ashgauge/src/admission.rs
@@ -0,0 +1,135 @@
+//! Requests that wait at a box for room on the engines.
+//!
+//! Engines that are out of memory refuse requests, or throw out others and read
+//! them anew, so what does not fit waits at the box: by rank, and within a rank
+//! the teams take turns. It waits only as long as it is likely to be let in
+//! soon; one that would wait longer is refused at once.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Weight of the newest gap in the learned time between two requests that were
+/// let in.
+const LEARN: f64 = 0.1;
+
+/// Longest gap that is learned from: a longer one means that nobody came.
+const GAP_MOST: Duration = Duration::from_secs(1);
+
+/// Share of memory up to which engines are filled before it is known at which
+/// share they refuse; memory is counted by what requests are expected to use.
+const LIMIT_FIRST: f64 = 1.15;
+
+/// Least and most that the learned share may become.
+const LIMIT_RANGE: (f64, f64) = (0.7, 1.5);
+
+/// Weight of the newest refusal in it.
+const LIMIT_LEARN: f64 = 0.05;
+
+/// Part of the share at which engines refuse up to which they are filled: the
+/// rest is for answers that become longer than expected, so that fewer requests
+/// are thrown out and read anew.
+const LIMIT_PART: f64 = 0.95;
+
+/// Order in the line: rank, turn of the team, number.
+type Place = (u32, u64, u64);
+
+/// A request's place in the line.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ticket(Place);
+
+/// The requests that wait for one service.
+#[derive(Debug)]
+pub struct Line {
+    waiting: BTreeMap<Place, Arc<str>>,
+    /// Next turn of each team that waits, by rank.
+    turns: HashMap<(u32, Arc<str>), u64>,
+    number: u64,
+    /// Learned time between two requests that were let in, in seconds.
+    gap: f64,
+    let_in: Duration,
+    limit: f64,
+}
+
+impl Default for Line {
+    fn default() -> Self {
+        Line {
+            waiting: BTreeMap::new(),
+            turns: HashMap::new(),
+            number: 0,
+            gap: 0.0,
+            let_in: Duration::ZERO,
+            limit: LIMIT_FIRST,
+        }
+    }
+}
+
+impl Line {
+    /// Adds a request of a team; 0 is the first rank.
+    pub fn join(&mut self, rank: u32, team: &Arc<str>) -> Ticket {
+        let ahead = self.waiting.keys().filter(|(r, ..)| *r == rank);
+        let current = ahead.map(|(_, turn, _)| *turn).min().unwrap_or(0);
+        let turn = self.turns.entry((rank, team.clone())).or_insert(current);
+        let place = (rank, (*turn).max(current), self.number);
+        *turn = place.1 + 1;
+        self.number += 1;
+        self.waiting.insert(place, team.clone());
+        Ticket(place)
+    }
+
+    /// Takes a request out, let in or not.
+    pub fn leave(&mut self, ticket: &Ticket) {
+        self.waiting.remove(&ticket.0);
+        if self.waiting.is_empty() {
+            self.turns.clear();
+        }
+    }
+
+    /// Requests that go before this one.
+    pub fn ahead(&self, ticket: &Ticket) -> usize {
+        self.waiting.range(..ticket.0).count()
+    }
+
+    /// Requests that go before a new one of this rank.
+    pub fn ahead_of(&self, rank: u32) -> usize {
+        self.waiting.range(..(rank + 1, 0, 0)).count()
+    }
+
+    /// Requests that wait.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Whether nobody waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Notes that a request was let in.
+    pub fn note_in(&mut self, now: Duration) {
+        let gap = now.saturating_sub(self.let_in).min(GAP_MOST).as_secs_f64();
+        self.gap = match self.gap {
+            0.0 => gap,
+            old => old + LEARN * (gap - old),
+        };
+        self.let_in = now;
+    }
+
+    /// Time until a request with so many ahead of it is likely to be let in.
+    pub fn wait(&self, ahead: usize) -> Duration {
+        Duration::from_secs_f64(self.gap * (ahead + 1) as f64)
+    }
+
+    /// Share of their memory up to which engines are filled.
+    pub fn limit(&self) -> f64 {
+        self.limit
+    }
+
+    /// Learns from an engine that refused a request though this share of its
+    /// memory was taken to be used.
+    pub fn note_full(&mut self, fullness: f64) {
+        let (least, most) = LIMIT_RANGE;
+        let seen = (fullness * LIMIT_PART).clamp(least, most);
+        self.limit += LIMIT_LEARN * (seen - self.limit);
+    }
+}
--- a/crates/ashgauge/src/choice.rs
+++ b/crates/ashgauge/src/choice.rs
@@ -10,6 +10,7 @@
 use crate::member::UpstreamId;
 use crate::roster::{Entry, Roster, Span};
 use crate::routing::Model;
+use crate::share::Shares;
 
 /// Time assumed for an upstream that has not answered yet, in seconds.
 const UNKNOWN_SECONDS: f64 = 0.02;
@@ -49,7 +50,7 @@
 /// its events cross; but boxes that all prefer the same fast engines fill them,
 /// so a chain elsewhere is for boxes that lack one or whose engines are filling
 /// up. Measured at 0.2 to 3 (docs/MEASUREMENTS.md).
-const ENTRY_SECONDS: f64 = 3.0;
+const ENTRY_SECONDS: f64 = 0.3;
 
 /// Share of a pipe that may be used; past it what crosses waits for seconds.
 const PIPE_SHARE: f64 = 0.75;
@@ -105,6 +106,8 @@
     pub roster: &'a Roster,
     /// What crosses between data centres.
     pub pipes: &'a Pipes,
+    /// What the other boxes have on the upstreams.
+    pub shares: &'a Shares,
     /// Name of the service.
     pub service: &'a str,
     /// Data centre of the box.
@@ -136,7 +139,7 @@
 }
 
 /// Chooses a chain over `span` of the model's layers, without the engines in
-/// `avoid`.
+/// `avoid` and those that lack what the request may `need`.
 ///
 /// The cost is the time of a usual request: reading its prompt, writing its
 /// answer, handing activations on; engines that are filling up cost more.
@@ -145,11 +148,12 @@
     model: &Model,
     span: Span,
     avoid: &[UpstreamId],
+    need: Option<Need>,
     rng: &mut impl Rng,
 ) -> Option<Vec<Stage>> {
     let mut places: Vec<&Arc<str>> = vec![scene.place];
     let mut edges = Vec::new();
-    let scale = Scale::new(scene, model);
+    let scale = Scale { scene, model };
     for entry in scene.roster.of(scene.service) {
         let (Some(held), true) = (entry.upstream.layers, entry.is_usable(scene.now)) else {
             continue;
@@ -157,6 +161,9 @@
         if avoid.contains(&entry.upstream.id) || !held.overlaps(&span) {
             continue;
         }
+        if need.is_some_and(|n| !n.fits(scene, model, entry)) {
+            continue;
+        }
         let name = &entry.upstream.place;
         let place = places.iter().position(|p| *p == name);
         let place = place.unwrap_or_else(|| {
@@ -182,10 +189,40 @@
     })
 }
 
-/// Requests of usual size that an engine has memory for.
-pub fn capacity(model: &Model, entry: &Entry, held: Span) -> f64 {
+/// Share of an engine's memory for requests that all boxes' requests hold, as
+/// far as this box knows; `None` if it holds no layers.
+pub fn fullness(scene: &Scene, model: &Model, entry: &Entry) -> Option<f64> {
+    let held = entry.upstream.layers?;
+    let tokens = Total::of(scene, entry).tokens;
+    Some(tokens / memory(model, entry, held).max(1.0))
+}
+
+/// Room that a request needs on each engine of its chain.
+#[derive(Clone, Copy, Debug)]
+pub struct Need {
+    /// Tokens that it holds.
+    pub tokens: u32,
+    /// Share of their memory up to which engines are filled.
+    pub limit: f64,
+}
+
+impl Need {
+    /// Whether an engine has the room, with all of its layers in the chain.
+    pub fn fits(&self, scene: &Scene, model: &Model, entry: &Entry) -> bool {
+        let Some(held) = entry.upstream.layers else {
+            return false;
+        };
+        let more = f64::from(self.tokens) * f64::from(held.len());
+        let total = Total::of(scene, entry).tokens;
+        !entry.is_full(scene.now) && total + more <= self.limit * memory(model, entry, held)
+    }
+}
+
+/// Memory of an engine for requests, in tokens times layers.
+pub fn memory(model: &Model, entry: &Entry, held: Span) -> f64 {
     let card = entry.upstream.card.as_deref().unwrap_or_default();
-    model.room(card, held.len())
+    let usual = f64::from(model.prompt + model.answer) * f64::from(held.len());
+    model.room(card, held.len()) * usual
 }
 
 fn upstream_cost(scene: &Scene, entry: &Entry) -> f64 {
@@ -197,7 +234,7 @@
     let told = entry.load.map_or(0.0, |(running, waiting)| {
         f64::from(running) + 2.0 * f64::from(waiting)
     });
-    let ahead = told.max(f64::from(entry.inflight) * scene.neighbours) / slots;
+    let ahead = told.max(Total::of(scene, entry).requests) / slots;
     let away = match entry.upstream.place == *scene.place {
         true => 1.0,
         false => AWAY_FACTOR,
@@ -211,60 +248,55 @@
     seconds * (1.0 + ahead) * away * failing * failing
 }
 
-/// Requests of this box that run on the service's engines; each covers every
-/// layer once.
-fn own_streams(scene: &Scene, model: &Model) -> f64 {
-    let entries = scene.roster.of(scene.service);
-    let layers = entries.map(|e| {
-        let held = e.upstream.layers.map_or(0, |l| l.len());
-        f64::from(e.inflight) * f64::from(held)
-    });
-    layers.sum::<f64>() / f64::from(model.layers.max(1))
+/// What all boxes have on an upstream, as far as this one knows.
+///
+/// Boxes that were not heard lately are taken to do as those that were: all of
+/// them, or the part of them that stands in the upstream's data centre if it is
+/// this box's own.
+struct Total {
+    requests: f64,
+    leads: f64,
+    tokens: f64,
+    /// Seconds for which it has prompts to read.
+    reading: f64,
 }
 
-/// What engines are weighed by, worked out once for a choice.
+impl Total {
+    fn of(scene: &Scene, entry: &Entry) -> Self {
+        let mut known = entry.used(scene.now);
+        known.add(&scene.shares.others(&entry.upstream.id));
+        let heard = scene.shares.boxes() as f64 + 1.0;
+        let unheard = (likes(scene, entry) / heard).max(1.0);
+        Total {
+            requests: f64::from(known.requests) * unheard,
+            leads: f64::from(known.leads) * unheard,
+            tokens: f64::from(known.tokens) * unheard,
+            reading: f64::from(known.reading) / 1e3 * unheard,
+        }
+    }
+}
+
+/// What engines are weighed by.
 struct Scale<'a> {
     scene: &'a Scene<'a>,
     model: &'a Model,
-    /// Requests of this box that run on the service's engines.
-    streams: f64,
-    /// How many engines of a data centre hold each layer.
-    holders: HashMap<&'a Arc<str>, Vec<f64>>,
 }
 
-impl<'a> Scale<'a> {
-    fn new(scene: &'a Scene<'a>, model: &'a Model) -> Self {
-        let mut holders: HashMap<&Arc<str>, Vec<f64>> = HashMap::new();
-        for entry in scene.roster.of(scene.service) {
-            let place = holders.entry(&entry.upstream.place);
-            let counts = place.or_insert_with(|| vec![0.0; model.layers as usize]);
-            let span = entry.upstream.layers.unwrap_or(whole(0));
-            for layer in span.first..span.end.min(model.layers) {
-                counts[layer as usize] += 1.0;
-            }
-        }
-        Scale {
-            scene,
-            model,
-            streams: own_streams(scene, model),
-            holders,
-        }
-    }
-
+impl Scale<'_> {
     /// Seconds that any use of an engine costs, and each of its layers; `leads`
     /// says that it may become the chain's first, which answers for all.
     fn weigh(&self, entry: &Entry, held: Span, leads: bool, jitter: f64) -> (f64, f64) {
         let (scene, model) = (self.scene, self.model);
+        let total = Total::of(scene, entry);
         // A slow engine gets through less; its room counts for as much less.
         let slowness = entry.slowness(scene.now);
-        let load = self.expected_load(entry) * slowness;
         let mut full = match entry.is_full(scene.now) {
             true => 1.0,
-            false => load / capacity(model, entry, held).max(1.0),
+            false => total.tokens * slowness / memory(model, entry, held).max(1.0),
         };
-        let mut fixed = entry.backlog(scene.now);
+        let mut fixed = total.reading;
         if leads {
-            full = full.max(lead_share(scene, entry));
+            full = full.max(total.leads / f64::from(entry.upstream.slots.max(1)));
             fixed += FAILING_SECONDS * entry.failures(scene.now);
         }
         if full >= FULL {
@@ -272,41 +304,10 @@
         }
         let filling = jitter / (1.0 - full.min(FULL));
         let engine = ENGINE_SECONDS + f64::from(model.answer) * HOP_SECONDS;
+        let load = total.requests * slowness;
         let layer = layer_seconds(model, entry, load) * slowness * filling;
         (fixed + engine * filling, layer)
     }
-
-    /// Requests that all boxes together have on an engine, as far as this box
-    /// can tell from its own: its neighbours are taken to do as it does, and
-    /// the boxes elsewhere to spread as many over the engines there.
-    fn expected_load(&self, entry: &Entry) -> f64 {
-        let scene = self.scene;
-        let own = f64::from(entry.inflight);
-        match entry.upstream.place == *scene.place {
-            true => own * scene.neighbours,
-            false => {
-                let spread = self.streams * scene.neighbours / self.sharers(entry);
-                own * scene.boxes + spread
-            }
-        }
-    }
-
-    /// Engines among which an engine's requests are spread, itself included.
-    fn sharers(&self, entry: &Entry) -> f64 {
-        let span = entry.upstream.layers.unwrap_or(whole(0));
-        let counts = self.holders.get(&entry.upstream.place);
-        let counts = counts.map_or(&[][..], |c| c);
-        let counts = counts.iter().take(span.end as usize);
-        let sum: f64 = counts.skip(span.first as usize).sum();
-        (sum / f64::from(span.len().max(1))).max(1.0)
-    }
-}
-
-/// Share of an engine's slots that is taken by the requests that were sent to
-/// it; those that are led through it take none.
-fn lead_share(scene: &Scene, entry: &Entry) -> f64 {
-    let leads = f64::from(entry.leads) * likes(scene, entry);
-    leads / f64::from(entry.upstream.slots.max(1))
 }
 
 /// Boxes that are taken to use an engine as this one does.
@@ -317,8 +318,7 @@
     }
 }
 
-/// Seconds that an engine needs to read `tokens` through some of its layers,
-/// for this box and those that are taken to give it as much.
+/// Seconds that an engine needs to read `tokens` through some of its layers.
 pub fn reading_seconds(
     scene: &Scene,
     model: &Model,
@@ -330,7 +330,7 @@
     let factor = card.and_then(|c| model.cards.get(c));
     let factor = factor.map_or(1.0, |c| c.read_factor) * entry.slowness(scene.now);
     let whole = f64::from(tokens) / model.read_rate.max(1.0) * factor;
-    whole * f64::from(layers) / f64::from(model.layers.max(1)) * likes(scene, entry)
+    whole * f64::from(layers) / f64::from(model.layers.max(1))
 }
 
 /// Seconds that one layer costs a usual request on an engine with this load.
--- a/crates/ashgauge/src/lib.rs
+++ b/crates/ashgauge/src/lib.rs
@@ -41,13 +41,15 @@
 //! - [`member`], [`message`]: boxes and upstreams, and what boxes tell each
 //!   other.
 //! - [`clock`], [`record`]: the time line.
-//! - [`routing`], [`roster`], [`placement`], [`rate`], [`pending`], [`handoff`],
-//!   [`events`], [`fresh`]: what a box decides where engines pass activations on among
+//! - [`routing`], [`roster`], [`share`], [`choice`], [`admission`],
+//!   [`placement`], [`rate`], [`pending`],
+//!   [`handoff`], [`events`], [`fresh`]: what a box decides where engines pass activations on among
 //!   themselves and a request is handed on whole.
 
 #![warn(missing_docs)]
 #![forbid(unsafe_code)]
 
+pub mod admission;
 pub mod chain;
 pub mod choice;
 pub mod claim;
@@ -73,6 +75,7 @@
 pub mod retry;
 pub mod roster;
 pub mod routing;
+pub mod share;
 pub mod table;
 
 pub use error::{Category, Error, Result};
--- a/crates/ashgauge/src/roster.rs
+++ b/crates/ashgauge/src/roster.rs
@@ -8,6 +8,7 @@
 use crate::chain::Layer;
 use crate::member::UpstreamId;
 use crate::routing::ServiceId;
+use crate::share::Use;
 
 /// How long an upstream that failed is left out before it is tried again.
 ///
@@ -84,6 +85,8 @@
     /// Those of them that were sent to it; the others it got from an engine
     /// before it in their chain.
     pub leads: u32,
+    /// Memory that the requests of this box hold there, in tokens times layers.
+    pub tokens: u64,
     /// Learned time of an answer, in seconds; 0 if unknown.
     pub seconds: f64,
     /// Load that it last told: requests running and waiting.
@@ -152,7 +155,17 @@
         share * (-age / FAILURE_TIME.as_secs_f64()).exp()
     }
 
-    /// Seconds for which it has prompts to read, as far as is known.
+    /// What this box has on it.
+    pub fn used(&self, now: Duration) -> Use {
+        Use {
+            requests: self.inflight,
+            leads: self.leads,
+            tokens: self.tokens.try_into().unwrap_or(u32::MAX),
+            reading: (self.backlog(now) * 1e3) as u32,
+        }
+    }
+
+    /// Seconds for which it has prompts of this box to read.
     pub fn backlog(&self, now: Duration) -> f64 {
         let (seconds, at) = self.reading;
         (seconds - now.saturating_sub(at).as_secs_f64()).max(0.0)
@@ -195,6 +208,7 @@
             upstream,
             inflight: 0,
             leads: 0,
+            tokens: 0,
             seconds: 0.0,
             failing: (0.0, Duration::ZERO),
             load: None,
@@ -267,17 +281,20 @@
         self.entries.is_empty()
     }
 
-    /// Notes that a request of this box went to an upstream.
-    pub fn begin(&mut self, id: &str) {
+    /// Notes that a request of this box went to an upstream, where it holds
+    /// `tokens` tokens times layers.
+    pub fn begin(&mut self, id: &str, tokens: u64) {
         if let Some(entry) = self.entries.get_mut(id) {
             entry.inflight += 1;
+            entry.tokens += tokens;
         }
     }
 
-    /// Notes that a request of this box is no longer there.
-    pub fn end(&mut self, id: &str) {
+    /// Notes that such a request is no longer there.
+    pub fn end(&mut self, id: &str, tokens: u64) {
         if let Some(entry) = self.entries.get_mut(id) {
             entry.inflight = entry.inflight.saturating_sub(1);
+            entry.tokens = entry.tokens.saturating_sub(tokens);
         }
     }
 
--- /dev/null
+++ b/crates/ashgauge/src/share.rs
@@ -0,0 +1,162 @@
+//! What boxes tell each other of the load that they put on upstreams.
+//!
+//! A box knows its own requests; what an upstream has to bear is the sum over
+//! all boxes. Each box tells its part every fraction of a second, so the sum is
+//! known but for what changed since. A word that was lost is made good by the
+//! next one, and of a box that falls silent the last word counts for
+//! [`KEEP_TIME`].
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::member::BoxId;
+
+/// How long a box's last word counts. Its streams end with it if it died, and
+/// go on if it is only cut off from this one; some words may be lost meanwhile.
+const KEEP_TIME: Duration = Duration::from_secs(2);
+
+/// Least time between two words: a small part of a request's time, at 10 small
+/// datagrams a second for each other box.
+const TELL_LEAST: Duration = Duration::from_millis(100);
+
+/// Time between two words for each box that is told: bounds what a box sends
+/// and hears to 250 datagrams a second in a fleet of any size.
+const TELL_EACH: Duration = Duration::from_millis(4);
+
+/// Number that stands for an upstream's id in a word.
+pub type UpstreamKey = u32;
+
+/// What one box, or all of them, have on an upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Use {
+    /// Requests that it works on.
+    pub requests: u32,
+    /// Those of them that were sent to it by a box.
+    pub leads: u32,
+    /// Memory that they hold there, in tokens times layers.
+    pub tokens: u32,
+    /// Milliseconds for which it has prompts to read.
+    pub reading: u32,
+}
+
+/// What a box tells: its part of every upstream's load.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Word {
+    /// The box that tells.
+    pub from: BoxId,
+    /// Start of its process, so that numbers may begin anew.
+    pub boot: u64,
+    /// Counts its words.
+    pub number: u64,
+    /// Upstreams that it uses.
+    pub uses: Vec<(UpstreamKey, Use)>,
+}
+
+/// What was heard from the other boxes.
+#[derive(Debug, Default)]
+pub struct Shares {
+    heard: HashMap<BoxId, Heard>,
+    sums: HashMap<UpstreamKey, Use>,
+}
+
+#[derive(Debug)]
+struct Heard {
+    boot: u64,
+    number: u64,
+    at: Duration,
+    uses: Vec<(UpstreamKey, Use)>,
+}
+
+/// The number that stands for an upstream.
+pub fn key(id: &str) -> UpstreamKey {
+    xxh3_64(id.as_bytes()) as UpstreamKey
+}
+
+/// Time between two words in a fleet with so many other boxes.
+///
+/// # Example
+///
+/// ```
+/// use ashgauge::share::tell_time;
+///
+/// assert!(tell_time(339) < std::time::Duration::from_secs(2));
+/// ```
+pub fn tell_time(others: usize) -> Duration {
+    let each = TELL_EACH.saturating_mul(others.try_into().unwrap_or(u32::MAX));
+    each.max(TELL_LEAST)
+}
+
+impl Shares {
+    /// Takes a word in; returns false if a later one was heard before.
+    pub fn hear(&mut self, now: Duration, word: Word) -> bool {
+        let known = self.heard.get(&word.from);
+        let is_late = known.is_some_and(|k| k.boot == word.boot && k.number >= word.number);
+        if is_late {
+            return false;
+        }
+        let from: Arc<str> = word.from;
+        self.forget(&from);
+        for (key, more) in &word.uses {
+            self.sums.entry(*key).or_default().add(more);
+        }
+        let heard = Heard {
+            boot: word.boot,
+            number: word.number,
+            at: now,
+            uses: word.uses,
+        };
+        self.heard.insert(from, heard);
+        true
+    }
+
+    /// Forgets boxes that fell silent.
+    pub fn expire(&mut self, now: Duration) {
+        let is_old = |h: &Heard| now >= h.at + KEEP_TIME;
+        let silent = self.heard.iter().filter(|(_, h)| is_old(h));
+        let silent: Vec<BoxId> = silent.map(|(id, _)| id.clone()).collect();
+        silent.iter().for_each(|id| self.forget(id));
+    }
+
+    /// What all other boxes have on an upstream.
+    pub fn others(&self, id: &str) -> Use {
+        self.sums.get(&key(id)).copied().unwrap_or_default()
+    }
+
+    /// Boxes that were heard a short while ago.
+    pub fn boxes(&self) -> usize {
+        self.heard.len()
+    }
+
+    fn forget(&mut self, from: &str) {
+        let Some(old) = self.heard.remove(from) else {
+            return;
+        };
+        for (key, less) in &old.uses {
+            if let Some(sum) = self.sums.get_mut(key) {
+                sum.take(less);
+            }
+        }
+        self.sums.retain(|_, sum| *sum != Use::default());
+    }
+}
+
+impl Use {
+    /// Adds another part of the load.
+    pub fn add(&mut self, more: &Use) {
+        self.requests = self.requests.saturating_add(more.requests);
+        self.leads = self.leads.saturating_add(more.leads);
+        self.tokens = self.tokens.saturating_add(more.tokens);
+        self.reading = self.reading.saturating_add(more.reading);
+    }
+
+    fn take(&mut self, less: &Use) {
+        self.requests = self.requests.saturating_sub(less.requests);
+        self.leads = self.leads.saturating_sub(less.leads);
+        self.tokens = self.tokens.saturating_sub(less.tokens);
+        self.reading = self.reading.saturating_sub(less.reading);
+    }
+}
--- /dev/null
+++ b/crates/ashgauge/tests/admission.rs
@@ -0,0 +1,110 @@
+//! In which order requests wait for room, and for how long.
+
+mod common;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ashgauge::admission::Line;
+use proptest::prelude::*;
+
+fn team(name: &str) -> Arc<str> {
+    Arc::from(name)
+}
+
+#[test]
+fn higher_rank_goes_first() {
+    let mut line = Line::default();
+    let low = line.join(2, &team("a"));
+    let high = line.join(0, &team("b"));
+    assert_eq!(line.ahead(&high), 0);
+    assert_eq!(line.ahead(&low), 1);
+    assert_eq!(line.ahead_of(0), 1);
+    assert_eq!(line.ahead_of(2), 2);
+    line.leave(&high);
+    assert_eq!(line.ahead(&low), 0);
+}
+
+/// A team that asks for much does not hold up one that asks for little.
+#[test]
+fn teams_take_turns() {
+    let mut line = Line::default();
+    let many: Vec<_> = (0..10).map(|_| line.join(1, &team("large"))).collect();
+    let one = line.join(1, &team("small"));
+    assert_eq!(line.ahead(&many[0]), 0);
+    assert_eq!(line.ahead(&one), 1);
+    // Its next ones wait for their turns as well.
+    let next = line.join(1, &team("small"));
+    assert_eq!(line.ahead(&next), 3);
+}
+
+/// A team that waited before gets no turns in advance for it.
+#[test]
+fn team_that_comes_later_begins_at_the_present_turn() {
+    let mut line = Line::default();
+    let many: Vec<_> = (0..10).map(|_| line.join(1, &team("large"))).collect();
+    many[..5].iter().for_each(|t| line.leave(t));
+    let late = line.join(1, &team("late"));
+    assert_eq!(line.ahead(&late), 1);
+}
+
+#[test]
+fn wait_follows_the_pace_at_which_requests_are_let_in() {
+    let mut line = Line::default();
+    for n in 1..100u32 {
+        line.note_in(Duration::from_millis(50) * n);
+    }
+    let wait = line.wait(9).as_secs_f64();
+    assert!((0.4..0.6).contains(&wait), "{wait}");
+}
+
+#[test]
+fn limit_follows_what_engines_refuse_at() {
+    let mut line = Line::default();
+    (0..200).for_each(|_| line.note_full(0.9));
+    assert!((0.8..0.9).contains(&line.limit()), "{}", line.limit());
+    (0..200).for_each(|_| line.note_full(0.01));
+    assert!(line.limit() >= 0.7, "{}", line.limit());
+    (0..200).for_each(|_| line.note_full(50.0));
+    assert!(line.limit() <= 1.5, "{}", line.limit());
+}
+
+proptest! {
+    #![proptest_config(common::seeded(200))]
+
+    /// Everybody who waits is let in once, a higher rank before all lower ones,
+    /// and within a rank no team twice before another that was there.
+    #[test]
+    fn nobody_starves(asks in prop::collection::vec((0..3u32, 0..4usize), 1..40)) {
+        let mut line = Line::default();
+        let teams = ["a", "b", "c", "d"].map(team);
+        let mut waiting = Vec::new();
+        for (rank, team) in &asks {
+            waiting.push((line.join(*rank, &teams[*team]), *rank, *team));
+        }
+        let mut order = Vec::new();
+        while !waiting.is_empty() {
+            let at = waiting.iter().position(|(t, ..)| line.ahead(t) == 0);
+            let at = at.expect("one is first");
+            let (ticket, rank, team) = waiting.remove(at);
+            line.leave(&ticket);
+            order.push((rank, team));
+        }
+        prop_assert!(line.is_empty());
+        prop_assert!(order.is_sorted_by_key(|(rank, _)| *rank));
+        for (n, (rank, team)) in order.iter().enumerate() {
+            let later = &order[n + 1..];
+            let again = later.iter().position(|o| o == &(*rank, *team));
+            let rest = &later[again.unwrap_or(later.len())..];
+            for other in 0..4 {
+                let before = &later[..again.unwrap_or(later.len())];
+                let missed = other != *team && rest.contains(&(*rank, other));
+                let earlier = order[..n].iter().filter(|o| **o == (*rank, other)).count();
+                let own = order[..n].iter().filter(|o| **o == (*rank, *team)).count();
+                if missed && earlier <= own {
+                    prop_assert!(before.contains(&(*rank, other)));
+                }
+            }
+        }
+    }
+}
--- a/crates/ashgauge/tests/choice.rs
+++ b/crates/ashgauge/tests/choice.rs
@@ -7,9 +7,11 @@
 use std::time::Duration;
 
 use ashgauge::chain::covers;
-use ashgauge::choice::{self, Pipes, Scene, capacity};
+use ashgauge::choice::{self, Need, Pipes, Scene};
 use ashgauge::placement::plan;
 use ashgauge::roster::{Roster, Span};
+use ashgauge::routing::Model;
+use ashgauge::share::{self, Shares, Use, Word};
 use engines::{apply, fleet, model, roster};
 use proptest::prelude::*;
 use rand::SeedableRng;
@@ -17,10 +19,16 @@
 
 const BOXES: f64 = 8.0;
 
-fn scene<'a>(roster: &'a Roster, pipes: &'a Pipes, place: &'a Arc<str>) -> Scene<'a> {
+fn scene<'a>(
+    roster: &'a Roster,
+    pipes: &'a Pipes,
+    shares: &'a Shares,
+    place: &'a Arc<str>,
+) -> Scene<'a> {
     Scene {
         roster,
         pipes,
+        shares,
         service: "model",
         place,
         boxes: BOXES,
@@ -36,6 +44,11 @@
     roster(&seats)
 }
 
+/// Memory of a usual request in so many layers, in tokens times layers.
+fn usual(model: &Model, layers: u64) -> u64 {
+    u64::from(model.prompt + model.answer) * layers
+}
+
 /// Once all boxes led their requests over the fastest engine until it threw
 /// requests out, while the others idled.
 #[test]
@@ -46,22 +59,22 @@
     let mut roster = Roster::default();
     roster.put(engines::upstream("fast", "a", "large", Some(all), 1));
     roster.put(engines::upstream("slow", "a", "medium", Some(all), 2));
-    let (pipes, place) = (Pipes::default(), Arc::from("a"));
+    let (pipes, shares, place) = (Pipes::default(), Shares::default(), Arc::from("a"));
     let mut rng = SmallRng::seed_from_u64(1);
     let neighbours = BOXES / 3.0;
     // 107 requests over all boxes; the two have room for 98 and 33.
     for _ in 0..40 {
         let stages = {
-            let scene = scene(&roster, &pipes, &place);
-            choice::chain(&scene, &model, all, &[], &mut rng)
+            let scene = scene(&roster, &pipes, &shares, &place);
+            choice::chain(&scene, &model, all, &[], None, &mut rng)
         };
         for stage in stages.expect("a chain") {
-            roster.begin(&stage.upstream);
+            roster.begin(&stage.upstream, usual(&model, 10));
         }
     }
     for entry in roster.all() {
-        let load = f64::from(entry.inflight) * neighbours;
-        let room = capacity(&model, entry, all);
+        let load = entry.tokens as f64 * neighbours;
+        let room = choice::memory(&model, entry, all);
         assert!(load <= room, "{}: {load} of {room}", entry.upstream.id);
     }
 }
@@ -70,11 +83,11 @@
 /// activations do not cross.
 #[test]
 fn chain_stays_within_one_data_centre() {
-    let (roster, pipes) = (placed(), Pipes::default());
+    let (roster, pipes, shares) = (placed(), Pipes::default(), Shares::default());
     let mut rng = SmallRng::seed_from_u64(2);
     for place in ["a", "b", "c"].map(Arc::from) {
-        let scene = scene(&roster, &pipes, &place);
-        let stages = choice::chain(&scene, &model(), choice::whole(80), &[], &mut rng);
+        let scene = scene(&roster, &pipes, &shares, &place);
+        let stages = choice::chain(&scene, &model(), choice::whole(80), &[], None, &mut rng);
         let stages = stages.expect("a chain");
         let places = stages.iter().filter_map(|s| roster.get(&s.upstream));
         let mut places: Vec<_> = places.map(|e| &e.upstream.place).collect();
@@ -98,10 +111,14 @@
 }
 
 fn chosen(roster: &Roster, seed: u64) -> Vec<String> {
+    chosen_beside(roster, &Shares::default(), seed)
+}
+
+fn chosen_beside(roster: &Roster, shares: &Shares, seed: u64) -> Vec<String> {
     let (pipes, place) = (Pipes::default(), Arc::from("a"));
     let mut rng = SmallRng::seed_from_u64(seed);
-    let scene = scene(roster, &pipes, &place);
-    let stages = choice::chain(&scene, &model(), choice::whole(80), &[], &mut rng);
+    let scene = scene(roster, &pipes, shares, &place);
+    let stages = choice::chain(&scene, &model(), choice::whole(80), &[], None, &mut rng);
     let stages = stages.expect("a chain");
     stages.iter().map(|s| s.upstream.to_string()).collect()
 }
@@ -136,6 +153,73 @@
     }
 }
 
+/// What one other box tells of its use of an engine.
+fn told(id: &str, used: Use) -> Shares {
+    let mut shares = Shares::default();
+    let word = Word {
+        from: "box-2".into(),
+        boot: 1,
+        number: 1,
+        uses: vec![(share::key(id), used)],
+    };
+    assert!(shares.hear(Duration::from_secs(100), word));
+    shares
+}
+
+/// Each box took the others to do as it did, and all chose the engine that one
+/// of them had filled.
+#[test]
+fn engine_that_other_boxes_fill_is_avoided() {
+    let roster = twins();
+    let used = Use {
+        requests: 60,
+        tokens: 60 * 900 * 40,
+        ..Use::default()
+    };
+    let shares = told("b1", used);
+    for seed in 0..20 {
+        assert_eq!(chosen_beside(&roster, &shares, seed)[1], "b2");
+    }
+}
+
+/// Requests were sent to engines that had no room for them and came back.
+#[test]
+fn chain_without_room_is_not_chosen() {
+    let (model, roster, pipes) = (model(), twins(), Pipes::default());
+    let place = Arc::from("a");
+    let memory = choice::memory(&model, roster.get("b1").expect("b1"), whole_half());
+    let need = Some(Need {
+        tokens: 900,
+        limit: 1.0,
+    });
+    let chosen = |shares: &Shares| {
+        let mut rng = SmallRng::seed_from_u64(4);
+        let scene = scene(&roster, &pipes, shares, &place);
+        choice::chain(&scene, &model, choice::whole(80), &[], need, &mut rng)
+    };
+    assert!(chosen(&Shares::default()).is_some());
+    let full = Use {
+        requests: 1,
+        tokens: memory as u32 - 1,
+        ..Use::default()
+    };
+    let mut shares = told("b1", full);
+    let stages = chosen(&shares).expect("a chain over the other one");
+    assert_eq!(&*stages[1].upstream, "b2");
+    let word = Word {
+        from: "box-3".into(),
+        boot: 1,
+        number: 1,
+        uses: vec![(share::key("b2"), full)],
+    };
+    shares.hear(Duration::from_secs(100), word);
+    assert_eq!(chosen(&shares), None);
+}
+
+fn whole_half() -> Span {
+    Span { first: 40, end: 80 }
+}
+
 /// An engine refuses what is sent to it past its slots, and all chains of a
 /// data centre began at one.
 #[test]
@@ -169,7 +253,7 @@
         // The own data centre's engines have no room: 100 requests of this
         // box, 267 with its neighbours'.
         let own = put(&mut roster, "a", 0);
-        (0..100).for_each(|_| roster.begin(&own));
+        (0..100).for_each(|_| roster.begin(&own, usual(&model(), 20)));
         roster.note_full(now, &own);
         (1..4).for_each(|n| drop(put(&mut roster, "c", n)));
     }
@@ -194,18 +278,18 @@
     lost.iter().for_each(|id| roster.remove(id));
     let place: Arc<str> = "a".into();
     let places = ["a", "b", "c"].map(Arc::from);
-    let mut pipes = Pipes::default();
+    let (mut pipes, shares) = (Pipes::default(), Shares::default());
     let mut rng = SmallRng::seed_from_u64(3);
-    let unused = scene(&roster, &pipes, &place);
-    let stages = choice::chain(&unused, &model(), choice::whole(80), &[], &mut rng);
+    let unused = scene(&roster, &pipes, &shares, &place);
+    let stages = choice::chain(&unused, &model(), choice::whole(80), &[], None, &mut rng);
     assert!(stages.is_some());
     for (n, from) in places.iter().enumerate() {
         for to in &places[n + 1..] {
             pipes.note(Duration::from_secs(100), from, to, 1125.0 / BOXES);
         }
     }
-    let used = scene(&roster, &pipes, &place);
-    let stages = choice::chain(&used, &model(), choice::whole(80), &[], &mut rng);
+    let used = scene(&roster, &pipes, &shares, &place);
+    let stages = choice::chain(&used, &model(), choice::whole(80), &[], None, &mut rng);
     assert_eq!(stages, None);
 }
 
@@ -237,11 +321,11 @@
             let engine = engines::upstream(&format!("e{n}"), place, "small", Some(span), n);
             roster.put(engine);
         }
-        let (pipes, place) = (Pipes::default(), Arc::from("a"));
+        let (pipes, shares, place) = (Pipes::default(), Shares::default(), Arc::from("a"));
         let avoid = [Arc::from(format!("e{avoided}"))];
         let mut rng = SmallRng::seed_from_u64(seed);
-        let scene = scene(&roster, &pipes, &place);
-        let stages = choice::chain(&scene, &model(), choice::whole(80), &avoid, &mut rng);
+        let scene = scene(&roster, &pipes, &shares, &place);
+        let stages = choice::chain(&scene, &model(), choice::whole(80), &avoid, None, &mut rng);
         let held = |layer: u32| {
             roster.all().any(|e| {
                 e.upstream.id != avoid[0] && e.upstream.layers.is_some_and(|l| l.holds(layer))
--- /dev/null
+++ b/crates/ashgauge/tests/share.rs
@@ -0,0 +1,99 @@
+//! What boxes tell each other of their loads.
+
+mod common;
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use ashgauge::share::{self, Shares, Use, Word, tell_time};
+use proptest::prelude::*;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn word(from: u32, boot: u64, number: u64, requests: u32) -> Word {
+    let used = Use {
+        requests,
+        leads: requests / 2,
+        tokens: requests * 900,
+        reading: requests,
+    };
+    Word {
+        from: format!("box-{from}").into(),
+        boot,
+        number,
+        uses: vec![(share::key("e1"), used)],
+    }
+}
+
+#[test]
+fn later_word_replaces_the_one_before() {
+    let mut shares = Shares::default();
+    assert!(shares.hear(SECOND, word(1, 7, 1, 10)));
+    assert!(shares.hear(SECOND, word(1, 7, 2, 4)));
+    assert_eq!(shares.others("e1").requests, 4);
+    assert_eq!(shares.others("e2"), Use::default());
+}
+
+/// Datagrams overtake each other.
+#[test]
+fn word_that_comes_late_is_dropped() {
+    let mut shares = Shares::default();
+    assert!(shares.hear(SECOND, word(1, 7, 2, 4)));
+    assert!(!shares.hear(SECOND, word(1, 7, 1, 10)));
+    assert!(!shares.hear(SECOND, word(1, 7, 2, 10)));
+    assert_eq!(shares.others("e1").requests, 4);
+}
+
+/// A process that starts again counts its words from one.
+#[test]
+fn words_of_a_new_start_are_heard() {
+    let mut shares = Shares::default();
+    assert!(shares.hear(SECOND, word(1, 7, 900, 10)));
+    assert!(shares.hear(SECOND, word(1, 8, 1, 2)));
+    assert_eq!(shares.others("e1").requests, 2);
+}
+
+#[test]
+fn box_that_falls_silent_is_forgotten() {
+    let mut shares = Shares::default();
+    shares.hear(SECOND, word(1, 7, 1, 10));
+    shares.hear(SECOND * 3, word(2, 7, 1, 5));
+    shares.expire(SECOND * 4);
+    assert_eq!(shares.boxes(), 1);
+    assert_eq!(shares.others("e1").requests, 5);
+}
+
+/// What a box sends does not grow with the fleet.
+#[test]
+fn words_are_fewer_in_large_fleets() {
+    for others in [1, 5, 58, 339, 2000] {
+        let sent = others as f64 / tell_time(others).as_secs_f64();
+        assert!(sent <= 251.0, "{sent} datagrams a second to {others}");
+    }
+}
+
+proptest! {
+    #![proptest_config(common::seeded(200))]
+
+    /// Words in any order: the sum is that of each box's last one.
+    #[test]
+    fn sum_is_that_of_the_last_words(
+        words in prop::collection::vec((0..5u32, 0..40u64, 0..100u32), 0..60),
+    ) {
+        let mut shares = Shares::default();
+        let mut last: HashMap<u32, (u64, u32)> = HashMap::new();
+        for (from, number, requests) in words {
+            shares.hear(SECOND, word(from, 1, number, requests));
+            let known = last.entry(from).or_insert((number, requests));
+            if number > known.0 {
+                *known = (number, requests);
+            }
+        }
+        let sum: u32 = last.values().map(|(_, requests)| requests).sum();
+        prop_assert_eq!(shares.others("e1").requests, sum);
+        prop_assert_eq!(shares.others("e1").tokens, sum * 900);
+        prop_assert_eq!(shares.boxes(), last.len());
+        shares.expire(SECOND * 9);
+        prop_assert_eq!(shares.others("e1"), Use::default());
+    }
+}
--- a/crates/ashgauged/src/relay/census.rs
+++ b/crates/ashgauged/src/relay/census.rs
@@ -1,11 +1,13 @@
 //! How many boxes there are, for their parts of the fleet's budgets.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use platform::store::Revision;
 use platform::{Fault, Store};
 use serde::de::IgnoredAny;
+use serde::{Deserialize, Serialize};
 use serde_json::json;
 use spdlog::Level;
 use tokio::time::sleep;
@@ -27,27 +29,54 @@
 /// Time between two counts of the boxes.
 const COUNT_EVERY: Duration = Duration::from_secs(15);
 
+/// A box as it announces itself.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct Member {
+    /// Address on which it hears what others tell.
+    #[serde(default)]
+    peer: Option<SocketAddr>,
+}
+
 /// Announces this box to the others and counts them as long as the process
 /// runs.
 ///
 /// Boxes that are gone for good stay counted, so the parts only shrink.
 pub async fn count(desk: Rc<Desk>) {
-    let id = desk.settings().id.clone();
     loop {
-        match desk.store.create(KIND, &id, &json!({})).await {
-            Ok(()) | Err(Fault::Conflict) => break,
+        match announce(&desk).await {
+            Ok(()) => break,
             Err(fault) => note(&desk, "announce", &fault),
         }
         sleep(RETRY_PAUSE).await;
     }
-    count_once(&desk).await;
+    count_once(desk.clone()).await;
     sleep(COUNT_AGAIN).await;
     loop {
-        count_once(&desk).await;
+        count_once(desk.clone()).await;
         sleep(COUNT_EVERY).await;
     }
 }
 
+/// Writes this box's object, or corrects one that names another address.
+async fn announce(desk: &Desk) -> Result<(), Fault> {
+    let settings = desk.settings();
+    let member = Member {
+        peer: desk.heard_at.get(),
+    };
+    match desk.store.create(KIND, &settings.id, &member).await {
+        Err(Fault::Conflict) => {}
+        other => return other,
+    }
+    let known = desk.store.get::<Member>(KIND, &settings.id).await?;
+    if known.value == member {
+        return Ok(());
+    }
+    let replaced = desk
+        .store
+        .replace(KIND, &settings.id, known.revision, &member);
+    replaced.await
+}
+
 /// Revisions at which boxes announced themselves, as they were known some
 /// seconds ago.
 ///
@@ -59,12 +88,24 @@
     Ok(boxes.into_iter().map(|object| object.revision).collect())
 }
 
-async fn count_once(desk: &Desk) {
-    match desk.store.count_stale(KIND).await {
-        // An older state of the store may lack even this box.
-        Ok(count) if count as u32 > desk.counted_boxes() => desk.set_boxes(count as u32),
-        Ok(_) => {}
-        Err(fault) => note(desk, "count", &fault),
+/// Reads which boxes there are.
+pub async fn count_once(desk: Rc<Desk>) {
+    let boxes = match desk.store.list_stale::<Member>(KIND).await {
+        Ok(boxes) => boxes,
+        Err(fault) => return note(&desk, "count", &fault),
+    };
+    let own = desk.settings().id.clone();
+    let mut peers = desk.peers.borrow_mut();
+    for object in &boxes {
+        if let Some(addr) = object.value.peer.filter(|_| object.name != own) {
+            peers.insert(object.name.as_str().into(), addr);
+        }
+    }
+    drop(peers);
+    // An older state of the store may lack even this box.
+    // The same count again is believed more than the first one at a start.
+    if boxes.len() as u32 >= desk.counted_boxes() {
+        desk.set_boxes(boxes.len() as u32);
     }
 }
 
--- a/crates/ashgauged/src/relay/desk.rs
+++ b/crates/ashgauged/src/relay/desk.rs
@@ -6,17 +6,20 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use ashgauge::admission::Line;
 use ashgauge::chain::Stage;
-use ashgauge::choice::{self, Pipes, Scene};
+use ashgauge::choice::{self, Need, Pipes, Scene};
 use ashgauge::fresh::Freshness;
-use ashgauge::member::UpstreamId;
+use ashgauge::member::{BoxId, UpstreamId};
 use ashgauge::retry::{Allowance, Window};
 use ashgauge::roster::{Roster, Span};
 use ashgauge::routing::{Model, Routing, ServiceId};
+use ashgauge::share::Shares;
 use http::Client;
 use platform::Store;
 use rand::SeedableRng;
@@ -71,6 +74,14 @@
     pub suspects: watch::Sender<u64>,
     /// Probes of upstreams of the last moments.
     pub probes: Probes,
+    /// Requests that wait for room, by service.
+    pub lines: RefCell<HashMap<ServiceId, Line>>,
+    /// What the other boxes have on the upstreams.
+    pub shares: RefCell<Shares>,
+    /// Address on which this box hears the others, if it does.
+    pub heard_at: Cell<Option<SocketAddr>>,
+    /// Addresses on which the other boxes hear, by name.
+    pub peers: RefCell<HashMap<BoxId, SocketAddr>>,
     pipes: RefCell<Pipes>,
     place: Arc<str>,
     budgets: RefCell<HashMap<ServiceId, Window>>,
@@ -100,6 +111,10 @@
             metrics,
             suspects: watch::Sender::new(0),
             probes: Probes::default(),
+            lines: RefCell::default(),
+            shares: RefCell::default(),
+            heard_at: Cell::new(None),
+            peers: RefCell::default(),
             pipes: RefCell::default(),
             place: settings.data_centre.as_str().into(),
             budgets: RefCell::default(),
@@ -219,8 +234,8 @@
     /// Chooses an upstream of a plain service.
     pub fn choose(&self, service: &str, tried: &[UpstreamId]) -> Option<(UpstreamId, String)> {
         let roster = self.roster.borrow();
-        let pipes = self.pipes.borrow();
-        let scene = self.scene(&roster, &pipes, service);
+        let (pipes, shares) = (self.pipes.borrow(), self.shares.borrow());
+        let scene = self.scene(&roster, &pipes, &shares, service);
         let id = choice::upstream(&scene, tried, &mut *self.rng())?;
         let addr = roster.get(&id)?.upstream.addr.clone();
         Some((id, addr))
@@ -233,11 +248,56 @@
         model: &Model,
         span: Span,
         avoid: &[UpstreamId],
+        need: Option<Need>,
     ) -> Option<Vec<Stage>> {
         let roster = self.roster.borrow();
-        let pipes = self.pipes.borrow();
-        let scene = self.scene(&roster, &pipes, service);
-        choice::chain(&scene, model, span, avoid, &mut *self.rng())
+        let (pipes, shares) = (self.pipes.borrow(), self.shares.borrow());
+        let scene = self.scene(&roster, &pipes, &shares, service);
+        choice::chain(&scene, model, span, avoid, need, &mut *self.rng())
+    }
+
+    /// Uses the line of requests that wait for a service.
+    pub fn line<T>(&self, service: &ServiceId, with: impl FnOnce(&mut Line) -> T) -> T {
+        with(self.lines.borrow_mut().entry(service.clone()).or_default())
+    }
+
+    /// Notes that an engine refused a request at a share of its memory.
+    pub fn note_refused(&self, id: &str, fullness: f64) {
+        let service = self
+            .roster
+            .borrow()
+            .get(id)
+            .map(|e| e.upstream.service.clone());
+        if let Some(service) = service {
+            self.line(&service, |l| l.note_full(fullness));
+        }
+    }
+
+    /// Share of an engine's memory that requests hold, as far as is known.
+    pub fn fullness(&self, id: &str) -> Option<f64> {
+        let service = self.roster.borrow().get(id)?.upstream.service.clone();
+        let fullness = self.fullnesses(&service);
+        fullness
+            .into_iter()
+            .find(|(e, _)| &**e == id)
+            .map(|(_, f)| f)
+    }
+
+    /// The same of all engines of a service that hold layers.
+    pub fn fullnesses(&self, service: &str) -> Vec<(UpstreamId, f64)> {
+        let routing = self.routing();
+        let model = routing.services.get(service).and_then(|s| s.model.as_ref());
+        let Some(model) = model else {
+            return Vec::new();
+        };
+        let roster = self.roster.borrow();
+        let (pipes, shares) = (self.pipes.borrow(), self.shares.borrow());
+        let scene = self.scene(&roster, &pipes, &shares, service);
+        let all = roster.of(service).filter_map(|e| {
+            let fullness = choice::fullness(&scene, model, e)?;
+            Some((e.upstream.id.clone(), fullness))
+        });
+        all.collect()
     }
 
     /// Writes a chain for the wire, with the first engine's address.
@@ -281,10 +341,10 @@
         tokens: u32,
     ) {
         let mut roster = self.roster.borrow_mut();
-        let pipes = self.pipes.borrow();
+        let (pipes, shares) = (self.pipes.borrow(), self.shares.borrow());
         for stage in stages {
             let layers = stage.end - stage.first;
-            let scene = self.scene(&roster, &pipes, service);
+            let scene = self.scene(&roster, &pipes, &shares, service);
             let entry = roster.get(&stage.upstream);
             let seconds = entry.map(|e| choice::reading_seconds(&scene, model, e, layers, tokens));
             if let Some(seconds) = seconds {
@@ -321,10 +381,17 @@
         (f64::from(self.boxes.get()) / places.len().max(1) as f64).max(1.0)
     }
 
-    fn scene<'a>(&'a self, roster: &'a Roster, pipes: &'a Pipes, service: &'a str) -> Scene<'a> {
+    fn scene<'a>(
+        &'a self,
+        roster: &'a Roster,
+        pipes: &'a Pipes,
+        shares: &'a Shares,
+        service: &'a str,
+    ) -> Scene<'a> {
         Scene {
             roster,
             pipes,
+            shares,
             service,
             place: &self.place,
             boxes: f64::from(self.boxes.get()),
--- a/crates/ashgauged/src/relay/forward.rs
+++ b/crates/ashgauged/src/relay/forward.rs
@@ -1,9 +1,11 @@
 //! A caller's request: admission, and the sends of a plain service's request.
 
+use std::ops::Range;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+use ashgauge::chain::Stage;
 use ashgauge::handoff::{End, Handoff, Next, Outcome};
 use ashgauge::member::UpstreamId;
 use ashgauge::routing::{Access, Route, Service, Team};
@@ -15,6 +17,7 @@
 use hyper::{Request, Response, StatusCode};
 use platform::engine::{self, Target, Verdict};
 use platform::ingress::{self, Ask};
+use rand::Rng;
 use serde_json::json;
 use spdlog::Level;
 use tokio::time::timeout;
@@ -37,6 +40,10 @@
 /// When to come back if no upstream can take the request.
 const BACK_FULL: Duration = Duration::from_millis(400);
 
+/// When to come back if the engines have no room, at random so that callers do
+/// not return together: about as long as requests stay on the engines.
+const BACK_ROOM: Range<Duration> = Duration::from_millis(1500)..Duration::from_millis(4500);
+
 /// Longest answer of a plain service that is held until it is whole.
 const ANSWER_MOST: usize = 16 << 20;
 
@@ -71,6 +78,12 @@
         let team = self.team.as_ref().and_then(|t| t.rank);
         team.unwrap_or(self.route.rank)
     }
+
+    /// Tokens that the request holds on the average of its time: its prompt and
+    /// half of its answer.
+    pub fn usual_tokens(&self) -> u32 {
+        self.ask.prompt + self.ask.answer / 2
+    }
 }
 
 /// Answers one request.
@@ -258,7 +271,7 @@
     addr: &str,
 ) -> Result<Whole, Outcome> {
     let began = desk.now();
-    let _hold = Hold::new(desk, vec![id.clone()]);
+    let _hold = Hold::plain(desk, id);
     let connect = Duration::from_millis(desk.settings().timing.connect_ms);
     let line = dial::connect(addr, connect.min(handoff.left(began))).await;
     let line = line.map_err(|_| Outcome::NotSent)?;
@@ -342,13 +355,22 @@
     let mut roster = desk.roster.borrow_mut();
     let named = at.as_ref().and_then(|addr| roster.at(addr));
     let id = named.map_or(upstream, |e| &e.upstream.id).clone();
-    let fields = json!({"upstream": &*id, "verdict": format!("{verdict:?}")});
-    log::line(Level::Info, "request", "refused", fields);
-    match verdict {
+    match &verdict {
         Verdict::Stale(_) => roster.note_stale(desk.now(), &id),
         _ => roster.note_full(desk.now(), &id),
     }
     drop(roster);
+    let fullness = desk.fullness(&id);
+    if let (Verdict::Full(_), Some(fullness)) = (&verdict, fullness) {
+        desk.note_refused(&id, fullness);
+    }
+    let fields = json!({
+        "upstream": &*id,
+        "verdict": format!("{verdict:?}"),
+        "fullness": fullness,
+        "boxes_heard": desk.shares.borrow().boxes(),
+    });
+    log::line(Level::Info, "request", "refused", fields);
     if id != *upstream {
         tokio::task::spawn_local(probe::check(desk.clone(), id.clone()));
     }
@@ -376,6 +398,14 @@
     own(status, Some(&a.ask), after)
 }
 
+/// Ends a request for which the engines have no room, and says when they may
+/// have some.
+pub fn no_room(desk: &Desk, mut a: Admitted) -> Response<Body> {
+    let after = desk.rng().random_range(BACK_ROOM);
+    a.record.end("no room");
+    own(StatusCode::SERVICE_UNAVAILABLE, Some(&a.ask), Some(after))
+}
+
 /// The box's own answer.
 fn own(status: StatusCode, ask: Option<&Ask>, after: Option<Duration>) -> Response<Body> {
     let answer = ingress::answer(status, ask.map(|a| a.id.as_str()), after);
@@ -391,21 +421,36 @@
 /// it is dropped.
 pub struct Hold {
     desk: Rc<Desk>,
-    ids: Vec<UpstreamId>,
+    /// Upstreams, with the memory that the request holds on each, in tokens
+    /// times layers.
+    parts: Vec<(UpstreamId, u64)>,
 }
 
 impl Hold {
-    /// Counts a request on these upstreams.
-    pub fn new(desk: &Rc<Desk>, ids: Vec<UpstreamId>) -> Self {
+    /// Counts a request of so many tokens on the engines of a chain.
+    pub fn chain(desk: &Rc<Desk>, stages: &[Stage], tokens: u32) -> Self {
+        let memory = |s: &Stage| u64::from(tokens) * u64::from(s.end - s.first);
+        let parts = stages.iter().map(|s| (s.upstream.clone(), memory(s)));
+        Hold::new(desk, parts.collect())
+    }
+
+    /// Counts a request on a plain service's upstream.
+    fn plain(desk: &Rc<Desk>, id: &UpstreamId) -> Self {
+        Hold::new(desk, vec![(id.clone(), 0)])
+    }
+
+    fn new(desk: &Rc<Desk>, parts: Vec<(UpstreamId, u64)>) -> Self {
         let mut roster = desk.roster.borrow_mut();
-        ids.iter().for_each(|id| roster.begin(id));
-        if let Some(first) = ids.first() {
+        parts
+            .iter()
+            .for_each(|(id, memory)| roster.begin(id, *memory));
+        if let Some((first, _)) = parts.first() {
             roster.lead(first);
         }
         drop(roster);
         Hold {
             desk: desk.clone(),
-            ids,
+            parts,
         }
     }
 }
@@ -413,8 +458,10 @@
 impl Drop for Hold {
     fn drop(&mut self) {
         let mut roster = self.desk.roster.borrow_mut();
-        self.ids.iter().for_each(|id| roster.end(id));
-        if let Some(first) = self.ids.first() {
+        self.parts
+            .iter()
+            .for_each(|(id, memory)| roster.end(id, *memory));
+        if let Some((first, _)) = self.parts.first() {
             roster.end_lead(first);
         }
     }
--- a/crates/ashgauged/src/relay/metrics.rs
+++ b/crates/ashgauged/src/relay/metrics.rs
@@ -23,6 +23,8 @@
     pub store: IntCounterVec,
     /// Orders to engines by reply.
     pub orders: IntCounterVec,
+    /// Words of other boxes on their loads, by what became of them.
+    pub words: IntCounterVec,
     /// Upstreams that became suspect.
     pub suspects: IntCounter,
     /// Time to the first byte of an answer.
@@ -75,6 +77,7 @@
                 "result",
             )?,
             orders: counters("ashgauge_orders_total", "Orders by reply", "reply")?,
+            words: counters("ashgauge_words_total", "Words of other boxes", "result")?,
             first: histogram("ashgauge_first_seconds", "Time to the first byte")?,
             whole: histogram("ashgauge_whole_seconds", "Time to the end")?,
             gap: histogram("ashgauge_repair_gap_seconds", "Pause of a repaired stream")?,
--- a/crates/ashgauged/src/relay/mod.rs
+++ b/crates/ashgauged/src/relay/mod.rs
@@ -23,6 +23,8 @@
 mod settings;
 mod status;
 mod stream;
+mod tell;
+mod turn;
 
 use std::path::Path;
 use std::rc::Rc;
@@ -91,6 +93,7 @@
     });
     log::line(Level::Info, "box", "started", fields);
     let desk = Rc::new(Desk::new(settings, Metrics::new()?));
+    tell::start(&desk).await?;
     Follower::start(desk.clone());
     Placer::start(desk.clone());
     tokio::task::spawn_local(serve::accept(desk.clone(), callers));
--- a/crates/ashgauged/src/relay/open.rs
+++ b/crates/ashgauged/src/relay/open.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use ashgauge::chain::{self, Stage};
-use ashgauge::choice::whole as whole_model;
+use ashgauge::choice::{Need, whole as whole_model};
 use ashgauge::handoff::{Handoff, Outcome};
 use ashgauge::member::UpstreamId;
 use bytes::Bytes;
@@ -39,14 +39,24 @@
     pub hold: Hold,
 }
 
-/// Why a stream did not begin.
-pub enum NotBegun {
-    /// There is no chain.
+/// Why there is no chain for a request.
+pub enum NoWay {
+    /// Some layers have no engine that may be used.
     NoChain,
+    /// No chain has room.
+    Crowded,
     /// The key no longer counts.
     Denied,
-    /// The send brought nothing, with the upstream's own answer if it is one.
-    Failed(Outcome, UpstreamId, Option<Response<Bytes>>),
+}
+
+/// A send that brought nothing.
+pub struct Failed {
+    /// How it ended.
+    pub outcome: Outcome,
+    /// The engine that it was sent to.
+    pub upstream: UpstreamId,
+    /// That engine's own answer, if it is one.
+    pub answer: Option<Response<Bytes>>,
 }
 
 pub fn head_of(exchange: &Exchange) -> response::Parts {
@@ -56,24 +66,55 @@
     copy.into_parts().0
 }
 
-/// Sends the request over a new chain and waits for the head of the answer.
+/// Chooses a chain for the request.
+///
+/// An answer that goes on elsewhere is not held up for want of room: its caller
+/// has a part of it already.
+pub fn pick(
+    desk: &Desk,
+    a: &Admitted,
+    handoff: &Handoff,
+    avoid: &[UpstreamId],
+    goes_on: bool,
+) -> Result<Chosen, NoWay> {
+    if !is_allowed(desk, a) {
+        return Err(NoWay::Denied);
+    }
+    let need = need(desk, a).filter(|_| !goes_on);
+    if let Some(chosen) = choose(desk, a, handoff, avoid, need) {
+        return Ok(chosen);
+    }
+    match need.and_then(|_| choose(desk, a, handoff, avoid, None)) {
+        Some(_) => Err(NoWay::Crowded),
+        None => Err(NoWay::NoChain),
+    }
+}
+
+/// Sends the request over a chosen chain and waits for the head of the answer,
+/// which goes on after event `last`.
 pub async fn begin(
     desk: &Rc<Desk>,
     a: &mut Admitted,
     handoff: &mut Handoff,
     avoid: &mut Vec<UpstreamId>,
     last: Option<u64>,
-) -> Result<Run, NotBegun> {
-    if !is_allowed(desk, a) {
-        return Err(NotBegun::Denied);
-    }
-    let (stages, text, first) = choose(desk, a, handoff, avoid).ok_or(NotBegun::NoChain)?;
+    chosen: Chosen,
+) -> Result<Run, Failed> {
+    let Chosen {
+        stages,
+        text,
+        first,
+    } = chosen;
+    note_chosen(desk, a, &stages);
     let lead = stages[0].upstream.clone();
-    let failed = |outcome| NotBegun::Failed(outcome, lead.clone(), None);
+    let failed = |outcome| Failed {
+        outcome,
+        upstream: lead.clone(),
+        answer: None,
+    };
     handoff.send(lead.clone());
     a.record.sends.push(text.as_deref().unwrap_or(&lead).into());
-    let ids = stages.iter().map(|s| s.upstream.clone()).collect();
-    let hold = Hold::new(desk, ids);
+    let hold = Hold::chain(desk, &stages, a.usual_tokens());
     let connect = Duration::from_millis(desk.settings().timing.connect_ms);
     let line = dial::connect(&first, connect.min(handoff.left(desk.now()))).await;
     let line = line.map_err(|e| failed(lost(&e)))?;
@@ -102,7 +143,11 @@
                 Some(_) => Outcome::Failed,
                 None => Outcome::Lost,
             };
-            return Err(NotBegun::Failed(outcome, lead, failure));
+            return Err(Failed {
+                outcome,
+                upstream: lead,
+                answer: failure,
+            });
         }
         verdict @ (Verdict::Full(_) | Verdict::Stale(_)) => {
             avoid.push(refused(desk, &lead, verdict));
@@ -118,22 +163,36 @@
     })
 }
 
-type Chosen = (Vec<Stage>, Option<String>, String);
+/// Where a request is to go.
+pub struct Chosen {
+    stages: Vec<Stage>,
+    /// The chain as the engines take it, if layers are spread over them.
+    text: Option<String>,
+    /// Address of the first engine.
+    first: String,
+}
 
 /// Chooses a chain, or one engine if each holds the whole model.
-fn choose(desk: &Desk, a: &Admitted, handoff: &Handoff, avoid: &[UpstreamId]) -> Option<Chosen> {
+fn choose(
+    desk: &Desk,
+    a: &Admitted,
+    handoff: &Handoff,
+    avoid: &[UpstreamId],
+    need: Option<Need>,
+) -> Option<Chosen> {
     match a.service.model.as_ref().filter(|m| m.layers > 0) {
         Some(model) => {
             let span = whole_model(model.layers);
-            let stages = desk.choose_chain(&a.service.name, model, span, avoid)?;
+            let stages = desk.choose_chain(&a.service.name, model, span, avoid, need)?;
             if !chain::covers(0, model.layers, &stages) {
                 return None;
             }
             let (text, first) = desk.chain_text(&stages)?;
-            let tokens = a.ask.prompt + a.ask.answer;
-            desk.note_crossings(model, &stages, tokens);
-            desk.note_reading(model, &a.service.name, stages.iter(), a.ask.prompt);
-            Some((stages, Some(text), first))
+            Some(Chosen {
+                stages,
+                text: Some(text),
+                first,
+            })
         }
         None => {
             let (id, addr) = desk.choose(&a.service.name, handoff.tried())?;
@@ -142,11 +201,32 @@
                 first: 0,
                 end: 0,
             };
-            Some((vec![stage], None, addr))
+            Some(Chosen {
+                stages: vec![stage],
+                text: None,
+                first: addr,
+            })
         }
     }
 }
 
+/// The room that a request needs, if it goes over a chain.
+fn need(desk: &Desk, a: &Admitted) -> Option<Need> {
+    a.service.model.as_ref().filter(|m| m.layers > 0)?;
+    Some(Need {
+        tokens: a.usual_tokens(),
+        limit: desk.line(&a.service.name, |l| l.limit()),
+    })
+}
+
+/// Notes what a request will put on its chain.
+fn note_chosen(desk: &Desk, a: &Admitted, stages: &[Stage]) {
+    if let Some(model) = a.service.model.as_ref().filter(|m| m.layers > 0) {
+        desk.note_crossings(model, stages, a.ask.prompt + a.ask.answer);
+        desk.note_reading(model, &a.service.name, stages.iter(), a.ask.prompt);
+    }
+}
+
 /// Waits for the head of an answer; checks the chain's engines when it is
 /// late.
 async fn await_head(
--- a/crates/ashgauged/src/relay/pump.rs
+++ b/crates/ashgauged/src/relay/pump.rs
@@ -18,7 +18,7 @@
 
 use super::desk::Desk;
 use super::forward::{Admitted, Hold, note_outcome};
-use super::open::{NotBegun, Run, SILENT_MOST, begin, id_at};
+use super::open::{Run, SILENT_MOST, begin, id_at, pick};
 use super::pieces::Pieces;
 use super::probe::{ask_engines, find_dead};
 use super::serve::Broken;
@@ -398,8 +398,7 @@
             let service = &self.a.service.name;
             self.desk.note_reading(model, service, new, tokens);
         }
-        let ids = stages.iter().map(|s| s.upstream.clone()).collect();
-        self.run.hold = Hold::new(&self.desk, ids);
+        self.run.hold = Hold::chain(&self.desk, &stages, self.a.usual_tokens());
         self.run.stages = stages;
         self.count_anew();
         true
@@ -433,7 +432,7 @@
             end: stage.end,
         };
         self.desk
-            .choose_chain(&self.a.service.name, model, span, avoid)
+            .choose_chain(&self.a.service.name, model, span, avoid, None)
     }
 
     /// Lets another chain go on behind the last event that was passed on.
@@ -465,15 +464,17 @@
                 return false;
             }
             let (desk, a) = (&self.desk, &mut self.a);
-            match begin(desk, a, &mut self.handoff, &mut avoid, self.last).await {
+            let Ok(chosen) = pick(desk, a, &self.handoff, &avoid, true) else {
+                return false;
+            };
+            match begin(desk, a, &mut self.handoff, &mut avoid, self.last, chosen).await {
                 Ok(run) => {
                     self.resumed(why, run);
                     return true;
                 }
-                Err(NotBegun::NoChain | NotBegun::Denied) => return false,
-                Err(NotBegun::Failed(new, id, _)) => {
-                    note_outcome(&self.desk, &self.a, &id, new);
-                    outcome = new;
+                Err(failed) => {
+                    note_outcome(&self.desk, &self.a, &failed.upstream, failed.outcome);
+                    outcome = failed.outcome;
                 }
             }
         }
--- a/crates/ashgauged/src/relay/settings.rs
+++ b/crates/ashgauged/src/relay/settings.rs
@@ -23,6 +23,10 @@
     /// Address for metrics, if they are wanted.
     #[serde(default)]
     pub metrics: Option<String>,
+    /// Address on which boxes tell each other their loads, by UDP; without it
+    /// each goes by its own.
+    #[serde(default)]
+    pub peer: Option<String>,
     /// Address of the platform's store.
     pub store: String,
     /// Bounds that the operators set.
@@ -190,6 +194,7 @@
             ("caller", Some(&self.caller)),
             ("ready", Some(&self.ready)),
             ("metrics", self.metrics.as_ref()),
+            ("peer", self.peer.as_ref()),
             ("store", Some(&self.store)),
         ];
         for (name, addr) in addresses {
--- a/crates/ashgauged/src/relay/status.rs
+++ b/crates/ashgauged/src/relay/status.rs
@@ -16,6 +16,8 @@
     config_age_ms: Option<u64>,
     store_away: bool,
     boxes: u32,
+    /// Other boxes that told their loads a short while ago.
+    boxes_heard: usize,
     inflight: usize,
     /// Retries spent in the window, by service.
     retries: Vec<(String, f64)>,
@@ -37,6 +39,8 @@
     slowness: f64,
     /// Requests of this box on it.
     inflight: u32,
+    /// Requests of the other boxes on it, as they told.
+    others: u32,
     /// Learned time of an answer, in milliseconds.
     answer_ms: f64,
     /// Learned share of requests that failed.
@@ -48,6 +52,7 @@
     let now = desk.now();
     let settings = desk.settings();
     let roster = desk.roster.borrow();
+    let shares = desk.shares.borrow();
     let upstreams = roster.all().map(|e| UpstreamStatus {
         id: e.upstream.id.to_string(),
         service: e.upstream.service.to_string(),
@@ -58,6 +63,7 @@
         suspect: e.is_suspect(now),
         slowness: e.slowness(now),
         inflight: e.inflight,
+        others: shares.others(&e.upstream.id).requests,
         answer_ms: e.seconds * 1e3,
         failures: e.failures(now),
     });
@@ -72,6 +78,7 @@
         config_age_ms: desk.fresh.borrow().age(now).map(|a| a.as_millis() as u64),
         store_away: desk.store_away.get(),
         boxes: desk.boxes(),
+        boxes_heard: shares.boxes(),
         inflight: desk.inflight.get(),
         retries: desk.retries(),
         upstreams,
--- a/crates/ashgauged/src/relay/stream.rs
+++ b/crates/ashgauged/src/relay/stream.rs
@@ -8,12 +8,14 @@
 use http_body_util::BodyExt;
 use hyper::Response;
 use platform::engine;
+use serde_json::json;
 
 use super::desk::Desk;
-use super::forward::{Admitted, finish, note_outcome, whole};
-use super::open::{NotBegun, begin, head_of};
+use super::forward::{Admitted, finish, no_room, note_outcome, whole};
+use super::open::{NoWay, begin, head_of, pick};
 use super::pump;
 use super::serve::Body;
+use super::turn::Turn;
 
 /// Answers a request whose answer is a stream.
 pub async fn answer(
@@ -23,27 +25,39 @@
     rule: StreamRule,
 ) -> Response<Body> {
     let mut avoid = Vec::new();
+    let mut turn = Turn::new(&desk, &a);
     let run = loop {
-        match begin(&desk, &mut a, &mut handoff, &mut avoid, None).await {
-            Ok(run) => break run,
-            Err(NotBegun::NoChain | NotBegun::Denied) => {
+        if !turn.wait(&a).await {
+            return no_room(&desk, a);
+        }
+        let chosen = match pick(&desk, &a, &handoff, &avoid, false) {
+            Ok(chosen) => chosen,
+            Err(NoWay::Crowded) => {
+                turn.join(&a);
+                continue;
+            }
+            Err(NoWay::NoChain | NoWay::Denied) => {
+                a.record.step("no chain", json!({"avoided": avoid.len()}));
                 let end = handoff.end(desk.now());
                 return finish(&desk, a, end);
             }
-            Err(NotBegun::Failed(outcome, id, failure)) => {
-                note_outcome(&desk, &a, &id, outcome);
-                let now = desk.now();
-                let next = desk.budget(&a.service.name, |b| handoff.after(now, outcome, b));
-                match (next, failure) {
-                    (Next::Again, _) => {}
-                    (Next::PassOn, Some(failure)) => {
-                        a.record.end("failed upstream");
-                        return whole(failure);
-                    }
-                    (Next::End(end), _) => return finish(&desk, a, end),
-                    (Next::PassOn, None) => return finish(&desk, a, End::Unknown),
-                }
+        };
+        turn.let_in();
+        let failed = match begin(&desk, &mut a, &mut handoff, &mut avoid, None, chosen).await {
+            Ok(run) => break run,
+            Err(failed) => failed,
+        };
+        note_outcome(&desk, &a, &failed.upstream, failed.outcome);
+        let now = desk.now();
+        let next = desk.budget(&a.service.name, |b| handoff.after(now, failed.outcome, b));
+        match (next, failed.answer) {
+            (Next::Again, _) => {}
+            (Next::PassOn, Some(answer)) => {
+                a.record.end("failed upstream");
+                return whole(answer);
             }
+            (Next::End(end), _) => return finish(&desk, a, end),
+            (Next::PassOn, None) => return finish(&desk, a, End::Unknown),
         }
     };
     desk.metrics.first.observe(a.record.took().as_secs_f64());
