--- a/crates/ashgauged/src/relay/desk.rs
+++ b/crates/ashgauged/src/relay/desk.rs
@@ -284,29 +284,25 @@
 
     /// Share of an engine's memory that requests hold, as far as is known.
     pub fn fullness(&self, id: &str) -> Option<f64> {
-        let service = self.roster.borrow().get(id)?.upstream.service.clone();
-        let fullness = self.fullnesses(&service);
-        fullness
-            .into_iter()
-            .find(|(e, _)| &**e == id)
-            .map(|(_, f)| f)
+        let (roster, routing) = (self.roster.borrow(), self.routing());
+        let entry = roster.get(id)?;
+        let service = routing.services.get(&entry.upstream.service)?;
+        let (pipes, shares) = (self.pipes.borrow(), self.shares.borrow());
+        let scene = self.scene(&roster, &pipes, &shares, &service.name);
+        choice::fullness(&scene, service.model.as_ref()?, entry)
     }
 
-    /// The same of all engines of a service that hold layers.
-    pub fn fullnesses(&self, service: &str) -> Vec<(UpstreamId, f64)> {
-        let routing = self.routing();
-        let model = routing.services.get(service).and_then(|s| s.model.as_ref());
-        let Some(model) = model else {
-            return Vec::new();
+    /// How many of a service's engines are filled up to the share at which they
+    /// get no first sends, and how many hold layers.
+    pub fn count_full(&self, service: &ServiceId) -> (usize, usize) {
+        let limit = self.line(service, |l| l.limit());
+        let engines: Vec<UpstreamId> = {
+            let roster = self.roster.borrow();
+            let holding = roster.of(service).filter(|e| e.upstream.layers.is_some());
+            holding.map(|e| e.upstream.id.clone()).collect()
         };
-        let roster = self.roster.borrow();
-        let (pipes, shares) = (self.pipes.borrow(), self.shares.borrow());
-        let scene = self.scene(&roster, &pipes, &shares, service);
-        let all = roster.of(service).filter_map(|e| {
-            let fullness = choice::fullness(&scene, model, e)?;
-            Some((e.upstream.id.clone(), fullness))
-        });
-        all.collect()
+        let full = engines.iter().filter_map(|id| self.fullness(id));
+        (full.filter(|f| *f >= limit).count(), engines.len())
     }
 
     /// Writes a chain for the wire, with the first engine's address.
--- a/crates/ashgauged/src/relay/turn.rs
+++ b/crates/ashgauged/src/relay/turn.rs
@@ -1,11 +1,10 @@
 //! A request's wait for room on the engines.
 
-use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use ashgauge::admission::Ticket;
+use ashgauge::admission::{Line, Ticket};
 use ashgauge::routing::ServiceId;
 use serde_json::json;
 use tokio::time::sleep;
@@ -25,6 +24,10 @@
 /// what it waited then is gone.
 const FIRST_PART: f64 = 0.97;
 
+/// Part of the expected wait that must fit: the expectation is rough, and one
+/// that is refused may have been let in.
+const WAIT_SURE: f64 = 0.5;
+
 /// Time between two looks of the request that is next; some five requests end
 /// meanwhile over the users' fleets.
 const LOOK_EVERY: Duration = Duration::from_millis(20);
@@ -57,10 +60,8 @@
     /// Puts the request into the line, if it is not there, as no chain has room.
     pub fn join(&mut self, a: &Admitted) {
         if self.ticket.is_none() {
-            let full = self.desk.fullnesses(&self.service);
-            let full: HashMap<&str, f64> = full.iter().map(|(id, f)| (&**id, *f)).collect();
             let fields = json!({
-                "fullness": full,
+                "full": self.desk.count_full(&self.service),
                 "limit": self.desk.line(&self.service, |l| l.limit()),
                 "boxes_heard": self.desk.shares.borrow().boxes(),
             });
@@ -82,23 +83,16 @@
     /// Waits until the request may look for a chain; returns false if it would
     /// take too long.
     pub async fn wait(&mut self, a: &Admitted) -> bool {
-        let rank = a.rank();
-        if self.ticket.is_none() {
-            if self.desk.line(&self.service, |l| l.ahead_of(rank)) == 0 {
-                return true;
-            }
+        let line_ahead = |l: &mut Line| l.ahead_of(a.rank());
+        if self.ticket.is_none() && self.desk.line(&self.service, line_ahead) > 0 {
             self.enter(a);
         }
+        let Some(ticket) = &self.ticket else {
+            return true;
+        };
         loop {
-            let Some(ticket) = &self.ticket else {
-                return true;
-            };
-            let (ahead, wait) = self.desk.line(&self.service, |l| {
-                let ahead = l.ahead(ticket);
-                (ahead, l.wait(ahead))
-            });
-            let now = self.desk.now();
-            if now >= self.until || now + wait.mul_f64(0.5) > self.until {
+            let ahead = self.desk.line(&self.service, |l| l.ahead(ticket));
+            if self.takes_too_long(ahead) {
                 return false;
             }
             sleep(LOOK_EVERY).await;
@@ -108,6 +102,13 @@
         }
     }
 
+    /// Whether a request with so many ahead is better refused now.
+    fn takes_too_long(&self, ahead: usize) -> bool {
+        let wait = self.desk.line(&self.service, |l| l.wait(ahead));
+        let now = self.desk.now();
+        now >= self.until || now + wait.mul_f64(WAIT_SURE) > self.until
+    }
+
     /// Notes that the request was let in.
     pub fn let_in(&mut self) {
         let now = self.desk.now();
