Never refuse as not run what may have run

A stream whose first send was lost waited for room before its second, and when there was none its caller got 503, which promises that it has not run. Once a request may have run it goes on at once over whatever chain there is. Seen red first: request_that_may_have_run_is_not_refused_for_room got 503 for 200.

--- a/crates/ashgauge/src/handoff.rs
+++ b/crates/ashgauge/src/handoff.rs
@@ -89,6 +89,12 @@
         &self.tried
     }
 
+    /// Whether the request may have run, so that nobody may be told that it has
+    /// not.
+    pub fn may_have_run(&self) -> bool {
+        self.runs > 0
+    }
+
     /// Notes that the request is about to be sent: from here on it may run.
     pub fn send(&mut self, id: UpstreamId) {
         self.runs += 1;
--- a/crates/ashgauged/src/relay/stream.rs
+++ b/crates/ashgauged/src/relay/stream.rs
@@ -27,10 +27,12 @@
     let mut avoid = Vec::new();
     let mut turn = Turn::new(&desk, &a);
     let run = loop {
-        if !turn.wait(&a).await {
+        // One that may have run cannot be refused as not run; it goes on at once.
+        let may_have_run = handoff.may_have_run();
+        if !may_have_run && !turn.wait(&a).await {
             return no_room(&desk, a);
         }
-        let chosen = match pick(&desk, &a, &handoff, &avoid, false) {
+        let chosen = match pick(&desk, &a, &handoff, &avoid, may_have_run) {
             Ok(chosen) => chosen,
             Err(NoWay::Crowded) => {
                 turn.join(&a);
