--- a/crates/ashctl/src/relay.rs
+++ b/crates/ashctl/src/relay.rs
@@ -46,6 +46,8 @@
         "config_version",
         "config_age_ms",
         "store_away",
+        "reads",
+        "revision",
         "boxes",
         "inflight",
         "retries",
--- a/crates/ashgauge/src/fresh.rs
+++ b/crates/ashgauge/src/fresh.rs
@@ -101,6 +101,11 @@
         revision <= self.base
     }
 
+    /// Revision up to which every change was read.
+    pub fn covered(&self) -> u64 {
+        self.base
+    }
+
     fn close_up(&mut self) {
         self.ahead = self.ahead.split_off(&(self.base + 1));
         while self.ahead.remove(&(self.base + 1)) {
--- a/crates/ashgauge/src/lib.rs
+++ b/crates/ashgauge/src/lib.rs
@@ -45,11 +45,14 @@
 //!   [`placement`], [`rate`], [`pending`],
 //!   [`handoff`], [`events`], [`fresh`]: what a box decides where engines pass activations on among
 //!   themselves and a request is handed on whole.
+//! - [`mirror`], [`reader`], [`question`], [`asker`]: a store that few boxes read and all
+//!   know.
 
 #![warn(missing_docs)]
 #![forbid(unsafe_code)]
 
 pub mod admission;
+pub mod asker;
 pub mod chain;
 pub mod choice;
 pub mod claim;
@@ -64,13 +67,16 @@
 pub mod load;
 pub mod member;
 pub mod message;
+pub mod mirror;
 pub mod node;
 pub mod order;
 pub mod pending;
 pub mod placement;
 pub mod policy;
+pub mod question;
 pub mod queue;
 pub mod rate;
+pub mod reader;
 pub mod record;
 pub mod retry;
 pub mod roster;
--- /dev/null
+++ b/crates/ashgauge/src/mirror.rs
@@ -0,0 +1,274 @@
+//! A copy of the store's content that boxes can hand to each other.
+//!
+//! Each object carries the store's revision of its last change, so whoever has
+//! everything up to some revision needs only what changed behind it. Objects
+//! that are gone are remembered for a while; past that, only the whole copy
+//! tells what is no longer there.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+use serde::{Deserialize, Serialize};
+
+use crate::fresh::Ledger;
+use crate::member::UpstreamId;
+use crate::roster::Upstream;
+
+/// Removals that are remembered. A box that missed more of them is handed the
+/// whole copy.
+const GONE_MOST: usize = 1024;
+
+/// Counter of the store's changes.
+pub type Revision = u64;
+
+/// What became of one object.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum What {
+    /// The configuration, as the platform's adapter writes it.
+    Config(Vec<u8>),
+    /// An upstream announces this.
+    Put(Upstream),
+    /// An upstream's entry was removed.
+    Gone(UpstreamId),
+}
+
+/// A change of the store.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Change {
+    /// Its revision.
+    pub revision: Revision,
+    /// What it changed.
+    pub what: What,
+}
+
+/// What one box hands to another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Update {
+    /// Revision up to which the receiver knows everything afterwards.
+    pub upto: Revision,
+    /// Whether this is the whole copy, so that what it lacks is gone.
+    pub whole: bool,
+    /// Whether entries that are gone are certainly gone, not only missing
+    /// because the store was away.
+    pub sure: bool,
+    /// The changes.
+    pub changes: Vec<Change>,
+}
+
+/// A copy of the store's configuration and entries.
+///
+/// # Example
+///
+/// ```
+/// use ashgauge::mirror::{Mirror, What};
+///
+/// let mut reader = Mirror::default();
+/// reader.set_config(7, b"routes".to_vec());
+/// reader.replace(9, Vec::new());
+/// reader.read_all(9);
+///
+/// let mut other = Mirror::default();
+/// let news = other.take(reader.update(other.covered(), true));
+/// assert_eq!(news[0].what, What::Config(b"routes".to_vec()));
+/// assert_eq!(other.covered(), 9);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Mirror {
+    ledger: Ledger,
+    config: Option<(Revision, Vec<u8>)>,
+    upstreams: HashMap<UpstreamId, (Revision, Upstream)>,
+    gone: BTreeMap<Revision, Vec<UpstreamId>>,
+    gone_at: HashMap<UpstreamId, Revision>,
+    /// Removals behind this revision are all remembered.
+    floor: Revision,
+}
+
+impl Mirror {
+    /// Revision up to which everything is known.
+    pub fn covered(&self) -> Revision {
+        self.ledger.covered()
+    }
+
+    /// Whether everything up to a revision is known.
+    pub fn covers(&self, revision: Revision) -> bool {
+        self.ledger.covers(revision)
+    }
+
+    /// Notes a change that needs no copy, such as one of the boxes' own
+    /// objects.
+    pub fn note(&mut self, revision: Revision) {
+        self.ledger.add(revision);
+    }
+
+    /// Notes that everything up to a revision was read.
+    pub fn read_all(&mut self, revision: Revision) {
+        self.ledger.read_all(revision);
+    }
+
+    /// Takes a configuration; returns whether it is newer than the one here.
+    pub fn set_config(&mut self, revision: Revision, config: Vec<u8>) -> bool {
+        self.ledger.add(revision);
+        let is_new = self.config.as_ref().is_none_or(|(r, _)| *r < revision);
+        if is_new {
+            self.config = Some((revision, config));
+        }
+        is_new
+    }
+
+    /// Takes an upstream's entry; returns whether it is newer than what is
+    /// known of it.
+    pub fn put(&mut self, revision: Revision, upstream: Upstream) -> bool {
+        self.ledger.add(revision);
+        if !self.is_newer(&upstream.id, revision) {
+            return false;
+        }
+        self.forget_removal(&upstream.id);
+        let id = upstream.id.clone();
+        self.upstreams.insert(id, (revision, upstream));
+        true
+    }
+
+    /// Takes the removal of an entry; returns whether it is newer than what is
+    /// known of it.
+    pub fn remove(&mut self, revision: Revision, id: &UpstreamId) -> bool {
+        self.ledger.add(revision);
+        if !self.is_newer(id, revision) {
+            return false;
+        }
+        self.upstreams.remove(id);
+        self.remember_removal(revision, id);
+        true
+    }
+
+    /// Takes a whole list of entries, read at a revision.
+    pub fn replace(&mut self, at: Revision, list: Vec<(Revision, Upstream)>) {
+        self.drop_lacking(at, list.iter().map(|(_, upstream)| &upstream.id));
+        for (revision, upstream) in list {
+            if self.is_newer(&upstream.id, revision) {
+                self.forget_removal(&upstream.id);
+                let id = upstream.id.clone();
+                self.upstreams.insert(id, (revision, upstream));
+            }
+        }
+        // What came and went unseen before the list is not remembered.
+        self.floor = self.floor.max(at);
+    }
+
+    /// All entries.
+    pub fn upstreams(&self) -> impl Iterator<Item = &Upstream> {
+        self.upstreams.values().map(|(_, upstream)| upstream)
+    }
+
+    /// What a box that knows everything up to `after` lacks.
+    pub fn update(&self, after: Revision, sure: bool) -> Update {
+        let whole = after < self.floor;
+        let after = if whole { 0 } else { after };
+        let config = self.config.iter().filter(|(r, _)| *r > after || whole);
+        let config = config.map(|(revision, bytes)| Change {
+            revision: *revision,
+            what: What::Config(bytes.clone()),
+        });
+        let present = self.upstreams.values().filter(|(r, _)| *r > after || whole);
+        let present = present.map(|(revision, upstream)| Change {
+            revision: *revision,
+            what: What::Put(upstream.clone()),
+        });
+        let gone = self.gone.range(after + 1..).filter(|_| !whole);
+        let gone = gone.flat_map(|(revision, ids)| {
+            ids.iter().map(|id| Change {
+                revision: *revision,
+                what: What::Gone(id.clone()),
+            })
+        });
+        Update {
+            upto: self.covered(),
+            whole,
+            sure,
+            changes: config.chain(gone).chain(present).collect(),
+        }
+    }
+
+    /// Takes what another box handed on; returns what is news here.
+    ///
+    /// A copy that is older than what is known here tells nothing new, and what
+    /// it lacks may have come since.
+    pub fn take(&mut self, update: Update) -> Vec<Change> {
+        if update.whole && update.upto < self.covered() {
+            return Vec::new();
+        }
+        let mut news = Vec::new();
+        if update.whole {
+            let listed = update.changes.iter().filter_map(|c| match &c.what {
+                What::Put(upstream) => Some(&upstream.id),
+                _ => None,
+            });
+            let revision = update.upto;
+            let gone = self.drop_lacking(revision, listed).into_iter();
+            let gone = gone.map(What::Gone);
+            news.extend(gone.map(|what| Change { revision, what }));
+        }
+        for change in update.changes {
+            let is_news = match &change.what {
+                What::Config(bytes) => self.set_config(change.revision, bytes.clone()),
+                What::Put(upstream) => self.put(change.revision, upstream.clone()),
+                What::Gone(id) => self.remove(change.revision, id),
+            };
+            if is_news {
+                news.push(change);
+            }
+        }
+        if update.whole {
+            self.floor = self.floor.max(update.upto);
+        }
+        self.read_all(update.upto);
+        news
+    }
+
+    /// Drops the entries that a whole copy at a revision lacks; returns them.
+    fn drop_lacking<'a>(
+        &mut self,
+        at: Revision,
+        listed: impl Iterator<Item = &'a UpstreamId>,
+    ) -> Vec<UpstreamId> {
+        let listed: HashSet<&UpstreamId> = listed.collect();
+        let known = self.upstreams.iter();
+        let lacking = known.filter(|(id, (revision, _))| *revision <= at && !listed.contains(id));
+        let lacking: Vec<UpstreamId> = lacking.map(|(id, _)| id.clone()).collect();
+        for id in &lacking {
+            self.upstreams.remove(id);
+            self.remember_removal(at, id);
+        }
+        lacking
+    }
+
+    fn is_newer(&self, id: &UpstreamId, revision: Revision) -> bool {
+        let present = self.upstreams.get(id).map(|(r, _)| *r);
+        let gone = self.gone_at.get(id).copied();
+        present.max(gone).is_none_or(|known| revision > known)
+    }
+
+    fn remember_removal(&mut self, revision: Revision, id: &UpstreamId) {
+        self.gone_at.insert(id.clone(), revision);
+        self.gone.entry(revision).or_default().push(id.clone());
+        while self.gone_at.len() > GONE_MOST {
+            let Some((oldest, ids)) = self.gone.pop_first() else {
+                return;
+            };
+            ids.iter().for_each(|id| {
+                self.gone_at.remove(id);
+            });
+            self.floor = self.floor.max(oldest);
+        }
+    }
+
+    fn forget_removal(&mut self, id: &UpstreamId) {
+        let Some(revision) = self.gone_at.remove(id) else {
+            return;
+        };
+        if let Some(ids) = self.gone.get_mut(&revision) {
+            ids.retain(|other| other != id);
+            if ids.is_empty() {
+                self.gone.remove(&revision);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/ashgauge/src/question.rs
@@ -0,0 +1,100 @@
+//! Proofs of freshness that one box takes from another.
+//!
+//! A box asks at its own time `q`; the answer says how old the answering box's
+//! knowledge is at that moment, by its own clock: the time since it sent the
+//! question that proved it. The answer was given after `q`, so what it proves
+//! held at `q` less that age. A slow, frozen or restarted box on either side,
+//! and a datagram that comes late or twice, can only make that moment earlier
+//! than need be. For the same reason a proof may be handed on any number of
+//! times: ages only add up.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::member::BoxId;
+use crate::mirror::{Revision, Update};
+use crate::share::Word;
+
+/// Number of a question, chosen at random.
+pub type QuestionId = u64;
+
+/// What a box sends another in one datagram.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Datagram {
+    /// What a box has on the upstreams.
+    Load(Word),
+    /// What do you know?
+    Question(Question),
+    /// What this box knows.
+    Answer(Answer),
+    /// The box with this name knows something new.
+    News(BoxId),
+}
+
+/// Asks what another box knows.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Question {
+    /// The box that asks.
+    pub from: BoxId,
+    /// Number of the question.
+    pub id: QuestionId,
+    /// Revision up to which it knows everything.
+    pub after: Revision,
+    /// Ticket of an answer that was too large for a datagram.
+    pub ticket: Option<Ticket>,
+}
+
+/// Lets a box fetch an answer over a connection. It is sent to the address that
+/// the box announced, so nobody else has it.
+pub type Ticket = u64;
+
+/// What a box knows.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Answer {
+    /// The box that answers.
+    pub from: BoxId,
+    /// The question that it answers.
+    pub id: QuestionId,
+    /// What it says.
+    pub body: Body,
+}
+
+/// What an answer says.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Body {
+    /// The box knows nothing yet.
+    Nothing,
+    /// What the asking box lacks.
+    Known {
+        /// Age of the proof that it is still so.
+        age: Duration,
+        /// What it lacks.
+        update: Update,
+    },
+    /// It is too large for a datagram.
+    Large {
+        /// Lets it be fetched.
+        ticket: Ticket,
+        /// Its size in bytes.
+        bytes: u64,
+    },
+}
+
+/// Moment as of which an answer proves what a box knows, by the clock of the
+/// box that asked; nothing if that is before its clock began.
+pub fn proved(asked: Duration, age: Duration) -> Option<Duration> {
+    asked.checked_sub(age)
+}
+
+impl Datagram {
+    /// The box that sent it.
+    pub fn from(&self) -> &BoxId {
+        match self {
+            Datagram::Load(word) => &word.from,
+            Datagram::Question(question) => &question.from,
+            Datagram::Answer(answer) => &answer.from,
+            Datagram::News(from) => from,
+        }
+    }
+}
--- a/crates/ashgauge/src/roster.rs
+++ b/crates/ashgauge/src/roster.rs
@@ -48,7 +48,7 @@
 const FAILURE_TIME: Duration = Duration::from_secs(8);
 
 /// An upstream as it announces itself.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct Upstream {
     /// Its id, new with every start.
     pub id: UpstreamId,
--- /dev/null
+++ b/crates/ashgauge/tests/mirror.rs
@@ -0,0 +1,232 @@
+//! Content that boxes hand to each other, whatever is lost, late or repeated.
+
+mod common;
+mod engines;
+
+use std::collections::BTreeMap;
+
+use ashgauge::mirror::{Change, Mirror, Revision, Update, What};
+use ashgauge::roster::Upstream;
+use engines::upstream;
+use proptest::prelude::*;
+
+/// The store's history: what each revision changed.
+#[derive(Default)]
+struct Store {
+    history: Vec<What>,
+}
+
+impl Store {
+    fn change(&mut self, what: What) -> Revision {
+        self.history.push(what);
+        self.at()
+    }
+
+    fn at(&self) -> Revision {
+        self.history.len() as Revision
+    }
+
+    /// Entries as of a revision, with the revision of their last change.
+    fn entries(&self, at: Revision) -> BTreeMap<String, (Revision, Option<Upstream>)> {
+        let mut entries = BTreeMap::new();
+        for (n, what) in self.history.iter().take(at as usize).enumerate() {
+            let revision = n as Revision + 1;
+            match what {
+                What::Put(u) => entries.insert(u.id.to_string(), (revision, Some(u.clone()))),
+                What::Gone(id) => entries.insert(id.to_string(), (revision, None)),
+                What::Config(_) => None,
+            };
+        }
+        entries
+    }
+
+    fn list(&self) -> Vec<(Revision, Upstream)> {
+        let entries = self.entries(self.at()).into_values();
+        entries.filter_map(|(r, u)| u.map(|u| (r, u))).collect()
+    }
+}
+
+/// Reads everything, as a box does that begins to read; the configuration was
+/// read some revisions before the list.
+fn read_whole(mirror: &mut Mirror, store: &Store, before: u64) {
+    mirror.replace(store.at(), store.list());
+    mirror.read_all(store.at().saturating_sub(before));
+}
+
+/// Takes what a watch brings.
+fn watch(mirror: &mut Mirror, store: &Store) {
+    let from = mirror.covered();
+    for (n, what) in store.history.iter().enumerate().skip(from as usize) {
+        let revision = n as Revision + 1;
+        match what.clone() {
+            What::Put(u) => mirror.put(revision, u),
+            What::Gone(id) => mirror.remove(revision, &id),
+            What::Config(bytes) => mirror.set_config(revision, bytes),
+        };
+    }
+}
+
+/// Whether a copy holds everything up to the revision that it says it covers.
+fn is_whole(mirror: &Mirror, store: &Store) -> Result<(), TestCaseError> {
+    let held: BTreeMap<&str, &Upstream> = mirror.upstreams().map(|u| (&*u.id, u)).collect();
+    let now = store.entries(store.at());
+    for (id, (revision, known)) in store.entries(mirror.covered()) {
+        // What changed later may be known already.
+        if now[&id].0 > revision {
+            continue;
+        }
+        prop_assert_eq!(held.get(id.as_str()).copied(), known.as_ref(), "{}", id);
+    }
+    for id in held.keys() {
+        prop_assert!(now.contains_key(*id));
+    }
+    Ok(())
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Put(u8, u32),
+    Gone(u8),
+    /// A box that reads hears of everything.
+    Watch(usize),
+    /// Its history is gone, so it lists.
+    List(usize, u64),
+    /// A box asks another; the answer is kept.
+    Ask(usize, usize),
+    /// An answer that was kept arrives, again perhaps.
+    Arrive(usize, usize),
+    /// A box starts anew.
+    Restart(usize),
+}
+
+const BOXES: usize = 4;
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        (0..6u8, 0..4u32).prop_map(|(id, slots)| Step::Put(id, slots)),
+        (0..6u8).prop_map(Step::Gone),
+        (0..2usize).prop_map(Step::Watch),
+        (0..2usize, 0..6u64).prop_map(|(n, before)| Step::List(n, before)),
+        (0..BOXES, 0..BOXES).prop_map(|(a, b)| Step::Ask(a, b)),
+        (0..BOXES, 0..64usize).prop_map(|(a, n)| Step::Arrive(a, n)),
+        (0..BOXES).prop_map(Step::Restart),
+    ]
+}
+
+proptest! {
+    #![proptest_config(common::seeded(256))]
+
+    /// Two boxes read, all ask each other; answers come late, twice or never.
+    #[test]
+    fn covered_means_known(steps in proptest::collection::vec(step(), 1..120)) {
+        let mut store = Store::default();
+        let mut boxes: Vec<Mirror> = (0..BOXES).map(|_| Mirror::default()).collect();
+        let mut answers: Vec<Vec<Update>> = vec![Vec::new(); BOXES];
+        for step in steps {
+            match step {
+                Step::Put(id, slots) => {
+                    let mut entry = upstream(&format!("e{id}"), "a", "small", None, 1);
+                    entry.slots = slots;
+                    store.change(What::Put(entry));
+                }
+                Step::Gone(id) => {
+                    store.change(What::Gone(format!("e{id}").as_str().into()));
+                }
+                Step::Watch(n) if boxes[n].covered() > 0 => watch(&mut boxes[n], &store),
+                Step::Watch(n) => read_whole(&mut boxes[n], &store, 0),
+                Step::List(n, before) => read_whole(&mut boxes[n], &store, before),
+                Step::Ask(a, b) if a != b && boxes[b].covered() > 0 => {
+                    let update = boxes[b].update(boxes[a].covered(), true);
+                    answers[a].push(update);
+                }
+                Step::Ask(..) => {}
+                Step::Arrive(a, n) => {
+                    if let Some(update) = answers[a].get(n % answers[a].len().max(1)).cloned() {
+                        boxes[a].take(update);
+                    }
+                }
+                Step::Restart(n) => {
+                    boxes[n] = Mirror::default();
+                    // Its questions ended with it.
+                    answers[n].clear();
+                }
+            }
+            for mirror in &boxes {
+                is_whole(mirror, &store)?;
+            }
+        }
+    }
+}
+
+#[test]
+fn old_copy_takes_nothing_away() {
+    let mut reader = Mirror::default();
+    let entry = |id: &str| upstream(id, "a", "small", None, 1);
+    reader.replace(4, vec![(3, entry("e1"))]);
+    reader.read_all(4);
+    let old = reader.update(0, true);
+    assert!(old.whole);
+    let mut other = Mirror::default();
+    other.take(old.clone());
+    reader.put(5, entry("e2"));
+    other.take(reader.update(other.covered(), true));
+    assert_eq!(other.covered(), 5);
+    assert!(other.take(old).is_empty());
+    assert_eq!(other.upstreams().count(), 2);
+}
+
+#[test]
+fn what_is_gone_is_told_once() {
+    let mut reader = Mirror::default();
+    reader.replace(2, vec![(1, upstream("e1", "a", "small", None, 1))]);
+    reader.read_all(2);
+    let mut other = Mirror::default();
+    other.take(reader.update(0, true));
+    reader.remove(3, &"e1".into());
+    let update = reader.update(other.covered(), true);
+    assert!(!update.whole);
+    let gone = Change {
+        revision: 3,
+        what: What::Gone("e1".into()),
+    };
+    assert_eq!(other.take(update.clone()), [gone]);
+    assert!(other.take(update).is_empty());
+}
+
+/// The memory of removals is bounded; a box that missed more gets all.
+#[test]
+fn too_many_removals_are_replaced_by_the_whole() {
+    let mut reader = Mirror::default();
+    reader.replace(1, Vec::new());
+    reader.read_all(1);
+    for n in 0..3000u64 {
+        let id = format!("e{n}");
+        reader.put(2 + 2 * n, upstream(&id, "a", "small", None, 1));
+        reader.remove(3 + 2 * n, &id.as_str().into());
+    }
+    assert!(reader.update(1, true).whole);
+    assert!(!reader.update(6000, true).whole);
+    assert!(reader.update(1, true).changes.is_empty());
+}
+
+/// A box that learned from a list which was newer than what it covers does not
+/// know what was removed before the list.
+#[test]
+fn removals_before_a_list_are_not_passed_over() {
+    let entry = |id: &str| upstream(id, "a", "small", None, 1);
+    let mut reader = Mirror::default();
+    reader.replace(10, vec![(2, entry("e1"))]);
+    reader.read_all(3);
+    let mut between = Mirror::default();
+    between.take(reader.update(0, true));
+    reader.read_all(12);
+    between.take(reader.update(between.covered(), true));
+    assert_eq!(between.covered(), 12);
+    // `e2` was removed at 7.
+    let mut late = Mirror::default();
+    late.replace(5, vec![(2, entry("e1")), (4, entry("e2"))]);
+    late.read_all(5);
+    late.take(between.update(late.covered(), true));
+    assert_eq!(late.covered(), 12);
+    assert_eq!(late.upstreams().map(|u| &*u.id).collect::<Vec<_>>(), ["e1"]);
+}
--- a/crates/ashgauged/src/relay/census.rs
+++ b/crates/ashgauged/src/relay/census.rs
@@ -4,8 +4,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use platform::Fault;
 use platform::store::Revision;
-use platform::{Fault, Store};
+use rand::Rng;
 use serde::de::IgnoredAny;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
@@ -18,13 +19,22 @@
 /// Kind of the objects by which boxes count each other.
 const KIND: &str = "ashgauge-boxes";
 
-/// Pause after an announcement that the store did not take.
-const RETRY_PAUSE: Duration = Duration::from_secs(2);
+/// Longest pause after a call that failed, at random, so that boxes that start
+/// while the store is away do not call it together.
+const RETRY_PAUSE: Duration = Duration::from_millis(800);
 
-/// Time from announcing this box to the second count, so that boxes that start
+/// Times from announcing this box to further counts, so that boxes that start
 /// together see each other; the cheap read is some seconds old. The first
-/// count, at once, serves a box that joins a fleet.
-const COUNT_AGAIN: Duration = Duration::from_secs(5);
+/// count, at once, serves a box that joins a fleet or was restarted.
+const COUNT_AGAIN: [Duration; 3] = [
+    Duration::from_millis(1500),
+    Duration::from_millis(3000),
+    Duration::from_millis(5000),
+];
+
+/// When most boxes of a fleet that starts for the first time are listed: the
+/// cheap read is some seconds old.
+const SEARCH_TIME: Duration = Duration::from_millis(3000);
 
 /// Time between two counts of the boxes.
 const COUNT_EVERY: Duration = Duration::from_secs(15);
@@ -40,45 +50,72 @@
     data_centre: String,
 }
 
-/// Announces this box to the others and counts them as long as the process
-/// runs.
+/// Looks for the other boxes, announces this one to them and counts them as
+/// long as the process runs.
 ///
 /// Boxes that are gone for good stay counted, so the parts only shrink.
 pub async fn count(desk: Rc<Desk>) {
-    loop {
-        match announce(&desk).await {
-            Ok(()) => break,
-            Err(fault) => note(&desk, "announce", &fault),
+    let own = Member::of(&desk);
+    let found = first_look(&desk).await;
+    desk.searched.set(!desk.settings().fresh_fleet);
+    if found.as_ref() != Some(&own) {
+        while let Err(fault) = announce(&desk, &own).await {
+            note("announce", &fault);
+            pause(&desk).await;
         }
-        sleep(RETRY_PAUSE).await;
     }
-    count_once(desk.clone()).await;
-    sleep(COUNT_AGAIN).await;
-    loop {
+    let began = desk.now();
+    for time in COUNT_AGAIN {
+        sleep((began + time).saturating_sub(desk.now())).await;
         count_once(desk.clone()).await;
+        if time >= SEARCH_TIME {
+            desk.searched.set(true);
+        }
+    }
+    loop {
         sleep(COUNT_EVERY).await;
+        count_once(desk.clone()).await;
+    }
+}
+
+/// Counts the boxes until the store answers; returns how this box was last
+/// announced, if it was.
+async fn first_look(desk: &Desk) -> Option<Member> {
+    loop {
+        match look(desk).await {
+            Ok(own) => return own,
+            Err(fault) => note("count", &fault),
+        }
+        pause(desk).await;
     }
 }
 
+async fn pause(desk: &Desk) {
+    let time = desk.rng().random_range(RETRY_PAUSE / 4..RETRY_PAUSE);
+    sleep(time).await;
+}
+
 /// Writes this box's object, or corrects one that names another address.
-async fn announce(desk: &Desk) -> Result<(), Fault> {
+async fn announce(desk: &Desk, member: &Member) -> Result<(), Fault> {
     let settings = desk.settings();
-    let member = Member {
-        peer: desk.heard_at.get(),
-        data_centre: settings.data_centre.clone(),
-    };
-    match desk.store.create(KIND, &settings.id, &member).await {
+    let created = desk.store.create(KIND, &settings.id, member).await;
+    desk.count_call("write", &created);
+    match created {
         Err(Fault::Conflict) => {}
         other => return other,
     }
-    let known = desk.store.get::<Member>(KIND, &settings.id).await?;
-    if known.value == member {
+    let known = desk.store.get::<Member>(KIND, &settings.id).await;
+    desk.count_call("get", &known);
+    let known = known?;
+    if known.value == *member {
         return Ok(());
     }
     let replaced = desk
         .store
-        .replace(KIND, &settings.id, known.revision, &member);
-    replaced.await
+        .replace(KIND, &settings.id, known.revision, member);
+    let replaced = replaced.await;
+    desk.count_call("write", &replaced);
+    replaced
 }
 
 /// Revisions at which boxes announced themselves, as they were known some
@@ -87,37 +124,61 @@
 /// # Errors
 ///
 /// As every call of the store.
-pub async fn written(store: &Store) -> Result<Vec<Revision>, Fault> {
-    let boxes = store.list_stale::<IgnoredAny>(KIND).await?;
-    Ok(boxes.into_iter().map(|object| object.revision).collect())
+pub async fn written(desk: &Desk) -> Result<Vec<Revision>, Fault> {
+    let boxes = desk.store.list_stale::<IgnoredAny>(KIND).await;
+    desk.count_call("stale", &boxes);
+    Ok(boxes?.into_iter().map(|object| object.revision).collect())
 }
 
 /// Reads which boxes there are.
 pub async fn count_once(desk: Rc<Desk>) {
-    let boxes = match desk.store.list_stale::<Member>(KIND).await {
-        Ok(boxes) => boxes,
-        Err(fault) => return note(&desk, "count", &fault),
-    };
+    if let Err(fault) = look(&desk).await {
+        note("count", &fault);
+    }
+}
+
+/// Reads which boxes there are; returns how this one is announced, if it is.
+async fn look(desk: &Desk) -> Result<Option<Member>, Fault> {
+    let boxes = desk.store.list_stale::<Member>(KIND).await;
+    desk.count_call("stale", &boxes);
+    let boxes = boxes?;
+    let count = boxes.len() as u32;
     let settings = desk.settings();
+    let mut own = None;
     let mut peers = desk.peers.borrow_mut();
-    for object in &boxes {
-        let member = &object.value;
-        if let Some(addr) = member.peer.filter(|_| object.name != settings.id) {
+    for object in boxes {
+        let member = object.value;
+        if object.name == settings.id {
+            own = Some(member);
+            continue;
+        }
+        if let Some(addr) = member.peer {
             let near = member.data_centre == settings.data_centre;
-            peers.insert(object.name.as_str().into(), Peer { addr, near });
+            let place = member.data_centre.into();
+            peers.insert(object.name.into(), Peer { addr, place, near });
         }
     }
     drop(peers);
     // An older state of the store may lack even this box.
     // The same count again is believed more than the first one at a start.
-    if boxes.len() as u32 >= desk.counted_boxes() {
-        desk.set_boxes(boxes.len() as u32);
+    if count >= desk.counted_boxes() {
+        desk.set_boxes(count);
     }
+    Ok(own)
 }
 
 /// The proofs find out whether the store is away; here it only costs a count.
-fn note(desk: &Desk, call: &str, fault: &Fault) {
-    desk.metrics.store.with_label_values(&["failed"]).inc();
+fn note(call: &str, fault: &Fault) {
     let fields = json!({"call": call, "fault": fault.to_string()});
     log::line(Level::Debug, "fleet", "not counted", fields);
 }
+
+impl Member {
+    /// What this box announces.
+    fn of(desk: &Desk) -> Self {
+        Member {
+            peer: desk.heard_at.get(),
+            data_centre: desk.settings().data_centre.clone(),
+        }
+    }
+}
--- a/crates/ashgauged/src/relay/desk.rs
+++ b/crates/ashgauged/src/relay/desk.rs
@@ -16,12 +16,13 @@
 use ashgauge::choice::{self, Need, Pipes, Scene};
 use ashgauge::fresh::Freshness;
 use ashgauge::member::{BoxId, UpstreamId};
+use ashgauge::mirror::Mirror;
 use ashgauge::retry::{Allowance, Window};
 use ashgauge::roster::{Roster, Span};
 use ashgauge::routing::{Model, Routing, ServiceId};
 use ashgauge::share::{self, Shares};
 use http::Client;
-use platform::Store;
+use platform::{Fault, Store};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use serde_json::json;
@@ -41,11 +42,17 @@
 /// Time since the start after which a small count of the boxes is believed.
 const TRUST_AFTER: Duration = Duration::from_secs(3);
 
-/// Another box, as one tells it one's load.
+/// What the clock shows when the process starts, so that moments before it have
+/// a time as well: a proof from another box may be older than the process.
+const CLOCK_START: Duration = Duration::from_secs(60);
+
+/// Another box, as it announced itself.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Peer {
     /// Address on which it hears.
     pub addr: SocketAddr,
+    /// Its data centre.
+    pub place: Arc<str>,
     /// Whether it stands in the same data centre.
     pub near: bool,
 }
@@ -63,6 +70,14 @@
     pub roster: RefCell<Roster>,
     /// How sure the configuration is.
     pub fresh: RefCell<Freshness>,
+    /// What was read of the store, to hand on to other boxes.
+    pub mirror: RefCell<Mirror>,
+    /// Whether entries that are gone are certainly gone.
+    pub sure: Cell<bool>,
+    /// Whether this box reads the store itself.
+    pub reads: watch::Sender<bool>,
+    /// Whether the other boxes were looked for, so that who reads can be told.
+    pub searched: Cell<bool>,
     /// Whether the last proof failed, so that calls to the store are in vain.
     pub store_away: Cell<bool>,
     /// Whether the list of upstreams was read.
@@ -110,6 +125,10 @@
             routing: RefCell::default(),
             roster: RefCell::default(),
             fresh: RefCell::new(Freshness::new(settings.key_age())),
+            mirror: RefCell::default(),
+            sure: Cell::new(true),
+            reads: watch::Sender::new(false),
+            searched: Cell::new(false),
             store_away: Cell::new(false),
             listed: Cell::new(false),
             known: watch::Sender::new(false),
@@ -151,8 +170,14 @@
         *self.settings.borrow_mut() = Rc::new(settings);
     }
 
-    /// Time since the process's start; goes on while the process stands still.
+    /// Time since [`CLOCK_START`] before the process's start; goes on while the
+    /// process stands still.
     pub fn now(&self) -> Duration {
+        CLOCK_START + self.epoch.elapsed()
+    }
+
+    /// Time since the process's start.
+    pub fn uptime(&self) -> Duration {
         self.epoch.elapsed()
     }
 
@@ -168,15 +193,19 @@
 
     /// Whether the balancer should send callers here.
     pub fn is_ready(&self) -> bool {
-        let routing = self.routing.borrow();
-        let known = routing.version > 0 && self.listed.get();
-        let sure = !routing.is_keyed() || self.fresh.borrow().holds(self.now());
-        known && sure && !self.stopping.get()
+        let keyed = self.routing.borrow().is_keyed();
+        let sure = !keyed || self.fresh.borrow().holds(self.now());
+        self.is_informed() && sure && !self.stopping.get()
+    }
+
+    /// Whether a configuration and the list of upstreams were read.
+    pub fn is_informed(&self) -> bool {
+        self.routing.borrow().version > 0 && self.listed.get()
     }
 
     /// Notes that something was read for the first time.
     pub fn note_read(&self) {
-        let known = self.routing.borrow().version > 0 && self.listed.get();
+        let known = self.is_informed();
         self.known
             .send_if_modified(|k| std::mem::replace(k, known) != known);
     }
@@ -193,7 +222,7 @@
     pub fn set_boxes(&self, boxes: u32) {
         self.counted.set(boxes);
         // A small first count may be from before the others had started.
-        let boxes = match self.epoch.elapsed() < TRUST_AFTER {
+        let boxes = match self.uptime() < TRUST_AFTER {
             true => boxes.max(BOXES_ASSUMED),
             false => boxes,
         };
@@ -206,6 +235,15 @@
         log::line(Level::Info, "fleet", "boxes", json!({"boxes": boxes}));
     }
 
+    /// Counts a call to the store.
+    pub fn count_call<T>(&self, call: &str, result: &Result<T, Fault>) {
+        let result = match result {
+            Ok(_) => "done",
+            Err(_) => "failed",
+        };
+        self.metrics.store.with_label_values(&[call, result]).inc();
+    }
+
     /// Boxes that were counted so far; 0 before the first count.
     pub fn counted_boxes(&self) -> u32 {
         self.counted.get()
--- /dev/null
+++ b/crates/ashgauged/src/relay/follow/ask.rs
@@ -0,0 +1,288 @@
+//! Questions to the boxes that read the store for the others.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use ashgauge::asker::{Pace, Step};
+use ashgauge::member::BoxId;
+use ashgauge::mirror::What;
+use ashgauge::question::{Answer, Body, Question, Ticket, proved};
+use ashgauge::reader::{self, Member, Readers};
+use platform::config::Config;
+use rand::Rng;
+use serde_json::json;
+use spdlog::Level;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+use super::super::log;
+use super::super::peers::{FETCH_MOST, Heard, Peers};
+use super::Follower;
+
+/// Time between two looks before the other boxes are known.
+const SEARCH_EVERY: Duration = Duration::from_millis(20);
+
+/// Time between two rounds while nothing is known: boxes that read have just
+/// started as well.
+const HUNGRY_EVERY: Duration = Duration::from_millis(300);
+
+/// Share of the age at which no key is believed, past which a box that no other
+/// one could inform asks the store itself.
+const ALONE_SHARE: f64 = 0.6;
+
+/// How long a box that knows nothing asks others only.
+const ALONE_FIRST: Duration = Duration::from_millis(1500);
+
+/// Times between two such calls, at random in between: of 295 boxes some sixty
+/// a second call the store then.
+const ALONE_EVERY: std::ops::Range<Duration> =
+    Duration::from_millis(2000)..Duration::from_millis(8000);
+
+impl Follower {
+    /// Learns from other boxes as long as the process runs.
+    pub(super) async fn ask(self: Rc<Self>, mut heard: mpsc::Receiver<Heard>) {
+        let Some(peers) = self.peers.clone() else {
+            return;
+        };
+        let mut alone_at = self.desk.now() + self.random(ALONE_FIRST..ALONE_FIRST * 2);
+        loop {
+            let until = self.ask_next(&peers, &mut alone_at).await;
+            let rest = until.saturating_sub(self.desk.now());
+            match timeout(rest, heard.recv()).await {
+                Ok(Some(heard)) => self.take(&peers, heard).await,
+                Ok(None) => return,
+                Err(_) => {}
+            }
+        }
+    }
+
+    /// Asks whoever is to be asked now; returns when to look again.
+    async fn ask_next(&self, peers: &Peers, alone_at: &mut Duration) -> Duration {
+        let now = self.desk.now();
+        if !self.desk.searched.get() {
+            return now + SEARCH_EVERY;
+        }
+        let readers = self.readers();
+        self.set_role(&readers);
+        self.desk.roster.borrow_mut().expire(now);
+        let pace = self.pace();
+        let age = self.desk.fresh.borrow().age(now);
+        let is_fresh = age.is_some_and(|age| age <= pace.stale);
+        if readers.is_own && is_fresh {
+            return now + pace.every;
+        }
+        let step = {
+            let sources = move || readers.sources;
+            let mut asker = self.asker.borrow_mut();
+            asker.step(now, &pace, sources, &mut *self.desk.rng())
+        };
+        match step {
+            Step::Ask { to, id } => {
+                let question = self.question(id, None);
+                peers.ask(&to, question).await;
+                now + pace.answer
+            }
+            Step::Failed => {
+                if !self.is_reader() && now >= *alone_at {
+                    *alone_at = self.read_alone().await;
+                }
+                now
+            }
+            Step::Wait(until) => until,
+        }
+    }
+
+    fn readers(&self) -> Readers {
+        let desk = &self.desk;
+        let settings = desk.settings();
+        let me = Member {
+            id: settings.id.as_str().into(),
+            place: settings.data_centre.as_str().into(),
+        };
+        let members: Vec<Member> = {
+            let peers = desk.peers.borrow();
+            let others = peers.iter().map(|(id, peer)| Member {
+                id: id.clone(),
+                place: peer.place.clone(),
+            });
+            others.chain([me.clone()]).collect()
+        };
+        let asker = self.asker.borrow();
+        reader::choose(&me, &members, &asker.silences, desk.now(), settings.readers)
+    }
+
+    fn is_reader(&self) -> bool {
+        *self.desk.reads.borrow()
+    }
+
+    /// Begins or stops to read the store.
+    fn set_role(&self, readers: &Readers) {
+        let (desk, reads) = (&self.desk, readers.is_own);
+        self.is_shared.set(readers.is_shared);
+        if reads == self.is_reader() {
+            return;
+        }
+        let known = desk.is_informed().then(|| desk.mirror.borrow().covered());
+        self.config_at.set(known);
+        self.servers_at.set(known);
+        if !reads {
+            // What calls failed says nothing about those of the next time.
+            self.failed.set(None);
+            desk.store_away.set(false);
+        }
+        desk.reads.send_replace(reads);
+        log::line(
+            Level::Info,
+            "store",
+            "role",
+            json!({"reads": reads, "known": known}),
+        );
+    }
+
+    fn pace(&self) -> Pace {
+        let pace = self.desk.settings().ask_pace();
+        match self.desk.is_informed() {
+            true => pace,
+            false => Pace {
+                every: HUNGRY_EVERY,
+                ..pace
+            },
+        }
+    }
+
+    fn question(&self, id: u64, ticket: Option<Ticket>) -> Question {
+        let informed = self.desk.is_informed();
+        let covered = self.desk.mirror.borrow().covered();
+        Question {
+            from: self.desk.settings().id.as_str().into(),
+            id,
+            after: if informed { covered } else { 0 },
+            ticket,
+        }
+    }
+
+    /// Reads the store, as no other box knows enough; returns when to do so
+    /// again if that goes on.
+    async fn read_alone(&self) -> Duration {
+        let desk = &self.desk;
+        let most = desk.settings().key_age().mul_f64(ALONE_SHARE);
+        let age = desk.fresh.borrow().age(desk.now());
+        if age.is_some_and(|age| age < most) {
+            return desk.now();
+        }
+        log::line(
+            Level::Info,
+            "store",
+            "read alone",
+            json!({"age_ms": age.map(|a| a.as_millis() as u64)}),
+        );
+        if let Err(fault) = self.read_all().await {
+            self.lost("read alone", &fault);
+        }
+        desk.now() + self.random(ALONE_EVERY)
+    }
+
+    async fn read_all(&self) -> Result<(), platform::Fault> {
+        self.read_config().await?;
+        self.read_servers().await.map(drop)
+    }
+
+    fn random(&self, range: std::ops::Range<Duration>) -> Duration {
+        self.desk.rng().random_range(range)
+    }
+
+    async fn take(&self, peers: &Rc<Peers>, heard: Heard) {
+        match heard {
+            Heard::News(from) => self.asker.borrow_mut().note_news(from),
+            Heard::Answer(answer, fetched) => self.take_answer(peers, answer, fetched).await,
+        }
+    }
+
+    /// Takes an answer in. One to a question that this box did not ask, or that
+    /// was answered before, is dropped.
+    async fn take_answer(&self, peers: &Rc<Peers>, answer: Answer, fetched: Option<Duration>) {
+        let closed = self.asker.borrow_mut().close(answer.id, &answer.from);
+        let Some(asked) = fetched.or(closed) else {
+            self.desk
+                .metrics
+                .words
+                .with_label_values(&["unasked"])
+                .inc();
+            return;
+        };
+        let pace = self.pace();
+        let now = self.desk.now();
+        let is_fetched = fetched.is_some();
+        let is_large = matches!(answer.body, Body::Large { .. });
+        if is_large && is_fetched {
+            return;
+        }
+        self.asker
+            .borrow_mut()
+            .hear(now, &pace, &answer.from, &answer.body);
+        match answer.body {
+            Body::Nothing => {}
+            Body::Known { age, update } => self.learn(&answer.from, asked, age, update).await,
+            Body::Large { bytes, .. } if bytes > FETCH_MOST => {
+                if let Err(fault) = self.read_all().await {
+                    let fields = json!({"fault": fault.to_string()});
+                    log::line(Level::Info, "store", "large content not read", fields);
+                }
+            }
+            Body::Large { ticket, .. } => {
+                let question = self.question(answer.id, Some(ticket));
+                let peers = peers.clone();
+                tokio::task::spawn_local(peers.fetch(answer.from, question, pace));
+            }
+        }
+    }
+
+    /// Takes over what another box knows, as of the moment that its answer
+    /// proves.
+    async fn learn(
+        &self,
+        from: &BoxId,
+        asked: Duration,
+        age: Duration,
+        update: ashgauge::mirror::Update,
+    ) {
+        let desk = &self.desk;
+        let mut configs = update.changes.iter().filter_map(|c| match &c.what {
+            What::Config(bytes) => Some(Config::from_bytes(bytes)),
+            _ => None,
+        });
+        let config = match configs.next_back().transpose() {
+            Ok(config) => config,
+            Err(fault) => {
+                let fields = json!({"from": &**from, "fault": fault.to_string()});
+                return log::line(Level::Warn, "fleet", "answer cannot be read", fields);
+            }
+        };
+        let (sure, whole) = (update.sure, update.whole);
+        let before = desk.is_informed();
+        let news = desk.mirror.borrow_mut().take(update);
+        let is_news = !news.is_empty();
+        if let Some(config) = config {
+            self.put_in_force(config);
+        }
+        self.apply(news, sure);
+        desk.sure.set(sure);
+        desk.listed.set(true);
+        if let Some(at) = proved(asked, age) {
+            desk.fresh.borrow_mut().confirm(at);
+        }
+        if !self.is_reader() && age <= self.pace().stale {
+            self.failed.set(None);
+            desk.store_away.set(false);
+        }
+        desk.note_read();
+        if !before {
+            let fields = json!({"from": &**from, "whole": whole, "age_ms": age.as_millis() as u64});
+            log::line(Level::Info, "store", "learned", fields);
+        }
+        if is_news {
+            self.changed.notify_waiters();
+            self.spread_news().await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/ashgauged/src/relay/follow/mod.rs
@@ -0,0 +1,287 @@
+//! Follows the store: what is in force, who is there, and how sure that is.
+//!
+//! A few boxes read the store ([`watch`], [`prove`]); the others ask them
+//! ([`ask`]). Either way what is learned comes in here.
+
+mod ask;
+mod prove;
+mod watch;
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ashgauge::asker::Asker;
+use ashgauge::member::UpstreamId;
+use ashgauge::mirror::{Change, Revision, What};
+use ashgauge::roster::Upstream;
+use platform::{Fault, config, servers};
+use serde_json::json;
+use spdlog::Level;
+use tokio::sync::{Notify, mpsc};
+
+use super::desk::Desk;
+use super::peers::{Heard, Peers};
+use super::{census, log};
+
+/// How long after the store's return entries may be missing though their
+/// upstreams live; the users' figure.
+const RETURN_TIME: Duration = Duration::from_secs(2);
+
+/// What the following tasks tell each other.
+pub struct Follower {
+    desk: Rc<Desk>,
+    /// The way to the other boxes, if there is one.
+    peers: Option<Rc<Peers>>,
+    /// Whom this box asks.
+    asker: RefCell<Asker>,
+    /// Revision up to which the configuration is known; nothing until it was
+    /// read, or once the history behind it is gone.
+    config_at: Cell<Option<Revision>>,
+    /// The same for the list of upstreams.
+    servers_at: Cell<Option<Revision>>,
+    /// Whether the first proof was left to the watches' first reading.
+    begun: Cell<bool>,
+    /// Whether other boxes learn from this one.
+    is_shared: Cell<bool>,
+    /// When a call to the store last failed, while it is away.
+    failed: Cell<Option<Duration>>,
+    /// When the store last came back.
+    returned: Cell<Option<Duration>>,
+    /// Ends the watches, which may hang on dead connections, and begins them
+    /// anew.
+    restart: Notify,
+    /// Asks for a proof at once.
+    check: Notify,
+    /// A watch has brought something.
+    changed: Notify,
+}
+
+impl Follower {
+    /// Starts following; the tasks run as long as the process.
+    pub fn start(desk: Rc<Desk>, peers: Option<(Rc<Peers>, mpsc::Receiver<Heard>)>) {
+        let (peers, heard) = peers.unzip();
+        let follower = Rc::new(Follower {
+            desk,
+            peers,
+            asker: RefCell::default(),
+            config_at: Cell::new(None),
+            servers_at: Cell::new(None),
+            begun: Cell::new(false),
+            is_shared: Cell::new(false),
+            failed: Cell::new(None),
+            returned: Cell::new(None),
+            restart: Notify::new(),
+            check: Notify::new(),
+            changed: Notify::new(),
+        });
+        tokio::task::spawn_local(follower.clone().confirm());
+        tokio::task::spawn_local(follower.clone().follow_config());
+        tokio::task::spawn_local(follower.clone().follow_servers());
+        tokio::task::spawn_local(census::count(follower.desk.clone()));
+        match heard.filter(|_| follower.desk.settings().shares_reading()) {
+            Some(heard) => drop(tokio::task::spawn_local(follower.ask(heard))),
+            None => drop(follower.desk.reads.send_replace(true)),
+        }
+    }
+
+    /// Waits until this box reads the store itself.
+    async fn until_reader(&self) {
+        let mut reads = self.desk.reads.subscribe();
+        // The sender lives as long as the desk.
+        let _ = reads.wait_for(|reads| *reads).await;
+    }
+
+    async fn read_config(&self) -> Result<(), Fault> {
+        let asked = self.desk.now();
+        let read = config::read(&self.desk.store, skipped).await;
+        self.desk.count_call("list", &read);
+        let (config, at) = read?;
+        if let Some((config, revision)) = config {
+            self.adopt(config, revision)?;
+            self.desk.fresh.borrow_mut().confirm(asked);
+        }
+        advance(&self.config_at, at);
+        self.note_read();
+        Ok(())
+    }
+
+    /// Puts a configuration in force unless a newer one is.
+    fn adopt(&self, config: config::Config, revision: Revision) -> Result<(), Fault> {
+        let bytes = config.to_bytes()?;
+        self.desk.mirror.borrow_mut().set_config(revision, bytes);
+        self.put_in_force(config);
+        Ok(())
+    }
+
+    fn put_in_force(&self, config: config::Config) {
+        let desk = &self.desk;
+        let old = desk.routing.borrow().version;
+        if config.version() <= old {
+            return;
+        }
+        let routing = config::decode(config);
+        let version = routing.version;
+        desk.metrics.version.set(version as i64);
+        *desk.routing.borrow_mut() = Arc::new(routing);
+        let fields = json!({"version": version, "before": old});
+        log::line(Level::Info, "config", "in force", fields);
+    }
+
+    /// Reads all entries; returns whether they held something that no watch had
+    /// brought.
+    async fn read_servers(&self) -> Result<bool, Fault> {
+        let read = servers::list(&self.desk.store, skipped).await;
+        self.desk.count_call("list", &read);
+        let (list, at) = read?;
+        let count = list.len();
+        // A watch may have overtaken the list.
+        let list: Vec<Upstream> = {
+            let mut mirror = self.desk.mirror.borrow_mut();
+            mirror.replace(at, list);
+            mirror.upstreams().cloned().collect()
+        };
+        let missed = self.log_changed(&list, at);
+        let gives_up = list.iter().any(|u| self.gives_up(u));
+        let (now, sure) = (self.desk.now(), !self.is_unsure());
+        self.desk.roster.borrow_mut().replace(now, list, sure);
+        let fields = json!({"upstreams": count, "at": at, "sure": sure});
+        log::line(Level::Info, "roster", "listed", fields);
+        if gives_up {
+            self.desk.wake_streams();
+        }
+        self.desk.listed.set(true);
+        advance(&self.servers_at, at);
+        self.note_read();
+        Ok(missed)
+    }
+
+    /// Writes a line for each upstream of a list that no watch had brought;
+    /// returns whether there was one.
+    fn log_changed(&self, list: &[Upstream], at: Revision) -> bool {
+        let roster = self.desk.roster.borrow();
+        let is_known = |u: &Upstream| roster.get(&u.id).is_some_and(|e| e.upstream == *u);
+        let changed: Vec<_> = list.iter().filter(|u| !is_known(u)).collect();
+        changed.iter().for_each(|u| log_announced(u, at));
+        !changed.is_empty()
+    }
+
+    /// Notes that everything up to what was read of both kinds is known.
+    fn note_read(&self) {
+        if let (Some(config), Some(servers)) = (self.config_at.get(), self.servers_at.get()) {
+            self.desk.mirror.borrow_mut().read_all(config.min(servers));
+        }
+        self.desk.note_read();
+    }
+
+    /// Acts on changes that are news.
+    fn apply(&self, changes: Vec<Change>, sure: bool) {
+        for change in changes {
+            match change.what {
+                What::Config(_) => {}
+                What::Put(upstream) => self.put(upstream, change.revision),
+                What::Gone(id) => self.remove(&id, change.revision, sure),
+            }
+        }
+    }
+
+    fn put(&self, upstream: Upstream, revision: Revision) {
+        log_announced(&upstream, revision);
+        let gives_up = self.gives_up(&upstream);
+        self.desk.roster.borrow_mut().put(upstream);
+        if gives_up {
+            self.desk.wake_streams();
+        }
+    }
+
+    fn remove(&self, id: &UpstreamId, revision: Revision, sure: bool) {
+        let fields = json!({"upstream": &**id, "revision": revision, "sure": sure});
+        log::line(Level::Info, "roster", "gone", fields);
+        let now = self.desk.now();
+        let mut roster = self.desk.roster.borrow_mut();
+        match sure {
+            true => roster.remove(id),
+            false => roster.miss(now, id),
+        }
+    }
+
+    /// Whether an upstream begins to leave, or gives up layers that it held.
+    fn gives_up(&self, upstream: &Upstream) -> bool {
+        let roster = self.desk.roster.borrow();
+        let before = roster.get(&upstream.id).map(|e| &e.upstream);
+        before.is_some_and(|b| {
+            let leaves = upstream.leaving && !b.leaving;
+            leaves || (b.layers.is_some() && b.layers != upstream.layers)
+        })
+    }
+
+    /// Tells the boxes that learn from this one that there is something new.
+    async fn spread_news(&self) {
+        if let Some(peers) = &self.peers {
+            peers.spread_news().await;
+        }
+    }
+
+    /// Whether entries may be missing only because the store was away.
+    fn is_unsure(&self) -> bool {
+        let now = self.desk.now();
+        let returned = self.returned.get();
+        self.failed.get().is_some() || returned.is_some_and(|t| now < t + RETURN_TIME)
+    }
+
+    /// Keeps what other boxes are told of it up to date.
+    fn note_sure(&self) {
+        self.desk.sure.set(!self.is_unsure());
+    }
+
+    /// Notes that a call failed, with one line for each time the store goes.
+    fn lost(&self, what: &str, fault: &Fault) {
+        if matches!(fault, Fault::Forgotten) {
+            log::line(Level::Info, "store", "history gone", json!({"watch": what}));
+            return;
+        }
+        self.desk.store_away.set(true);
+        self.desk.sure.set(false);
+        let first = self.failed.replace(Some(self.desk.now())).is_none();
+        if first {
+            let fields = json!({"call": what, "fault": fault.to_string()});
+            log::line(Level::Warn, "store", "lost", fields);
+        }
+    }
+
+    async fn regained(&self) {
+        let Some(last) = self.failed.take() else {
+            return;
+        };
+        let now = self.desk.now();
+        self.returned.set(Some(now));
+        self.desk.store_away.set(false);
+        let fields = json!({"last_failure_ms": (now - last).as_millis() as u64});
+        log::line(Level::Info, "store", "regained", fields);
+        self.restart.notify_waiters();
+        self.spread_news().await;
+    }
+}
+
+/// Moves a known revision on; a reading that was overtaken does not move it
+/// back.
+fn advance(known: &Cell<Option<Revision>>, at: Revision) {
+    known.set(known.get().max(Some(at)));
+}
+
+fn log_announced(upstream: &Upstream, revision: Revision) {
+    let fields = json!({
+        "upstream": &*upstream.id,
+        "addr": upstream.addr,
+        "leaving": upstream.leaving,
+        "layers": upstream.layers,
+        "revision": revision,
+    });
+    log::line(Level::Info, "roster", "announced", fields);
+}
+
+fn skipped(name: &str, fault: &Fault) {
+    let fields = json!({"object": name, "fault": fault.to_string()});
+    log::line(Level::Warn, "store", "object cannot be read", fields);
+}
--- a/crates/ashgauged/src/relay/metrics.rs
+++ b/crates/ashgauged/src/relay/metrics.rs
@@ -19,11 +19,11 @@
     pub sends: IntCounterVec,
     /// Repairs of streams by kind.
     pub repairs: IntCounterVec,
-    /// Calls to the store by result.
+    /// Calls to the store by kind and result.
     pub store: IntCounterVec,
     /// Orders to engines by reply.
     pub orders: IntCounterVec,
-    /// Words of other boxes on their loads, by what became of them.
+    /// Datagrams of other boxes, by what became of them.
     pub words: IntCounterVec,
     /// Upstreams that became suspect.
     pub suspects: IntCounter,
@@ -49,11 +49,12 @@
     /// Fails if two have one name.
     pub fn new() -> prometheus::Result<Self> {
         let registry = Registry::new();
-        let counters = |name: &str, help: &str, label: &str| {
-            let counters = IntCounterVec::new(Opts::new(name, help), &[label])?;
+        let labelled = |name: &str, help: &str, labels: &[&str]| {
+            let counters = IntCounterVec::new(Opts::new(name, help), labels)?;
             registry.register(Box::new(counters.clone()))?;
             prometheus::Result::Ok(counters)
         };
+        let counters = |name: &str, help: &str, label: &str| labelled(name, help, &[label]);
         let histogram = |name: &str, help: &str| {
             let opts = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
             let histogram = Histogram::with_opts(opts)?;
@@ -71,13 +72,13 @@
             ends: counters("ashgauge_requests_total", "Requests by end", "end")?,
             sends: counters("ashgauge_sends_total", "Sends by outcome", "outcome")?,
             repairs: counters("ashgauge_repairs_total", "Repairs of streams", "kind")?,
-            store: counters(
+            store: labelled(
                 "ashgauge_store_calls_total",
-                "Store calls by result",
-                "result",
+                "Store calls by kind and result",
+                &["call", "result"],
             )?,
             orders: counters("ashgauge_orders_total", "Orders by reply", "reply")?,
-            words: counters("ashgauge_words_total", "Words of other boxes", "result")?,
+            words: counters("ashgauge_words_total", "Datagrams of other boxes", "result")?,
             first: histogram("ashgauge_first_seconds", "Time to the first byte")?,
             whole: histogram("ashgauge_whole_seconds", "Time to the end")?,
             gap: histogram("ashgauge_repair_gap_seconds", "Pause of a repaired stream")?,
--- a/crates/ashgauged/src/relay/mod.rs
+++ b/crates/ashgauged/src/relay/mod.rs
@@ -14,6 +14,7 @@
 mod log;
 mod metrics;
 mod open;
+mod peers;
 mod pieces;
 mod place;
 mod probe;
@@ -41,6 +42,7 @@
 use desk::Desk;
 use follow::Follower;
 use metrics::Metrics;
+use peers::Peers;
 use place::Placer;
 pub use settings::Settings;
 
@@ -93,8 +95,11 @@
     });
     log::line(Level::Info, "box", "started", fields);
     let desk = Rc::new(Desk::new(settings, Metrics::new()?));
-    tell::start(&desk).await?;
-    Follower::start(desk.clone());
+    let peers = Peers::start(&desk).await?;
+    if let Some((peers, _)) = &peers {
+        tokio::task::spawn_local(tell::tell(desk.clone(), peers.clone()));
+    }
+    Follower::start(desk.clone(), peers);
     Placer::start(desk.clone());
     tokio::task::spawn_local(serve::accept(desk.clone(), callers));
     tokio::task::spawn_local(serve::answer_ready(desk.clone(), ready));
--- /dev/null
+++ b/crates/ashgauged/src/relay/peers.rs
@@ -0,0 +1,404 @@
+//! What boxes send each other: loads, questions and answers.
+//!
+//! Datagrams carry what is small; an answer that is too large for one is
+//! fetched over a connection, with a ticket that only the asking box has. What
+//! cannot be read, or comes from an address that no box has announced, is
+//! dropped and counted.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use ashgauge::asker::Pace;
+use ashgauge::member::BoxId;
+use ashgauge::question::{Answer, Body, Datagram, Question, Ticket};
+use bytes::Bytes;
+use eyre::{Result, WrapErr, eyre};
+use http::{Full, Limits};
+use hyper::{Method, Request, Response, StatusCode};
+use rand::Rng;
+use serde::Serialize;
+use serde_json::json;
+use spdlog::Level;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::sleep;
+
+use super::desk::Desk;
+use super::{census, log};
+
+/// Largest datagram that is read; a word on 860 engines takes 12 kB.
+const DATAGRAM_MOST: usize = 60_000;
+
+/// Largest answer that goes out as a datagram: what an Ethernet frame carries
+/// in one piece.
+const ANSWER_MOST: usize = 1400;
+
+/// Largest answer that is fetched from a box. What is larger is read from the
+/// store, as a box of 20 Mbit/s would take seconds to give it to thirty others.
+pub const FETCH_MOST: u64 = 64 << 10;
+
+/// Pause after the socket could not be read.
+const READ_PAUSE: Duration = Duration::from_millis(500);
+
+/// Least time between two looks at the boxes because of a stranger's datagram.
+const RECOUNT_EVERY: Duration = Duration::from_secs(1);
+
+/// How long a box that asked is told of news: some rounds of questions.
+const ASKER_TIME: Duration = Duration::from_secs(4);
+
+/// How long a ticket is good.
+const TICKET_TIME: Duration = Duration::from_secs(3);
+
+/// Tickets that are kept; each box of a data centre has one at the most.
+const TICKETS_MOST: usize = 512;
+
+/// Longest question, in bytes.
+const QUESTION_MOST: usize = 1024;
+
+/// Path at which answers are fetched.
+const ANSWER_PATH: &str = "/answer";
+
+/// Ports that are tried if the system chooses them.
+const BIND_TRIES: u32 = 32;
+
+/// Messages that may wait for the following task.
+const HEARD_MOST: usize = 256;
+
+/// What the other boxes said.
+#[derive(Debug)]
+pub enum Heard {
+    /// An answer, and when its question went out if it was fetched.
+    Answer(Answer, Option<Duration>),
+    /// A box knows something new.
+    News(BoxId),
+}
+
+/// This box's way to the others.
+pub struct Peers {
+    desk: Rc<Desk>,
+    socket: UdpSocket,
+    heard: mpsc::Sender<Heard>,
+    /// When each box last asked.
+    askers: RefCell<HashMap<BoxId, Duration>>,
+    /// Until when each ticket is good.
+    tickets: RefCell<HashMap<Ticket, Duration>>,
+}
+
+/// A question that came over a connection, and where its answer goes.
+type Fetch = (Question, oneshot::Sender<Option<Answer>>);
+
+impl Peers {
+    /// Starts to hear the other boxes, if the settings name an address for it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound.
+    pub async fn start(desk: &Rc<Desk>) -> Result<Option<(Rc<Self>, mpsc::Receiver<Heard>)>> {
+        let Some(addr) = desk.settings().peer.clone() else {
+            return Ok(None);
+        };
+        let (socket, listener) = bind(&addr).await?;
+        desk.heard_at.set(Some(socket.local_addr()?));
+        let (heard, messages) = mpsc::channel(HEARD_MOST);
+        let peers = Rc::new(Peers {
+            desk: desk.clone(),
+            socket,
+            heard,
+            askers: RefCell::default(),
+            tickets: RefCell::default(),
+        });
+        tokio::task::spawn_local(peers.clone().hear());
+        let (fetches, asked) = mpsc::channel(HEARD_MOST);
+        tokio::task::spawn_local(peers.clone().answer_fetches(asked));
+        tokio::task::spawn_local(serve_fetches(listener, fetches));
+        Ok(Some((peers, messages)))
+    }
+
+    /// Sends one datagram to a box. One that does not get out is made good by
+    /// the next.
+    pub async fn send(&self, to: SocketAddr, bytes: &[u8]) {
+        let _ = self.socket.send_to(bytes, to).await;
+    }
+
+    /// Asks a box.
+    pub async fn ask(&self, to: &BoxId, question: Question) {
+        let addr = self.desk.peers.borrow().get(to).map(|p| p.addr);
+        let bytes = encode(&Datagram::Question(question));
+        if let (Some(addr), Some(bytes)) = (addr, bytes) {
+            self.send(addr, &bytes).await;
+        }
+    }
+
+    /// Fetches an answer that is too large for a datagram.
+    pub async fn fetch(self: Rc<Self>, to: BoxId, question: Question, pace: Pace) {
+        let asked = self.desk.now();
+        match self.fetch_once(&to, &question, pace.fetch).await {
+            Ok(answer) => {
+                // The following task ends with the process only.
+                let _ = self.heard.send(Heard::Answer(answer, Some(asked))).await;
+            }
+            Err(e) => {
+                let fields = json!({"from": &*to, "fault": format!("{e:#}")});
+                log::line(Level::Info, "fleet", "answer not fetched", fields);
+            }
+        }
+    }
+
+    async fn fetch_once(&self, to: &BoxId, question: &Question, most: Duration) -> Result<Answer> {
+        let addr = self.desk.peers.borrow().get(to).map(|p| p.addr);
+        let addr = addr.ok_or_else(|| eyre!("the box is not listed any more"))?;
+        let addr = addr.to_string();
+        let body = Full::new(Bytes::from(postcard::to_allocvec(question)?));
+        let request = Request::builder().method(Method::POST).uri(ANSWER_PATH);
+        let request = request.header(hyper::header::HOST, &addr);
+        let request = request.body(body)?;
+        let reply = self.desk.client.send(&addr, request, most);
+        let reply = reply.await?;
+        if reply.status() != StatusCode::OK {
+            return Err(eyre!("the box answered {}", reply.status()));
+        }
+        let answer: Answer = postcard::from_bytes(reply.body())?;
+        match answer.from == *to && answer.id == question.id {
+            true => Ok(answer),
+            false => Err(eyre!("the answer is to another question")),
+        }
+    }
+
+    /// Tells the boxes that asked lately that there is something new.
+    pub async fn spread_news(&self) {
+        let now = self.desk.now();
+        let own: BoxId = self.desk.settings().id.as_str().into();
+        let Some(bytes) = encode(&Datagram::News(own)) else {
+            return;
+        };
+        let to: Vec<SocketAddr> = {
+            let mut askers = self.askers.borrow_mut();
+            askers.retain(|_, at| now < *at + ASKER_TIME);
+            let peers = self.desk.peers.borrow();
+            let addrs = askers.keys().filter_map(|id| peers.get(id));
+            addrs.map(|p| p.addr).collect()
+        };
+        for addr in to {
+            self.send(addr, &bytes).await;
+        }
+    }
+
+    async fn hear(self: Rc<Self>) {
+        let mut buffer = vec![0; DATAGRAM_MOST];
+        let mut counted = Duration::ZERO;
+        loop {
+            let Ok((len, from)) = self.socket.recv_from(&mut buffer).await else {
+                sleep(READ_PAUSE).await;
+                continue;
+            };
+            let result = self.take(&buffer[..len], from).await;
+            let label = [result.label()];
+            self.desk.metrics.words.with_label_values(&label).inc();
+            let now = self.desk.now();
+            if result == Taken::Stranger && now >= counted + RECOUNT_EVERY {
+                // It may be a box that has just come.
+                counted = now;
+                tokio::task::spawn_local(census::count_once(self.desk.clone()));
+            }
+        }
+    }
+
+    /// Takes a datagram in; returns what became of it.
+    async fn take(&self, bytes: &[u8], addr: SocketAddr) -> Taken {
+        let Ok(datagram) = postcard::from_bytes::<Datagram>(bytes) else {
+            return Taken::Unreadable;
+        };
+        let listed = self
+            .desk
+            .peers
+            .borrow()
+            .get(datagram.from())
+            .map(|p| p.addr);
+        if listed != Some(addr) {
+            return Taken::Stranger;
+        }
+        match datagram {
+            Datagram::Load(word) => {
+                let now = self.desk.now();
+                match self.desk.shares.borrow_mut().hear(now, word) {
+                    true => Taken::Heard,
+                    false => Taken::Late,
+                }
+            }
+            Datagram::Question(question) => {
+                self.answer(question, addr).await;
+                Taken::Question
+            }
+            Datagram::Answer(answer) => self.pass_on(Heard::Answer(answer, None)),
+            Datagram::News(from) => self.pass_on(Heard::News(from)),
+        }
+    }
+
+    fn pass_on(&self, heard: Heard) -> Taken {
+        match self.heard.try_send(heard) {
+            Ok(()) => Taken::Heard,
+            Err(_) => Taken::Late,
+        }
+    }
+
+    async fn answer(&self, question: Question, addr: SocketAddr) {
+        let now = self.desk.now();
+        self.askers.borrow_mut().insert(question.from.clone(), now);
+        let answer = self.answer_to(&question);
+        let Some(mut bytes) = encode(&Datagram::Answer(answer)) else {
+            return;
+        };
+        if bytes.len() > ANSWER_MOST {
+            let large = self.ticket_for(&question, bytes.len() as u64);
+            let Some(encoded) = encode(&Datagram::Answer(large)) else {
+                return;
+            };
+            bytes = encoded;
+        }
+        self.send(addr, &bytes).await;
+    }
+
+    /// What this box knows now. The age counts to this moment, which is after
+    /// the question was asked.
+    fn answer_to(&self, question: &Question) -> Answer {
+        let desk = &self.desk;
+        let age = desk.fresh.borrow().age(desk.now());
+        let body = match age.filter(|_| desk.is_informed()) {
+            Some(age) => Body::Known {
+                age,
+                update: desk.mirror.borrow().update(question.after, desk.sure.get()),
+            },
+            None => Body::Nothing,
+        };
+        Answer {
+            from: desk.settings().id.as_str().into(),
+            id: question.id,
+            body,
+        }
+    }
+
+    fn ticket_for(&self, question: &Question, bytes: u64) -> Answer {
+        let ticket = self.desk.rng().random();
+        let now = self.desk.now();
+        let mut tickets = self.tickets.borrow_mut();
+        tickets.retain(|_, until| now < *until);
+        if tickets.len() < TICKETS_MOST {
+            tickets.insert(ticket, now + TICKET_TIME);
+        }
+        Answer {
+            from: self.desk.settings().id.as_str().into(),
+            id: question.id,
+            body: Body::Large { ticket, bytes },
+        }
+    }
+
+    /// Answers what comes over connections, to boxes that have a ticket.
+    async fn answer_fetches(self: Rc<Self>, mut asked: mpsc::Receiver<Fetch>) {
+        while let Some((question, reply)) = asked.recv().await {
+            let ticket = question.ticket;
+            let until = ticket.and_then(|t| self.tickets.borrow_mut().remove(&t));
+            let is_good = until.is_some_and(|until| self.desk.now() < until);
+            // Whoever asked may be gone.
+            let _ = reply.send(is_good.then(|| self.answer_to(&question)));
+        }
+    }
+}
+
+/// What became of a datagram.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Taken {
+    /// It was taken in.
+    Heard,
+    /// It was a question.
+    Question,
+    /// A later one was taken in before, or too many wait.
+    Late,
+    /// It is none of ours.
+    Unreadable,
+    /// It came from an address that its box has not announced.
+    Stranger,
+}
+
+impl Taken {
+    fn label(self) -> &'static str {
+        match self {
+            Taken::Heard => "heard",
+            Taken::Question => "question",
+            Taken::Late => "late",
+            Taken::Unreadable => "unreadable",
+            Taken::Stranger => "stranger",
+        }
+    }
+}
+
+/// Writes a datagram; one that cannot be written is logged.
+pub fn encode(datagram: &impl Serialize) -> Option<Vec<u8>> {
+    match postcard::to_allocvec(datagram) {
+        Ok(bytes) => Some(bytes),
+        Err(e) => {
+            let fields = json!({"cause": e.to_string()});
+            log::line(Level::Warn, "fleet", "not told", fields);
+            None
+        }
+    }
+}
+
+/// Binds the same port for datagrams and connections. If the system is to choose
+/// it, one that is free for datagrams may be taken for connections.
+async fn bind(addr: &str) -> Result<(UdpSocket, TcpListener)> {
+    let hint = || format!("cannot hear boxes on {addr}; free the port or set another");
+    let mut tries = match addr.ends_with(":0") {
+        true => BIND_TRIES,
+        false => 1,
+    };
+    loop {
+        let socket = UdpSocket::bind(addr).await.wrap_err_with(hint)?;
+        tries -= 1;
+        match TcpListener::bind(socket.local_addr()?).await {
+            Ok(listener) => return Ok((socket, listener)),
+            Err(_) if tries > 0 => {}
+            Err(e) => return Err(e).wrap_err_with(hint),
+        }
+    }
+}
+
+/// Serves connections of boxes that fetch answers.
+async fn serve_fetches(listener: TcpListener, fetches: mpsc::Sender<Fetch>) {
+    let (_keep, stop) = watch::channel(false);
+    let limits = Limits {
+        connections: 128,
+        ..Limits::default()
+    };
+    http::serve(listener, limits, stop, move |request| {
+        let fetches = fetches.clone();
+        async move {
+            let body = http::read_body(request.into_body(), QUESTION_MOST, TICKET_TIME).await;
+            let answer = match body {
+                Ok(body) => fetch_answer(&body, &fetches).await,
+                Err(status) => Err(status),
+            };
+            answer.unwrap_or_else(|status| {
+                let mut response = Response::new(http::empty());
+                *response.status_mut() = status;
+                response
+            })
+        }
+    })
+    .await;
+}
+
+async fn fetch_answer(
+    body: &[u8],
+    fetches: &mpsc::Sender<Fetch>,
+) -> Result<Response<http::Body>, StatusCode> {
+    let question = postcard::from_bytes(body).map_err(|_| StatusCode::BAD_REQUEST)?;
+    let (reply, answer) = oneshot::channel();
+    let sent = fetches.send((question, reply)).await;
+    sent.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
+    let answer = answer.await.ok().flatten().ok_or(StatusCode::FORBIDDEN)?;
+    let bytes = encode(&answer).ok_or(StatusCode::INTERNAL_SERVER_ERROR)?;
+    Ok(Response::new(http::full(bytes)))
+}
--- a/crates/ashgauged/src/relay/place.rs
+++ b/crates/ashgauged/src/relay/place.rs
@@ -13,9 +13,9 @@
 use ashgauge::placement::{self, Assignment, Seat};
 use ashgauge::roster::{Entry, Span};
 use ashgauge::routing::{Model, Service};
+use platform::Fault;
 use platform::engine::{self, Reply};
 use platform::store::Revision;
-use platform::{Fault, Store};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
@@ -92,9 +92,10 @@
 /// # Errors
 ///
 /// As every call of the store.
-pub async fn written_rounds(store: &Store) -> Result<Vec<Revision>, Fault> {
-    let stored = store.list_stale::<Stored>(KIND).await?;
-    let revisions = stored.into_iter().flat_map(|object| {
+pub async fn written_rounds(desk: &Desk) -> Result<Vec<Revision>, Fault> {
+    let stored = desk.store.list_stale::<Stored>(KIND).await;
+    desk.count_call("stale", &stored);
+    let revisions = stored?.into_iter().flat_map(|object| {
         let mut revisions = object.value.written;
         revisions.push(object.revision);
         revisions
@@ -136,7 +137,9 @@
     async fn run(mut self) {
         loop {
             sleep(LOOK_EVERY).await;
-            let idle = self.desk.stopping.get() || self.desk.store_away.get();
+            // A box that does not read hears late of what others ordered.
+            let reads = *self.desk.reads.borrow();
+            let idle = !reads || self.desk.stopping.get() || self.desk.store_away.get();
             if idle || !self.has_settled() || self.desk.now() < self.rest_until {
                 continue;
             }
@@ -183,7 +186,9 @@
         }
         let stagger = self.desk.rng().random_range(Duration::ZERO..STAGGER_MOST);
         sleep(stagger).await;
-        let (stored, revision) = match self.desk.store.get::<Stored>(KIND, &service.name).await {
+        let read = self.desk.store.get::<Stored>(KIND, &service.name).await;
+        self.desk.count_call("get", &read);
+        let (stored, revision) = match read {
             Ok(object) => (object.value, Some(object.revision)),
             Err(Fault::Missing) => (Stored::default(), None),
             Err(fault) => return Err(fault),
@@ -209,6 +214,7 @@
             Some(revision) => store.replace(KIND, &service.name, revision, &next).await,
             None => store.create(KIND, &service.name, &next).await,
         };
+        self.desk.count_call("write", &written);
         match written {
             Ok(()) => self.give(service, model, next),
             // Another box was first; its ranges are taken in at the next look.
--- a/crates/ashgauged/src/relay/settings.rs
+++ b/crates/ashgauged/src/relay/settings.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use ashgauge::asker::Pace;
 use eyre::{Result, WrapErr, bail, eyre};
 use serde::Deserialize;
 
@@ -29,6 +30,17 @@
     pub peer: Option<String>,
     /// Address of the platform's store.
     pub store: String,
+    /// Whether the whole fleet starts for the first time, so that boxes find
+    /// each other before a few of them read the store for all.
+    #[serde(default)]
+    pub fresh_fleet: bool,
+    /// Boxes of each data centre that read the store for the others; by the
+    /// size of the fleet if it is not given.
+    #[serde(default)]
+    pub readers: Option<usize>,
+    /// Whether every box reads the store for itself.
+    #[serde(default)]
+    pub each_reads: bool,
     /// Bounds that the operators set.
     #[serde(default)]
     pub bounds: Bounds,
@@ -88,8 +100,17 @@
     pub store_ms: u64,
     /// How long the store may hold a watch that has no news.
     pub watch_ms: u64,
-    /// Between two proofs that the configuration in force is known.
+    /// Between two proofs that the configuration in force is known, where every
+    /// box asks the store for them.
     pub confirm_ms: u64,
+    /// The same where few ask for all: the others hear of it later.
+    pub reader_ms: u64,
+    /// Between two questions of a box to one that reads.
+    pub ask_ms: u64,
+    /// For another box's answer; it takes under 2 ms when both are well.
+    pub answer_ms: u64,
+    /// For an answer that is fetched from a box over a connection.
+    pub fetch_ms: u64,
     /// For a new connection to an upstream, which takes under 2 ms when it is
     /// well.
     pub connect_ms: u64,
@@ -106,6 +127,10 @@
             store_ms: 1000,
             watch_ms: 30_000,
             confirm_ms: 2000,
+            reader_ms: 1500,
+            ask_ms: 1000,
+            answer_ms: 150,
+            fetch_ms: 1000,
             connect_ms: 150,
             first_ms: 250,
             silence_ms: 100,
@@ -160,6 +185,33 @@
         Duration::from_millis(self.timing.confirm_ms).min(most)
     }
 
+    /// The same where few boxes ask for all. What they know is heard a round of
+    /// questions later, so both times together stay below the bound on upstreams
+    /// that leave, also if the box that was asked has lost the store.
+    pub fn reader_time(&self) -> Duration {
+        let most = self.drain_time().mul_f64(PROOF_SHARE);
+        Duration::from_millis(self.timing.reader_ms)
+            .min(most)
+            .min(self.confirm_time())
+    }
+
+    /// When a box asks those that read.
+    pub fn ask_pace(&self) -> Pace {
+        let ms = Duration::from_millis;
+        let every = self.drain_time().mul_f64(ASK_SHARE);
+        Pace {
+            every: ms(self.timing.ask_ms).min(every),
+            answer: ms(self.timing.answer_ms),
+            fetch: ms(self.timing.fetch_ms),
+            stale: self.reader_time() + self.drain_time().mul_f64(STALE_SHARE),
+        }
+    }
+
+    /// Whether boxes may learn from each other what a few of them read.
+    pub fn shares_reading(&self) -> bool {
+        self.peer.is_some() && !self.each_reads
+    }
+
     /// Time within which boxes must know that an upstream is leaving.
     pub fn drain_time(&self) -> Duration {
         Duration::from_secs_f64(self.bounds.drain_ms / 1e3)
@@ -213,6 +265,10 @@
             ("timing.store_ms", t.store_ms as f64),
             ("timing.watch_ms", t.watch_ms as f64),
             ("timing.confirm_ms", t.confirm_ms as f64),
+            ("timing.reader_ms", t.reader_ms as f64),
+            ("timing.ask_ms", t.ask_ms as f64),
+            ("timing.answer_ms", t.answer_ms as f64),
+            ("timing.fetch_ms", t.fetch_ms as f64),
             ("timing.connect_ms", t.connect_ms as f64),
             ("timing.first_ms", t.first_ms as f64),
             ("timing.silence_ms", t.silence_ms as f64),
@@ -230,10 +286,24 @@
                 bail!("{name}: {value} must not be negative");
             }
         }
+        if self.readers == Some(0) {
+            bail!("readers: 0 would leave nobody to read; use 1 or more, or `each_reads`");
+        }
         Ok(())
     }
 }
 
+/// Share of the bound on upstreams that leave for one proof by a box that reads
+/// for others. With [`ASK_SHARE`] and [`STALE_SHARE`] 0.7 of the bound may pass
+/// until a box that asked one which has lost the store asks the next.
+const PROOF_SHARE: f64 = 0.3;
+
+/// The same for the pause between two questions.
+const ASK_SHARE: f64 = 0.25;
+
+/// The same for the wait of a proof until a watch brings what it lacks.
+const STALE_SHARE: f64 = 0.15;
+
 /// Largest figure that a setting may have; a day in milliseconds.
 const TIME_MOST: f64 = 86_400_000.0;
 
--- a/crates/ashgauged/src/relay/status.rs
+++ b/crates/ashgauged/src/relay/status.rs
@@ -15,6 +15,10 @@
     /// milliseconds; nothing before the first.
     config_age_ms: Option<u64>,
     store_away: bool,
+    /// Whether this box reads the store itself.
+    reads: bool,
+    /// Revision of the store up to which everything is known.
+    revision: u64,
     boxes: u32,
     /// Other boxes that told their loads a short while ago.
     boxes_heard: usize,
@@ -77,6 +81,8 @@
         config_version: desk.routing.borrow().version,
         config_age_ms: desk.fresh.borrow().age(now).map(|a| a.as_millis() as u64),
         store_away: desk.store_away.get(),
+        reads: *desk.reads.borrow(),
+        revision: desk.mirror.borrow().covered(),
         boxes: desk.boxes(),
         boxes_heard: shares.boxes(),
         inflight: desk.inflight.get(),
