Order engines to break off where no whole chain is left

Nothing that passes can end well where some layers have no holder.

Ruled out: another order on top, which a busy engine refuses.

--- a/crates/ashgauge/src/placement.rs
+++ b/crates/ashgauge/src/placement.rs
@@ -133,6 +133,30 @@
     out
 }
 
+/// Whether each of a model's layers is held by some engine.
+///
+/// # Example
+///
+/// ```
+/// use ashgauge::placement::is_whole;
+/// use ashgauge::roster::Span;
+///
+/// let spans = [Span { first: 0, end: 3 }, Span { first: 2, end: 4 }];
+/// assert!(is_whole(4, spans.into_iter()));
+/// assert!(!is_whole(5, spans.into_iter()));
+/// ```
+pub fn is_whole(layers: Layer, spans: impl Iterator<Item = Span>) -> bool {
+    let mut spans: Vec<Span> = spans.collect();
+    spans.sort_by_key(|s| s.first);
+    let reach = spans
+        .iter()
+        .fold(0, |reach, span| match span.first <= reach {
+            true => span.end.max(reach),
+            false => reach,
+        });
+    reach >= layers
+}
+
 /// Layers that a kind of accelerator may hold if weights take at most `fill`
 /// of its memory; 0 for a kind that the configuration does not tell.
 pub fn capacity(model: &Model, card: &str, fill: f64) -> Layer {
--- a/crates/ashgauged/src/relay/place.rs
+++ b/crates/ashgauged/src/relay/place.rs
@@ -14,7 +14,7 @@
 use ashgauge::roster::{Entry, Span};
 use ashgauge::routing::{Model, Service};
 use platform::Fault;
-use platform::engine::{self, Reply};
+use platform::engine::{self, Giving, Reply};
 use platform::store::Revision;
 use rand::Rng;
 use serde::{Deserialize, Serialize};
@@ -78,6 +78,9 @@
     round: u64,
     /// The ranges that it orders.
     ranges: Vec<Assignment>,
+    /// Whether engines break off what uses the layers that they give up.
+    #[serde(default)]
+    cut: bool,
     /// Ranges that were ordered before and had not shown yet.
     #[serde(default)]
     earlier: Vec<Unshown>,
@@ -205,6 +208,7 @@
         let next = Stored {
             by: self.desk.settings().id.clone(),
             round: stored.round + 1,
+            cut: !self.has_chain(service, model),
             ranges,
             earlier: self.unshown(service),
             written: last_revisions(stored.written, revision),
@@ -275,6 +279,21 @@
         placement::plan(model, &seats)
     }
 
+    /// Whether a whole chain is left.
+    ///
+    /// Without one nothing passes that could end well, yet engines that wait for
+    /// what passes may wait until the deadlines of requests whose boxes lost
+    /// power: 20 s of a fleet's recovery in one case. A box that reaches less
+    /// than half of the engines may be cut off itself.
+    fn has_chain(&self, service: &Service, model: &Model) -> bool {
+        let now = self.desk.now();
+        let roster = self.desk.roster.borrow();
+        let usable = || roster.of(&service.name).filter(|e| e.is_usable(now));
+        let spans = usable().filter_map(|e| e.upstream.layers);
+        let is_cut_off = usable().count() * 2 < roster.of(&service.name).count();
+        is_cut_off || placement::is_whole(model.layers, spans)
+    }
+
     fn seat(&self, entry: &Entry) -> Option<Seat> {
         let upstream = &entry.upstream;
         let ordered = self.pending.span(&upstream.id);
@@ -293,13 +312,19 @@
             "service": &*service.name,
             "round": stored.round,
             "engines": stored.ranges.len(),
+            "cut": stored.cut,
         });
         log::line(Level::Info, "placement", "ordering", fields);
         self.rounds.insert(service.name.to_string(), stored.round);
         self.note(model, &stored.ranges);
         let time = load_time(model, &stored.ranges) + SHOW_TIME;
+        let giving = if stored.cut {
+            Giving::Cut
+        } else {
+            Giving::Wait
+        };
         for range in stored.ranges {
-            tokio::task::spawn_local(give_order(self.desk.clone(), range, time));
+            tokio::task::spawn_local(give_order(self.desk.clone(), range, giving, time));
         }
     }
 }
@@ -323,8 +348,8 @@
 
 /// Orders one engine to hold a range, and writes a line if it does not show
 /// the range in time.
-async fn give_order(desk: Rc<Desk>, range: Assignment, time: Duration) {
-    order(desk.clone(), range.clone()).await;
+async fn give_order(desk: Rc<Desk>, range: Assignment, giving: Giving, time: Duration) {
+    order(desk.clone(), range.clone(), giving).await;
     sleep(time).await;
     let Some((addr, _)) = open_order(&desk, &range) else {
         return;
@@ -341,7 +366,7 @@
 }
 
 /// Orders one engine to hold a range, until it says that it does.
-async fn order(desk: Rc<Desk>, range: Assignment) {
+async fn order(desk: Rc<Desk>, range: Assignment, giving: Giving) {
     let mut before = None;
     for attempt in 1..=ORDER_TRIES {
         let Some((addr, held)) = open_order(&desk, &range) else {
@@ -365,7 +390,8 @@
             },
         };
         if let Some(orders) = orders {
-            let reply = engine::place(&desk.client, &addr, range.span, Some(orders), ORDER_TIME);
+            let client = &desk.client;
+            let reply = engine::place(client, &addr, range.span, giving, Some(orders), ORDER_TIME);
             let reply = reply.await;
             note_reply(&desk, &range, attempt, &reply);
             if matches!(reply, Reply::Begun | Reply::Holds) {
