Give a request and what its modules share a module below them

forward.rs was imported by the modules that it calls; what they share (the admitted request, how it counts on upstreams, the box's own answers) is in request.rs now. No change of behaviour.

--- a/crates/ashgauged/src/relay/forward.rs
+++ b/crates/ashgauged/src/relay/forward.rs
@@ -1,23 +1,19 @@
 //! A caller's request: admission, and the sends of a plain service's request.
 
-use std::ops::Range;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use ashgauge::chain::Stage;
 use ashgauge::handoff::{End, Handoff, Next, Outcome};
 use ashgauge::member::UpstreamId;
 use ashgauge::routing::{Access, Route, Service, Team};
 use bytes::Bytes;
-use http::{Failure, Full};
-use http_body_util::{BodyExt, Empty, Limited};
+use http::Full;
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::http::request;
 use hyper::{Request, Response, StatusCode};
 use platform::engine::{self, Target, Verdict};
 use platform::ingress::{self, Ask};
-use rand::Rng;
 use serde_json::json;
 use spdlog::Level;
 use tokio::time::timeout;
@@ -25,33 +21,19 @@
 use super::desk::Desk;
 use super::dial;
 use super::log;
-use super::probe;
 use super::record::Record;
+use super::request::{
+    Admitted, BACK_FULL, BACK_UNSURE, Hold, Whole, finish, is_allowed, lost, note_outcome, own,
+    refused, unsure_time, whole,
+};
 use super::serve::Body;
 use super::stream;
 
-/// When to come back to a box that does not know its configuration.
-const BACK_UNSURE: Duration = Duration::from_millis(1000);
-
-/// The same for a box that has just started: nine of ten are informed 0.56 s
-/// after their start where 295 start together.
-const BACK_STARTED: Duration = Duration::from_millis(300);
-
-/// How long after its start a box counts as just started.
-const STARTED_TIME: Duration = Duration::from_millis(1500);
-
 /// How long a request waits for a box that has just started to learn what it
 /// needs: 0.03 s in a fleet that goes on, 0.29 s in the median where 295 boxes
 /// start together; half of the users' aim for streams.
 const KNOW_TIME: Duration = Duration::from_millis(300);
 
-/// When to come back if no upstream can take the request.
-const BACK_FULL: Duration = Duration::from_millis(400);
-
-/// When to come back if the engines have no room, at random so that callers do
-/// not return together: about as long as requests stay on the engines.
-const BACK_ROOM: Range<Duration> = Duration::from_millis(1500)..Duration::from_millis(4500);
-
 /// Longest answer of a plain service that is held until it is whole.
 const ANSWER_MOST: usize = 16 << 20;
 
@@ -62,38 +44,6 @@
 /// Multiple of an upstream's learned time after which it counts as silent.
 const SILENT_FACTOR: f64 = 4.0;
 
-/// A request that was let in.
-pub struct Admitted {
-    /// The request's head, as the caller sent it.
-    pub head: request::Parts,
-    /// What the head says.
-    pub ask: Ask,
-    /// Its body.
-    pub body: Bytes,
-    /// Its route.
-    pub route: Arc<Route>,
-    /// The service that it goes to.
-    pub service: Arc<Service>,
-    /// The key's team.
-    pub team: Option<Arc<Team>>,
-    /// What it came to.
-    pub record: Record,
-}
-
-impl Admitted {
-    /// The request's rank: the team's, else the route's.
-    pub fn rank(&self) -> u32 {
-        let team = self.team.as_ref().and_then(|t| t.rank);
-        team.unwrap_or(self.route.rank)
-    }
-
-    /// Tokens that the request holds on the average of its time: its prompt and
-    /// half of its answer.
-    pub fn usual_tokens(&self) -> u32 {
-        self.ask.prompt + self.ask.answer / 2
-    }
-}
-
 /// Answers one request.
 pub async fn handle(desk: Rc<Desk>, request: Request<Incoming>) -> Response<Body> {
     let arrived = desk.now();
@@ -205,17 +155,6 @@
     own(status, Some(ask), after)
 }
 
-/// When to come back to a box that does not know enough.
-fn unsure_time(desk: &Desk) -> Duration {
-    match desk.uptime() < STARTED_TIME {
-        true => BACK_STARTED,
-        false => BACK_UNSURE,
-    }
-}
-
-/// An upstream's whole answer.
-type Whole = Response<Bytes>;
-
 async fn send_plain(desk: &Rc<Desk>, mut a: Admitted, handoff: &mut Handoff) -> Response<Body> {
     loop {
         if !is_allowed(desk, &a) {
@@ -250,39 +189,6 @@
     }
 }
 
-/// Notes a send that brought no good answer.
-pub fn note_outcome(desk: &Desk, a: &Admitted, id: &str, outcome: Outcome) {
-    let label = match outcome {
-        Outcome::NotSent => "not sent",
-        Outcome::NotRun => "not run",
-        Outcome::Failed => "failed",
-        Outcome::Lost => "lost",
-    };
-    desk.metrics.sends.with_label_values(&[label]).inc();
-    a.record
-        .step("not answered", json!({"upstream": id, "outcome": label}));
-    match outcome {
-        Outcome::NotSent => desk.suspect(id, "no connection"),
-        Outcome::NotRun => {}
-        // Which engine of a chain was lost is looked into where it is seen.
-        Outcome::Lost if a.route.stream.is_some() => {}
-        Outcome::Failed | Outcome::Lost => {
-            let now = desk.now();
-            desk.roster.borrow_mut().fail(now, id);
-        }
-    }
-}
-
-/// Whether the request's key still counts, checked in the moment of sending.
-pub fn is_allowed(desk: &Desk, a: &Admitted) -> bool {
-    if a.team.is_none() {
-        return true;
-    }
-    let routing = desk.routing.borrow();
-    let access = routing.access(&a.route, a.ask.key.as_deref());
-    desk.fresh.borrow().holds(desk.now()) && matches!(access, Access::Team(_))
-}
-
 async fn try_plain(
     desk: &Rc<Desk>,
     a: &Admitted,
@@ -362,131 +268,3 @@
     *answer.headers_mut() = engine::answer_headers(&parts);
     Ok((answer, load))
 }
-
-/// Learns from a refusal of an upstream, or of an engine that it names;
-/// returns whose it was.
-///
-/// An engine of a chain that is dead is named in the same way as one that has
-/// no room, so one that another engine names is checked.
-pub fn refused(desk: &Rc<Desk>, upstream: &UpstreamId, verdict: Verdict) -> UpstreamId {
-    let (Verdict::Full(at) | Verdict::Stale(at)) = &verdict else {
-        return upstream.clone();
-    };
-    let mut roster = desk.roster.borrow_mut();
-    let named = at.as_ref().and_then(|addr| roster.at(addr));
-    let id = named.map_or(upstream, |e| &e.upstream.id).clone();
-    match &verdict {
-        Verdict::Stale(_) => roster.note_stale(desk.now(), &id),
-        _ => roster.note_full(desk.now(), &id),
-    }
-    drop(roster);
-    let fullness = desk.fullness(&id);
-    if let (Verdict::Full(_), Some(fullness)) = (&verdict, fullness) {
-        desk.note_refused(&id, fullness);
-    }
-    let fields = json!({
-        "upstream": &*id,
-        "verdict": format!("{verdict:?}"),
-        "fullness": fullness,
-        "boxes_heard": desk.shares.borrow().boxes(),
-    });
-    log::line(Level::Info, "request", "refused", fields);
-    if id != *upstream {
-        tokio::task::spawn_local(probe::check(desk.clone(), id.clone()));
-    }
-    id
-}
-
-/// What a failure to get an answer means for the request.
-pub fn lost(failure: &Failure) -> Outcome {
-    match failure {
-        Failure::NotSent(_) => Outcome::NotSent,
-        Failure::Lost(_) => Outcome::Lost,
-    }
-}
-
-/// Ends a request with the box's own answer.
-pub fn finish(desk: &Desk, mut a: Admitted, end: End) -> Response<Body> {
-    let sure = is_allowed(desk, &a);
-    let (what, status, after) = match end {
-        End::NotRun if sure => ("not run", StatusCode::SERVICE_UNAVAILABLE, Some(BACK_FULL)),
-        End::NotRun => (
-            "unsure",
-            StatusCode::SERVICE_UNAVAILABLE,
-            Some(unsure_time(desk)),
-        ),
-        End::Unknown => ("unknown", StatusCode::BAD_GATEWAY, None),
-        End::Late => ("late", StatusCode::GATEWAY_TIMEOUT, None),
-    };
-    a.record.end(what);
-    own(status, Some(&a.ask), after)
-}
-
-/// Ends a request for which the engines have no room, and says when they may
-/// have some.
-pub fn no_room(desk: &Desk, mut a: Admitted) -> Response<Body> {
-    let after = desk.rng().random_range(BACK_ROOM);
-    a.record.end("no room");
-    own(StatusCode::SERVICE_UNAVAILABLE, Some(&a.ask), Some(after))
-}
-
-/// The box's own answer.
-fn own(status: StatusCode, ask: Option<&Ask>, after: Option<Duration>) -> Response<Body> {
-    let answer = ingress::answer(status, ask.map(|a| a.id.as_str()), after);
-    answer.map(|()| Empty::new().map_err(|e| match e {}).boxed_unsync())
-}
-
-/// An upstream's whole answer for the caller.
-pub fn whole(answer: Whole) -> Response<Body> {
-    answer.map(|body| Full::new(body).map_err(|e| match e {}).boxed_unsync())
-}
-
-/// Counts a request on its upstreams, the first of which it was sent to, until
-/// it is dropped.
-pub struct Hold {
-    desk: Rc<Desk>,
-    /// Upstreams, with the memory that the request holds on each, in tokens
-    /// times layers.
-    parts: Vec<(UpstreamId, u64)>,
-}
-
-impl Hold {
-    /// Counts a request of so many tokens on the engines of a chain.
-    pub fn chain(desk: &Rc<Desk>, stages: &[Stage], tokens: u32) -> Self {
-        let memory = |s: &Stage| u64::from(tokens) * u64::from(s.end - s.first);
-        let parts = stages.iter().map(|s| (s.upstream.clone(), memory(s)));
-        Hold::new(desk, parts.collect())
-    }
-
-    /// Counts a request on a plain service's upstream.
-    fn plain(desk: &Rc<Desk>, id: &UpstreamId) -> Self {
-        Hold::new(desk, vec![(id.clone(), 0)])
-    }
-
-    fn new(desk: &Rc<Desk>, parts: Vec<(UpstreamId, u64)>) -> Self {
-        let mut roster = desk.roster.borrow_mut();
-        parts
-            .iter()
-            .for_each(|(id, memory)| roster.begin(id, *memory));
-        if let Some((first, _)) = parts.first() {
-            roster.lead(first);
-        }
-        drop(roster);
-        Hold {
-            desk: desk.clone(),
-            parts,
-        }
-    }
-}
-
-impl Drop for Hold {
-    fn drop(&mut self) {
-        let mut roster = self.desk.roster.borrow_mut();
-        self.parts
-            .iter()
-            .for_each(|(id, memory)| roster.end(id, *memory));
-        if let Some((first, _)) = self.parts.first() {
-            roster.end_lead(first);
-        }
-    }
-}
--- a/crates/ashgauged/src/relay/mod.rs
+++ b/crates/ashgauged/src/relay/mod.rs
@@ -20,6 +20,7 @@
 mod probe;
 mod pump;
 mod record;
+mod request;
 mod serve;
 mod settings;
 mod status;
--- a/crates/ashgauged/src/relay/open.rs
+++ b/crates/ashgauged/src/relay/open.rs
@@ -17,8 +17,8 @@
 
 use super::desk::Desk;
 use super::dial::{self, Exchange};
-use super::forward::{Admitted, Hold, is_allowed, lost, refused};
 use super::probe::{ask_engines, find_dead};
+use super::request::{Admitted, Hold, is_allowed, lost, refused};
 
 /// Silence after which a stream whose engines all answer goes on elsewhere;
 /// its caller leaves after two seconds.
--- a/crates/ashgauged/src/relay/pump.rs
+++ b/crates/ashgauged/src/relay/pump.rs
@@ -17,10 +17,10 @@
 use tokio::time::{sleep_until, timeout};
 
 use super::desk::Desk;
-use super::forward::{Admitted, Hold, note_outcome};
 use super::open::{Run, SILENT_MOST, begin, id_at, pick};
 use super::pieces::Pieces;
 use super::probe::{ask_engines, find_dead};
+use super::request::{Admitted, Hold, note_outcome};
 use super::serve::Broken;
 
 /// Pieces that may wait for a slow caller.
--- a/crates/ashgauged/src/relay/stream.rs
+++ b/crates/ashgauged/src/relay/stream.rs
@@ -11,9 +11,9 @@
 use serde_json::json;
 
 use super::desk::Desk;
-use super::forward::{Admitted, finish, no_room, note_outcome, whole};
 use super::open::{NoWay, begin, head_of, pick};
 use super::pump;
+use super::request::{Admitted, finish, no_room, note_outcome, whole};
 use super::serve::Body;
 use super::turn::Turn;
 
--- a/crates/ashgauged/src/relay/turn.rs
+++ b/crates/ashgauged/src/relay/turn.rs
@@ -10,7 +10,7 @@
 use tokio::time::sleep;
 
 use super::desk::Desk;
-use super::forward::Admitted;
+use super::request::Admitted;
 
 /// Longest wait for room. A request that would wait longer is refused at once
 /// and comes back when there may be room.
