Let streams that end soon stay on engines that leave

Streams on an engine that gives up its part were always led away, though it waits for what passes.

Change: the model tells the tokens of an event (the engines' steps a pass), and ashgauge::progress decides who stays, for leaving and moved engines alike. The lines of a repair say how long the stream had been silent.

--- a/crates/ashgauge/src/lib.rs
+++ b/crates/ashgauge/src/lib.rs
@@ -73,6 +73,7 @@
 pub mod pending;
 pub mod placement;
 pub mod policy;
+pub mod progress;
 pub mod question;
 pub mod queue;
 pub mod rate;
--- a/crates/ashgauge/src/routing.rs
+++ b/crates/ashgauge/src/routing.rs
@@ -93,6 +93,9 @@
     pub step: Duration,
     /// More time of a step for each request in it, at speed 1.
     pub step_request: Duration,
+    /// Tokens that a request gets in one pass; an event of its answer holds as
+    /// many.
+    pub event_tokens: u32,
     /// Prompt tokens read in a second through all layers at speed 1.
     pub read_rate: f64,
     /// Time to load all layers of the model.
--- a/crates/ashgauge/tests/engines/mod.rs
+++ b/crates/ashgauge/tests/engines/mod.rs
@@ -23,6 +23,7 @@
         slots: 192,
         step: Duration::from_micros(850),
         step_request: Duration::from_nanos(3820),
+        event_tokens: 2,
         read_rate: 196_000.0,
         load: Duration::from_secs(14),
         loads: 6,
--- /dev/null
+++ b/crates/ashgauge/tests/progress.rs
@@ -0,0 +1,56 @@
+//! Which streams stay on engines that leave or give up their part.
+
+use std::time::Duration;
+
+use ashgauge::progress::Progress;
+use proptest::prelude::*;
+
+/// Time that engines serve on after they said that they leave.
+const DRAIN: Duration = Duration::from_secs(3);
+
+/// The usual answers of a bureau's streams, in tokens, at five an event and
+/// 25 ms between events: all end within 1.5 s.
+#[test]
+fn usual_streams_stay_until_their_end() {
+    for answer in [172, 280, 285] {
+        let progress = Progress {
+            answer,
+            events: 0,
+            pause: 0.025,
+        };
+        assert!(progress.ends_within(5, DRAIN), "{answer} tokens");
+    }
+}
+
+#[test]
+fn long_or_slow_streams_are_led_away() {
+    let long = Progress {
+        answer: 2000,
+        events: 10,
+        pause: 0.025,
+    };
+    assert!(!long.ends_within(5, DRAIN));
+    let slow = Progress {
+        answer: 280,
+        events: 10,
+        pause: 0.1,
+    };
+    assert!(!slow.ends_within(5, DRAIN));
+}
+
+proptest! {
+    /// Each event brings the end nearer, and more tokens an event never put it
+    /// off.
+    #[test]
+    fn time_left_only_shrinks(
+        answer in 0u32..5000,
+        events in 0u64..1000,
+        pause in 0.0..1.0f64,
+        event_tokens in 1u32..20,
+    ) {
+        let progress = Progress { answer, events, pause };
+        let next = Progress { events: events + 1, ..progress };
+        prop_assert!(next.left(event_tokens) <= progress.left(event_tokens));
+        prop_assert!(progress.left(event_tokens + 1) <= progress.left(event_tokens));
+    }
+}
--- a/crates/ashgauged/src/relay/pump.rs
+++ b/crates/ashgauged/src/relay/pump.rs
@@ -7,6 +7,7 @@
 use ashgauge::events;
 use ashgauge::handoff::{Handoff, Next, Outcome};
 use ashgauge::member::UpstreamId;
+use ashgauge::progress::Progress;
 use ashgauge::roster::{Entry, Span};
 use ashgauge::routing::{Model, StreamRule};
 use bytes::{Bytes, BytesMut};
@@ -317,14 +318,17 @@
     /// holds up their new orders until then.
     ///
     /// The first engine cannot be changed without another run. A stream that
-    /// will have ended before an engine leaves stays.
+    /// will have ended before an engine leaves stays; one that gives up its part
+    /// waits for what passes.
     async fn leave_early(&mut self) {
         self.leave_at = None;
-        let stays = self.most_left() < self.desk.settings().drain_time();
+        if self.ends_soon() {
+            return;
+        }
         let mut ends = self.stages_where(|e, stage| {
             let held = e.upstream.layers.unwrap_or(Span { first: 0, end: 0 });
             let gives_up = held.first > stage.first || held.end < stage.end;
-            gives_up || (e.upstream.leaving && !stays)
+            gives_up || e.upstream.leaving
         });
         let first = self.run.stages[0].upstream.clone();
         ends.retain(|id| *id != first && !self.left.contains(id));
@@ -350,12 +354,16 @@
         found.map(|s| s.upstream.clone()).collect()
     }
 
-    /// The longest that the rest of the answer may take at its own pace, if each
-    /// token were an event; an event may hold several.
-    fn most_left(&self) -> Duration {
-        let tokens = f64::from(self.a.ask.answer);
-        let events = self.last.unwrap_or(0) as f64;
-        Duration::from_secs_f64((tokens - events).max(0.0) * self.pace)
+    /// Whether the answer ends by itself before an engine that leaves does.
+    fn ends_soon(&self) -> bool {
+        let progress = Progress {
+            answer: self.a.ask.answer,
+            events: self.last.unwrap_or(0),
+            pause: self.pace,
+        };
+        let model = self.a.service.model.as_ref();
+        let event_tokens = model.map_or(1, |m| m.event_tokens);
+        progress.ends_within(event_tokens, self.desk.settings().drain_time())
     }
 
     /// Leads the stream around lost engines, or lets it go on elsewhere.
@@ -390,6 +398,7 @@
     /// Orders the first engine to lead the stream over another chain; returns
     /// whether it does.
     async fn repath(&mut self, lost: &[UpstreamId], stages: Vec<Stage>, text: &str) -> bool {
+        let silent = self.silent_ms();
         let (client, id) = (&self.desk.client, &self.a.ask.id);
         let reply = engine::repath(client, &self.run.first, id, text, REPATH_TIME).await;
         let done = matches!(reply, Reply::Begun | Reply::Holds);
@@ -400,6 +409,7 @@
             "chain": text,
             "reply": format!("{reply:?}"),
             "last": self.last,
+            "silent_ms": silent,
         });
         self.a.record.step("repath", fields);
         if let Reply::Unfit(Some(addr)) = &reply
@@ -503,13 +513,23 @@
     fn resumed(&mut self, why: &str, run: Run) {
         let resumed = self.desk.metrics.repairs.with_label_values(&["resumed"]);
         resumed.inc();
-        let fields = json!({"why": why, "last": self.last, "first": run.first});
+        let fields = json!({
+            "why": why,
+            "last": self.last,
+            "first": run.first,
+            "silent_ms": self.silent_ms(),
+        });
         self.a.record.step("resumed", fields);
         self.run = run;
         self.buffer.clear();
         self.count_anew();
     }
 
+    /// Milliseconds since something came, or since the last repair.
+    fn silent_ms(&self) -> u64 {
+        (self.desk.now() - self.heard).as_millis() as u64
+    }
+
     /// Counts the silence of the stream from now on.
     fn count_anew(&mut self) {
         self.broke.get_or_insert(self.heard);
