Pack anew when the copy changes behind a gap

Cause, found by reading the diff: a packed update was kept for the next box as long as what is covered stayed the same. A change that comes before those ahead of it (a watch brings it before the boxes' own objects are read) does not move that, so a box told of news could be handed the state before it, such as an upstream that does not leave yet, for up to a proof's time.

Change: the mirror counts its changes, and what is packed names the count. The test takes a change behind a gap; without the count in set_config, put and remove its assertions cannot hold.

--- a/crates/ashgauge/src/mirror.rs
+++ b/crates/ashgauge/src/mirror.rs
@@ -80,6 +80,8 @@
     gone_at: HashMap<UpstreamId, Revision>,
     /// Removals behind this revision are all remembered.
     floor: Revision,
+    /// Counts changes of the copy.
+    edition: u64,
 }
 
 impl Mirror {
@@ -93,6 +95,13 @@
         self.ledger.covers(revision)
     }
 
+    /// Number that changes whenever what boxes are handed does. A change may come
+    /// before those ahead of it are known, and does not move [`Mirror::covered`]
+    /// then.
+    pub fn edition(&self) -> u64 {
+        self.edition
+    }
+
     /// Notes a change that needs no copy, such as one of the boxes' own
     /// objects.
     pub fn note(&mut self, revision: Revision) {
@@ -110,6 +119,7 @@
         let is_new = self.config.as_ref().is_none_or(|(r, _)| *r < revision);
         if is_new {
             self.config = Some((revision, config));
+            self.edition += 1;
         }
         is_new
     }
@@ -124,6 +134,7 @@
         self.forget_removal(&upstream.id);
         let id = upstream.id.clone();
         self.upstreams.insert(id, (revision, upstream));
+        self.edition += 1;
         true
     }
 
@@ -149,6 +160,7 @@
                 self.upstreams.insert(id, (revision, upstream));
             }
         }
+        self.edition += 1;
         // What came and went unseen before the list is not remembered.
         self.floor = self.floor.max(at);
     }
@@ -218,6 +230,7 @@
         }
         if update.whole {
             self.floor = self.floor.max(update.upto);
+            self.edition += 1;
         }
         self.read_all(update.upto);
         news
@@ -247,6 +260,7 @@
     }
 
     fn remember_removal(&mut self, revision: Revision, id: &UpstreamId) {
+        self.edition += 1;
         self.gone_at.insert(id.clone(), revision);
         self.gone.entry(revision).or_default().push(id.clone());
         while self.gone_at.len() > GONE_MOST {
--- a/crates/ashgauge/tests/mirror.rs
+++ b/crates/ashgauge/tests/mirror.rs
@@ -230,3 +230,31 @@
     assert_eq!(late.covered(), 12);
     assert_eq!(late.upstreams().map(|u| &*u.id).collect::<Vec<_>>(), ["e1"]);
 }
+
+/// What is packed once is handed to several boxes. A change that comes before
+/// those ahead of it leaves what is covered as it was, and must be handed on all
+/// the same: it may say that an upstream leaves.
+#[test]
+fn edition_changes_with_what_is_handed_on() {
+    let mut mirror = Mirror::default();
+    mirror.replace(1, vec![(1, upstream("a", "p", "large", None, 1))]);
+    mirror.read_all(1);
+    let (covered, before) = (mirror.covered(), mirror.update(0, true));
+    let edition = mirror.edition();
+    let leaving = Upstream {
+        leaving: true,
+        ..upstream("a", "p", "large", None, 1)
+    };
+    assert!(mirror.put(5, leaving.clone()));
+    assert_eq!(mirror.covered(), covered);
+    assert_ne!(mirror.update(0, true), before);
+    assert_ne!(mirror.edition(), edition);
+    let edition = mirror.edition();
+    assert!(!mirror.put(5, leaving), "no news");
+    assert_eq!(mirror.edition(), edition);
+    assert!(mirror.remove(7, &"a".into()));
+    assert_ne!(mirror.edition(), edition);
+    let edition = mirror.edition();
+    assert!(mirror.set_config(9, b"routes".to_vec()));
+    assert_ne!(mirror.edition(), edition);
+}
--- a/crates/ashgauged/src/relay/peers.rs
+++ b/crates/ashgauged/src/relay/peers.rs
@@ -100,6 +100,8 @@
     after: Revision,
     /// Revision up to which they do afterwards.
     upto: Revision,
+    /// The mirror's edition that it holds.
+    edition: u64,
     /// Whether entries that are gone are certainly gone.
     sure: bool,
     bytes: Vec<u8>,
@@ -296,19 +298,21 @@
 
     /// What a box that knows everything up to `after` lacks, packed.
     fn pack(&self, after: Revision) -> Option<Vec<u8>> {
-        let (upto, sure) = (self.desk.mirror.borrow().covered(), self.desk.sure.get());
+        let (mirror, sure) = (self.desk.mirror.borrow(), self.desk.sure.get());
+        let (upto, edition) = (mirror.covered(), mirror.edition());
         let mut last = self.packed.borrow_mut();
         if let Some(p) = &*last
-            && (p.after, p.upto, p.sure) == (after, upto, sure)
+            && (p.after, p.upto, p.edition, p.sure) == (after, upto, edition, sure)
         {
             return Some(p.bytes.clone());
         }
-        let update = self.desk.mirror.borrow().update(after, sure);
+        let update = mirror.update(after, sure);
         match pack::pack(&update) {
             Ok(bytes) => {
                 *last = Some(Packed {
                     after,
                     upto,
+                    edition,
                     sure,
                     bytes: bytes.clone(),
                 });
