--- a/crates/ashgauged/src/relay/follow/mod.rs
+++ b/crates/ashgauged/src/relay/follow/mod.rs
@@ -283,8 +283,8 @@
 /// Whether so many upstreams that came together get a line each; else one line
 /// says how many there were.
 ///
-/// A fleet of 103 boxes before 1,000 engines wrote 308,000 such lines in 40 s, a
-/// third of them within half a second of its start.
+/// A fleet of 103 boxes before 1,000 engines wrote 308,000 such lines in 40 s, by
+/// their count, most as it started and as it came back after the loss of all.
 fn has_lines(count: usize) -> bool {
     if count > LINES_MOST {
         log::line(
