--- a/crates/ashgauged/src/relay/pump/mend.rs
+++ b/crates/ashgauged/src/relay/pump/mend.rs
@@ -27,6 +27,8 @@
 const REPATH_TIME: Duration = Duration::from_millis(150);
 
 impl Pump {
+    /// Notes which engines are lost after an answer broke off, and lets the stream
+    /// go on elsewhere.
     pub(super) async fn broken(&mut self, cause: &str) -> Go {
         self.a
             .record
