Give each fleet of a test a folder of its own

Cause: fleets named their folder by process and time of day, and two that start at once may read the same nanosecond (5 of 20,000 starts of three threads here). The first to end then removes the records of the other.

Folders are numbered and must be new. Records that are gone, or cannot be written, are now an error and a line, not silence. Test seen red on names by the time of day (59,998, 59,999, 59,995 of 60,000), green on numbers.

--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -14,7 +14,7 @@
 use http::{Client, Full};
 use hyper::{Method, Request};
 use operator::Operator;
-use proof::{OPERATOR, PEER, Process, wait_until};
+use proof::{Folder, OPERATOR, PEER, Process, wait_until};
 use serde_json::{Value, json};
 use standin::engine::Options;
 use standin::link::{self, Mode};
@@ -91,14 +91,13 @@
     pub engines: Vec<Engine>,
     /// Positions a second that the hardware allows.
     pub bound: f64,
-    dir: PathBuf,
+    folder: Folder,
 }
 
 impl World {
     /// Starts a fleet of `boxes` with these teams and settings.
     pub async fn start(boxes: usize, teams: &[Team], settings: &Value) -> Result<Self> {
-        let dir = std::env::temp_dir().join(format!("ashgauge-bench-{}", std::process::id()));
-        std::fs::create_dir_all(&dir)?;
+        let folder = Folder::new("bench")?;
         let (listener, platform) = listen().await?;
         tokio::spawn(platform::serve(listener));
         let mut listing = Listing::default();
@@ -111,7 +110,7 @@
             ),
             boxes: Vec::new(),
             engines,
-            dir,
+            folder,
         };
         let platform = platform.to_string();
         put(&platform, "/v1/objects/table?version=0", &table(teams)).await?;
@@ -170,7 +169,7 @@
     }
 
     fn file(&self, name: &str, text: &str) -> Result<PathBuf> {
-        let path = self.dir.join(name);
+        let path = self.folder.path().join(name);
         std::fs::write(&path, text)?;
         Ok(path)
     }
@@ -217,13 +216,12 @@
         };
         let platform = platform.to_string();
         put(&platform, "/v1/objects/table?version=0", &table(&[team])).await?;
-        let dir = std::env::temp_dir().join(format!("ashgauge-small-{}", std::process::id()));
-        std::fs::create_dir_all(&dir)?;
+        let folder = Folder::new("small")?;
         let world = World {
             boxes: Vec::new(),
             engines: Vec::new(),
             bound: 0.0,
-            dir,
+            folder,
         };
         let (node, entry) = world.add_box(0, &platform, &json!({})).await?;
         listing.boxes.push(entry);
@@ -239,12 +237,6 @@
     }
 }
 
-impl Drop for World {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.dir);
-    }
-}
-
 impl Node {
     /// The operators' port.
     pub fn desk(&self) -> Operator {
--- a/crates/proof/src/fleet.rs
+++ b/crates/proof/src/fleet.rs
@@ -1,18 +1,20 @@
 //! A whole fleet of processes: platform, upstreams, links, boxes.
 
+use std::io::ErrorKind;
 use std::path::{Path, PathBuf};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use ashgauge::member::{BoxEntry, Hold, Listing, State, UpstreamEntry};
 use ashgauge::policy::hash_key;
 use ashgauge::table::{Cell, Table};
-use eyre::{Result, eyre};
+use eyre::{Result, WrapErr, eyre};
 use http::{Client, Full};
 use hyper::Request;
 use operator::Operator;
 use serde_json::{Value, json};
 use standin::engine::Record;
 
+use crate::folder::Folder;
 use crate::process::{Link, Process, put, wait_until};
 use crate::{KEY, OPERATOR, OTHER_KEY, PEER};
 
@@ -129,13 +131,13 @@
     pub layers: u32,
     platform: Process,
     platform_addr: String,
-    dir: PathBuf,
+    folder: Folder,
 }
 
 impl Fleet {
     /// Starts everything and waits until every box is ready.
     pub async fn start(plan: Plan) -> Result<Self> {
-        let dir = temp_dir()?;
+        let folder = Folder::new("fleet")?;
         let mut platform = Process::start("standin", &["platform".to_string()])?;
         let mut fleet = Fleet {
             platform_addr: platform.line()?,
@@ -145,7 +147,7 @@
             services: Vec::new(),
             listing: Listing::default(),
             layers: plan.layers,
-            dir,
+            folder,
         };
         put(
             &fleet.platform_addr,
@@ -170,7 +172,7 @@
     /// Starts an engine and adds it to the list, which is not yet published.
     pub fn add_engine(&mut self, plan: &EnginePlan) -> Result<usize> {
         let id = format!("engine-{}", self.engines.len() + 1);
-        let records = self.dir.join(&id);
+        let records = self.dir().join(&id);
         let mut args: Vec<String> = vec!["engine".into(), "--model".into(), "chat".into()];
         let numbers = [
             ("--first", u64::from(plan.first)),
@@ -208,7 +210,7 @@
     /// Starts a plain service and adds it to the list, not yet published.
     pub fn add_service(&mut self) -> Result<usize> {
         let id = format!("service-{}", self.services.len() + 1);
-        let records = self.dir.join(&id);
+        let records = self.dir().join(&id);
         let args = ["service", "--records", &records.display().to_string()].map(String::from);
         let upstream = Upstream::start(id, &args, records)?;
         self.listing.upstreams.push(UpstreamEntry {
@@ -323,7 +325,7 @@
 
     /// Where the fleet's files are.
     pub fn dir(&self) -> &Path {
-        &self.dir
+        self.folder.path()
     }
 
     /// The platform's process.
@@ -342,18 +344,12 @@
     }
 
     fn file(&self, name: &str, text: &str) -> Result<PathBuf> {
-        let path = self.dir.join(format!("{name}.txt"));
+        let path = self.dir().join(format!("{name}.txt"));
         std::fs::write(&path, text)?;
         Ok(path)
     }
 }
 
-impl Drop for Fleet {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.dir);
-    }
-}
-
 impl Node {
     /// The operators' port.
     pub fn desk(&self) -> Operator {
@@ -464,13 +460,24 @@
 }
 
 /// Reads a file of JSON lines; a line that is being written is left out.
+///
+/// No file is no record yet. A folder that is gone is an error: records were
+/// lost, and a test would take them for work that was not done.
 fn read<T: serde::de::DeserializeOwned>(path: &Path) -> Result<Vec<T>> {
-    let text = std::fs::read_to_string(path).unwrap_or_default();
+    let text = match std::fs::read_to_string(path) {
+        Ok(text) => text,
+        Err(e) if e.kind() == ErrorKind::NotFound && has_folder(path) => String::new(),
+        Err(e) => return Err(e).wrap_err_with(|| format!("records {}", path.display())),
+    };
     let whole = text.rfind('\n').map_or("", |end| &text[..end]);
     let lines = whole.lines().map(|l| Ok(serde_json::from_str(l)?));
     lines.collect()
 }
 
+fn has_folder(path: &Path) -> bool {
+    path.parent().is_some_and(Path::is_dir)
+}
+
 fn merge(into: &mut Value, from: &Value) {
     match (into, from) {
         (Value::Object(into), Value::Object(from)) => {
@@ -482,11 +489,3 @@
         (into, from) => *into = from.clone(),
     }
 }
-
-fn temp_dir() -> Result<PathBuf> {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH)?;
-    let name = format!("ashgauge-{}-{}", std::process::id(), since.as_nanos());
-    let dir = std::env::temp_dir().join(name);
-    std::fs::create_dir_all(&dir)?;
-    Ok(dir)
-}
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -7,11 +7,13 @@
 
 mod call;
 mod fleet;
+mod folder;
 mod process;
 mod records;
 
 pub use call::{Reply, get, outcome, post, text_of};
 pub use fleet::{BoxPlan, EnginePlan, Fleet, Node, Plan, Upstream, starter_table};
+pub use folder::Folder;
 pub use process::{Link, Process, binary, put, wait_until};
 pub use records::{check_layer, check_layers, replayed, runs};
 
--- a/crates/standin/src/web.rs
+++ b/crates/standin/src/web.rs
@@ -22,14 +22,18 @@
 }
 
 /// Appends a record to a file of JSON lines, in one write.
+///
+/// A record that cannot be written is told on standard error: without it a test
+/// would take work for not done.
 pub fn append(path: Option<&Path>, record: &impl serde::Serialize) {
     let Some(path) = path else { return };
     let mut line = serde_json::to_vec(record).unwrap_or_default();
     line.push(b'\n');
     let mut options = std::fs::OpenOptions::new();
     let file = options.append(true).create(true).open(path);
-    if let Ok(mut file) = file {
-        let _ = file.write_all(&line);
+    let written = file.and_then(|mut file| file.write_all(&line));
+    if let Err(e) = written {
+        eprintln!("a record was lost: {}: {e}", path.display());
     }
 }
 
