--- /dev/null
+++ b/crates/ashgauge/src/cost.rs
@@ -0,0 +1,211 @@
+//! What a request costs on an engine, and between two.
+
+use std::sync::Arc;
+
+use crate::chain::Layer;
+use crate::roster::{Entry, Span};
+use crate::routing::Model;
+use crate::scene::{Scene, Total};
+
+/// Seconds that a second of reading counts for there: it is a pause in a stream,
+/// late past some 250 ms, while other costs are spread over the stream's time.
+/// With it and [`SPREAD_TOGETHER`] pauses after a loss were 313 ms in the median
+/// where engines are led around, not 391, and 349 ms where streams go on
+/// elsewhere, not 454, by the boxes' lines of one day.
+const READING_TOGETHER: f64 = 4.0;
+
+/// Share of an engine's memory past which requests do not go there if there is
+/// any other way; sizes vary, and a full engine throws requests out. Measured as
+/// mean worth of five days, 15 plays: 0.521 at 0.85, 0.539 at 0.95, 0.514 at
+/// 1.05 (docs/DECISIONS.md).
+const FULL: f64 = 0.95;
+
+/// How late the cost of an engine rises as it fills, where the data centre holds
+/// [`COPIES_SPARE`]: half full it is an eighth dearer, not twice as dear, which
+/// led requests to slow engines that they hold for longer.
+const FILLING_SPARE: i32 = 3;
+
+/// Copies of the model in a data centre from which on others can stand in for an
+/// engine that is full. With fewer, room is saved from the first request on: 30
+/// plays of a fleet with 1.5 copies earned 0.637 so, 0.617 at the late rise.
+const COPIES_SPARE: f64 = 2.0;
+
+/// Seconds that an engine past [`FULL`] counts for besides, more than two
+/// changes of data centre.
+const FULL_SECONDS: f64 = 8.0;
+
+/// Seconds that a first engine counts for that failed all its requests lately;
+/// after one failure it is a change of data centre for the caller's request
+/// and a good deal more.
+const FAILING_SECONDS: f64 = 8.0;
+
+/// Seconds that an engine counts for besides which another box found to be lost.
+/// Each of 59 boxes had to find out by requests of its own, up to nine lost
+/// engines one after the other, and 900 of a day's requests were refused when the
+/// retries for that were used up.
+const RUMOUR_SECONDS: f64 = 8.0;
+
+/// Seconds that an engine in a chain counts for besides its work: each is one
+/// more that may be lost while the request runs.
+const ENGINE_SECONDS: f64 = 0.25;
+
+/// Seconds that a change of data centre within a chain counts for besides its
+/// delays: all activations go over a pipe that is shared and soon full.
+const CROSSING_SECONDS: f64 = 3.0;
+
+/// Least and most seconds that a chain in another data centre counts for. Only
+/// the request and its events cross; but boxes that know the load there late
+/// fill the same engines. Measured as the same mean: 0.478 at 0.3, 0.461 at 3
+/// with words each 0.1 s (docs/DECISIONS.md).
+const ENTRY_RANGE: (f64, f64) = (0.3, 3.0);
+
+/// Seconds that it counts for each second between words from there: at words
+/// each 3 to 5 s a quiet day of 71 boxes served 0.885 of its worth at 0.3 s,
+/// 0.998 at words each second.
+const ENTRY_LAG: f64 = 3.0;
+
+/// Share of a pipe that may be used; past it what crosses waits for seconds.
+const PIPE_SHARE: f64 = 0.75;
+
+/// Delay of one message between two data centres, in seconds; the users'
+/// figure for theirs, in one region.
+const AWAY_SECONDS: f64 = 0.0005;
+
+/// Delay of one message within a data centre, in seconds.
+const HOP_SECONDS: f64 = 0.0002;
+
+/// What engines are weighed by.
+pub(crate) struct Scale<'a> {
+    scene: &'a Scene<'a>,
+    model: &'a Model,
+    /// Whether the data centre has engines to spare.
+    spare: bool,
+}
+
+impl<'a> Scale<'a> {
+    pub(crate) fn new(scene: &'a Scene<'a>, model: &'a Model) -> Self {
+        let spare = copies_near(scene, model) >= COPIES_SPARE;
+        Scale {
+            scene,
+            model,
+            spare,
+        }
+    }
+
+    /// Seconds that any use of an engine costs, and each of its layers; `leads`
+    /// says that it may become the chain's first, which answers for all.
+    pub(crate) fn weigh(&self, entry: &Entry, held: Span, leads: bool, jitter: f64) -> (f64, f64) {
+        let (scene, model) = (self.scene, self.model);
+        let total = Total::of(scene, entry);
+        // A slow engine gets through less; its room counts for as much less.
+        let slowness = entry.slowness(scene.now);
+        let mut full = match entry.is_full(scene.now) {
+            true => 1.0,
+            false => total.tokens * slowness / memory(model, entry, held).max(1.0),
+        };
+        let mut fixed = match scene.together {
+            true => total.reading * READING_TOGETHER,
+            false => total.reading,
+        };
+        if leads {
+            full = full.max(total.leads / f64::from(entry.upstream.slots.max(1)));
+            fixed += FAILING_SECONDS * entry.failures(scene.now);
+        }
+        if full >= FULL {
+            fixed += FULL_SECONDS * full;
+        }
+        if entry.is_rumoured(scene.now) {
+            fixed += RUMOUR_SECONDS;
+        }
+        let power = if self.spare { FILLING_SPARE } else { 1 };
+        let filling = jitter / (1.0 - full.min(FULL).powi(power));
+        let engine = ENGINE_SECONDS + f64::from(model.answer) * HOP_SECONDS;
+        // A request waits at one engine of its chain at a time.
+        let there = match self.spare {
+            true => f64::from(held.len()) / f64::from(model.layers.max(1)),
+            false => 1.0,
+        };
+        let load = total.requests * there * slowness;
+        let layer = layer_seconds(model, entry, load) * slowness * filling;
+        (fixed + engine * filling, layer)
+    }
+}
+
+/// Memory of an engine for requests, in tokens times layers.
+pub fn memory(model: &Model, entry: &Entry, held: Span) -> f64 {
+    let card = entry.upstream.card.as_deref().unwrap_or_default();
+    let usual = f64::from(model.prompt + model.answer) * f64::from(held.len());
+    model.room(card, held.len()) * usual
+}
+
+/// Copies of the model that the engines of the box's data centre hold.
+fn copies_near(scene: &Scene, model: &Model) -> f64 {
+    let entries = scene.roster.of(scene.service);
+    let near = entries.filter(|e| e.upstream.place == *scene.place && e.is_usable(scene.now));
+    let layers: Layer = near
+        .filter_map(|e| e.upstream.layers)
+        .map(|l| l.len())
+        .sum();
+    f64::from(layers) / f64::from(model.layers.max(1))
+}
+
+/// Seconds that an engine needs to read `tokens` through some of its layers.
+pub fn reading_seconds(
+    scene: &Scene,
+    model: &Model,
+    entry: &Entry,
+    layers: Layer,
+    tokens: u32,
+) -> f64 {
+    let card = entry.upstream.card.as_ref();
+    let factor = card.and_then(|c| model.cards.get(c));
+    let factor = factor.map_or(1.0, |c| c.read_factor) * entry.slowness(scene.now);
+    let whole = f64::from(tokens) / model.read_rate.max(1.0) * factor;
+    whole * f64::from(layers) / f64::from(model.layers.max(1))
+}
+
+/// Seconds that one layer costs a usual request on an engine with this load.
+fn layer_seconds(model: &Model, entry: &Entry, load: f64) -> f64 {
+    let card = entry
+        .upstream
+        .card
+        .as_ref()
+        .and_then(|c| model.cards.get(c));
+    let (step, read) = card.map_or((1.0, 1.0), |c| (c.step_factor, c.read_factor));
+    let own = model.step + model.step_request.mul_f64(load);
+    let writing = f64::from(model.answer) * own.as_secs_f64() * step;
+    let reading = f64::from(model.prompt) / model.read_rate.max(1.0) * read;
+    (writing + reading) / f64::from(model.layers.max(1))
+}
+
+/// Seconds that a usual request loses where its chain changes data centre:
+/// the prompt's activations in the pipe, and the delay of each token. A pipe
+/// that is used up may not be used.
+pub(crate) fn crossing_seconds(
+    scene: &Scene,
+    model: &Model,
+    from: &Arc<str>,
+    to: &Arc<str>,
+) -> f64 {
+    let delays = f64::from(model.answer) * AWAY_SECONDS;
+    if model.pipe_mb <= 0.0 {
+        return CROSSING_SECONDS + delays;
+    }
+    let used = scene.pipes.rate(scene.now, from, to) * scene.boxes / model.pipe_mb;
+    if used >= PIPE_SHARE {
+        return f64::INFINITY;
+    }
+    let prompt = f64::from(model.prompt) * model.activation_mb;
+    (CROSSING_SECONDS + prompt / model.pipe_mb) / (1.0 - used) + delays
+}
+
+/// Seconds that a chain in another data centre counts for. Streams that go on
+/// elsewhere are not led there by words that lag, so they may share the reading
+/// among all data centres.
+pub(crate) fn entry_seconds(scene: &Scene) -> f64 {
+    let (least, most) = ENTRY_RANGE;
+    if scene.together {
+        return least;
+    }
+    (scene.lag.as_secs_f64() * ENTRY_LAG).clamp(least, most)
+}
--- a/crates/ashgauge/src/lib.rs
+++ b/crates/ashgauge/src/lib.rs
@@ -41,7 +41,7 @@
 //! - [`member`], [`message`]: boxes and upstreams, and what boxes tell each
 //!   other.
 //! - [`clock`], [`record`]: the time line.
-//! - [`routing`], [`roster`], [`share`], [`choice`], [`admission`],
+//! - [`routing`], [`roster`], [`share`], [`scene`], [`pipes`], [`cost`], [`choice`], [`admission`],
 //!   [`placement`], [`rate`], [`pending`],
 //!   [`handoff`], [`events`], [`fresh`]: what a box decides where engines pass activations on among
 //!   themselves and a request is handed on whole.
@@ -57,6 +57,7 @@
 pub mod choice;
 pub mod claim;
 pub mod clock;
+pub mod cost;
 pub mod editor;
 mod error;
 pub mod events;
@@ -71,6 +72,7 @@
 pub mod node;
 pub mod order;
 pub mod pending;
+pub mod pipes;
 pub mod placement;
 pub mod policy;
 pub mod progress;
@@ -82,6 +84,7 @@
 pub mod retry;
 pub mod roster;
 pub mod routing;
+pub mod scene;
 pub mod share;
 pub mod silence;
 pub mod table;
--- /dev/null
+++ b/crates/ashgauge/src/pipes.rs
@@ -0,0 +1,42 @@
+//! What a box sends over the pipes between data centres.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time over which the use of pipes is averaged.
+const PIPE_TIME: Duration = Duration::from_secs(1);
+
+/// How much this box has sent over the pipes between data centres lately.
+///
+/// The boxes do alike, so each takes the fleet's use to be its own times their
+/// number.
+#[derive(Clone, Debug, Default)]
+pub struct Pipes(HashMap<(Arc<str>, Arc<str>), (f64, Duration)>);
+
+impl Pipes {
+    /// Notes that `mb` megabytes go from one data centre to another.
+    pub fn note(&mut self, now: Duration, from: &Arc<str>, to: &Arc<str>, mb: f64) {
+        let entry = self.0.entry(pair(from, to)).or_insert((0.0, now));
+        *entry = (fade(*entry, now) + mb, now);
+    }
+
+    /// Megabytes a second that this box sends between two data centres.
+    pub fn rate(&self, now: Duration, a: &Arc<str>, b: &Arc<str>) -> f64 {
+        let used = self.0.get(&pair(a, b));
+        used.map_or(0.0, |used| fade(*used, now) / PIPE_TIME.as_secs_f64())
+    }
+}
+
+/// A pipe carries both directions.
+fn pair(a: &Arc<str>, b: &Arc<str>) -> (Arc<str>, Arc<str>) {
+    match a < b {
+        true => (a.clone(), b.clone()),
+        false => (b.clone(), a.clone()),
+    }
+}
+
+fn fade((mb, at): (f64, Duration), now: Duration) -> f64 {
+    let age = now.saturating_sub(at).as_secs_f64();
+    mb * (-age / PIPE_TIME.as_secs_f64()).exp()
+}
--- a/crates/ashgauge/tests/choice.rs
+++ b/crates/ashgauge/tests/choice.rs
@@ -7,11 +7,14 @@
 use std::time::Duration;
 
 use ashgauge::chain::covers;
-use ashgauge::choice::{self, Need, Pipes, Scene};
+use ashgauge::choice::{self, Need};
+use ashgauge::cost;
 use ashgauge::member::UpstreamId;
+use ashgauge::pipes::Pipes;
 use ashgauge::placement::plan;
 use ashgauge::roster::{Roster, Span};
 use ashgauge::routing::Model;
+use ashgauge::scene::Scene;
 use ashgauge::share::{self, Shares, Use, Word};
 use engines::{apply, fleet, model, roster};
 use proptest::prelude::*;
@@ -77,7 +80,7 @@
     }
     for entry in roster.all() {
         let load = entry.tokens as f64 * neighbours;
-        let room = choice::memory(&model, entry, all);
+        let room = cost::memory(&model, entry, all);
         assert!(load <= room, "{}: {load} of {room}", entry.upstream.id);
     }
 }
@@ -191,7 +194,7 @@
 fn chain_without_room_is_not_chosen() {
     let (model, roster, pipes) = (model(), twins(), Pipes::default());
     let place = Arc::from("a");
-    let memory = choice::memory(&model, roster.get("b1").expect("b1"), whole_half());
+    let memory = cost::memory(&model, roster.get("b1").expect("b1"), whole_half());
     let need = Some(Need {
         tokens: 900,
         limit: 1.0,
@@ -426,7 +429,7 @@
             let chain = choice::chain(&scene, &model, all, &[], None, &mut rng).unwrap();
             let id = chain[0].upstream.clone();
             let (now, entry) = (scene.now, roster.get(&id).unwrap());
-            let seconds = choice::reading_seconds(&scene, &model, entry, all.len(), 900);
+            let seconds = cost::reading_seconds(&scene, &model, entry, all.len(), 900);
             roster.note_reading(now, &id, seconds);
             taken[id.parse::<usize>().unwrap()] += 1.0;
         }
@@ -492,7 +495,7 @@
     }
     let neighbours = BOXES / 3.0;
     let fast = roster.get("fast").expect("an engine");
-    let used = choice::memory(&model, fast, first) * 0.8 / neighbours;
+    let used = cost::memory(&model, fast, first) * 0.8 / neighbours;
     roster.begin("fast", used as u64);
     let (pipes, shares, place) = (Pipes::default(), Shares::default(), Arc::from("a"));
     let scene = scene(&roster, &pipes, &shares, &place);
--- a/crates/ashgauged/src/relay/desk.rs
+++ b/crates/ashgauged/src/relay/desk.rs
@@ -13,13 +13,16 @@
 
 use ashgauge::admission::Line;
 use ashgauge::chain::Stage;
-use ashgauge::choice::{self, Need, Pipes, Scene};
+use ashgauge::choice::{self, Need};
+use ashgauge::cost;
 use ashgauge::fresh::Freshness;
 use ashgauge::member::{BoxId, UpstreamId};
 use ashgauge::mirror::Mirror;
+use ashgauge::pipes::Pipes;
 use ashgauge::retry::{Allowance, Window};
 use ashgauge::roster::{Roster, Span};
 use ashgauge::routing::{Model, Routing, ServiceId};
+use ashgauge::scene::Scene;
 use ashgauge::share::{self, Shares};
 use http::Client;
 use platform::{Fault, Store};
@@ -395,7 +398,7 @@
             let layers = stage.end - stage.first;
             let scene = self.scene(&roster, &pipes, &shares, service);
             let entry = roster.get(&stage.upstream);
-            let seconds = entry.map(|e| choice::reading_seconds(&scene, model, e, layers, tokens));
+            let seconds = entry.map(|e| cost::reading_seconds(&scene, model, e, layers, tokens));
             if let Some(seconds) = seconds {
                 roster.note_reading(self.now(), &stage.upstream, seconds);
             }
