Move an engine only from layers that others show

Cause: moves count a range as held from its order on, though it shows after 1.5 to 5 s, and give up layers meanwhile that nobody else shows.

Change: a layer is given up only if another engine of the data centre shows it, or two elsewhere.

Still bistable: with one copy a data centre two losses leave holes that take four seconds to fill.

--- a/crates/ashgauge/src/placement.rs
+++ b/crates/ashgauge/src/placement.rs
@@ -77,6 +77,12 @@
 /// meanwhile must not be missed.
 const MOVES_MOST: usize = 4;
 
+/// Other holders that a layer must have for one to give it up: as many in its data
+/// centre, or anywhere if there are fewer here. One is a chain for what comes
+/// meanwhile; elsewhere the next loss must leave one.
+const LEFT_HERE: usize = 1;
+const LEFT_ANYWHERE: usize = 2;
+
 /// Share by which a range is worth more for each end that it has in common
 /// with another engine's: chains then have fewer stages.
 const ALIGNED_SHARE: f64 = 0.04;
@@ -119,6 +125,7 @@
         }
         if let Some((span, _)) = board.best_span(at) {
             out.push(board.assign(at, span));
+            board.seats[at].movable = false;
         }
     }
     // Moves are judged by what those before have brought.
@@ -273,6 +280,9 @@
             let Some((span, gained)) = found else {
                 continue;
             };
+            if !self.can_give_up(at, old, span) {
+                continue;
+            }
             let loaded = (span.first..span.end).filter(|l| !old.holds(*l)).count();
             let more = gained - kept - MOVE_LAYER * loaded as f64;
             if more >= MOVE_LEAST && best.is_none_or(|(most, ..)| more > most) {
@@ -282,6 +292,26 @@
         best.map(|(_, at, span)| (at, span))
     }
 
+    /// Whether the layers that an engine gives up for a new range are held by
+    /// others meanwhile, who show them now.
+    ///
+    /// What it gives up takes nothing new from the order on, and the new range
+    /// shows seconds later, when what passes has ended and the layers are loaded;
+    /// so does what others were ordered. While a release went on, moves that
+    /// counted on such ranges left a fleet of 39 engines without a whole chain for
+    /// eight seconds.
+    fn can_give_up(&self, at: usize, old: Span, new: Span) -> bool {
+        let shown = |layer, place: Option<&str>| {
+            let others = self.seats.iter().enumerate().filter(|(n, _)| *n != at);
+            let here = others.filter(|(_, s)| place.is_none_or(|p| *s.place == *p));
+            let holds = here.filter(|(_, s)| s.movable && s.span.is_some_and(|h| h.holds(layer)));
+            holds.count()
+        };
+        let place = &*self.seats[at].place;
+        let mut given_up = (old.first..old.end).filter(|l| !new.holds(*l));
+        given_up.all(|l| shown(l, Some(place)) >= LEFT_HERE || shown(l, None) >= LEFT_ANYWHERE)
+    }
+
     /// The range for an engine that gains most, and the gain; the lowest of
     /// those that gain the same.
     fn best_span(&self, at: usize) -> Option<(Span, f64)> {
--- a/crates/ashgauge/tests/placement.rs
+++ b/crates/ashgauge/tests/placement.rs
@@ -207,3 +207,54 @@
         prop_assert!(cover.iter().all(|c| *c > 0.0), "{:?}", cover);
     }
 }
+
+/// Engines of a fleet where one was lost and an empty one ordered to hold the
+/// range of another, which it does not show yet; the second is that other.
+fn fleet_with_an_order(settled: &[Seat], lost: usize, other: usize) -> Vec<Seat> {
+    let mut seats = settled.to_vec();
+    let mut ordered = seats[other].clone();
+    ordered.id = "ordered".into();
+    ordered.movable = false;
+    seats.push(ordered);
+    seats.remove(lost);
+    seats
+}
+
+/// Whether another engine of the data centre shows a layer, or two elsewhere.
+fn is_shown_without(seats: &[Seat], gone: &Seat, layer: u32) -> bool {
+    let others = seats.iter().filter(|s| s.id != gone.id && s.movable);
+    let holders = others.filter(|s| s.span.is_some_and(|h| h.holds(layer)));
+    let places: Vec<_> = holders.map(|s| &s.place).collect();
+    places.contains(&&gone.place) || places.len() > 1
+}
+
+/// While engines were replaced one after the other, moves counted on ranges that
+/// did not show yet, and a fleet was without a whole chain for eight seconds.
+#[test]
+fn moves_leave_holders_that_show() {
+    let model = model();
+    let mut settled = fleet();
+    settle(&model, &mut settled);
+    let (mut moves, mut bare) = (0, Vec::new());
+    for lost in 0..settled.len() {
+        for other in 0..settled.len() {
+            let seats = fleet_with_an_order(&settled, lost, other);
+            let orders = plan(&model, &seats);
+            for order in &orders {
+                let seat = seats.iter().find(|s| s.id == order.id).expect("a seat");
+                let Some(old) = seat.span else { continue };
+                moves += 1;
+                let given_up = (old.first..old.end).filter(|l| !order.span.holds(*l));
+                bare.extend(given_up.filter(|l| !is_shown_without(&seats, seat, *l)));
+            }
+        }
+    }
+    assert!(
+        moves > 0,
+        "nothing moved; the load is not what the rule is for"
+    );
+    assert!(
+        bare.is_empty(),
+        "layers without a holder that shows: {bare:?}"
+    );
+}
