Order requests at the engines by slack, and spread those who come back late

Two decisions that answer a herd: after a loss, and after all boxes are lost.

Waiting, at the engines: within a rank a stream that goes on (its pause is nearly over) goes before those that wait for their first event, and who is late already behind them. It was rank alone.

Placing: who comes back late chooses by the next event, spread by chance, as streams of a lost engine do, while less than 0.4 of the memory near is taken.

--- a/crates/ashgauge/src/choice.rs
+++ b/crates/ashgauge/src/choice.rs
@@ -97,6 +97,25 @@
     Some(tokens / cost::memory(model, entry, held).max(1.0))
 }
 
+/// Share of their memory for requests that the engines of the box's data centre
+/// have given away, as far as this box knows; 1 if they have none.
+pub fn filled_near(scene: &Scene, model: &Model) -> f64 {
+    let entries = scene.roster.of(scene.service);
+    let near = entries.filter(|e| e.upstream.place == *scene.place && e.is_usable(scene.now));
+    let (mut used, mut room) = (0.0, 0.0);
+    for entry in near {
+        let Some(held) = entry.upstream.layers else {
+            continue;
+        };
+        used += Total::of(scene, entry).tokens;
+        room += cost::memory(model, entry, held);
+    }
+    match room > 0.0 {
+        true => used / room,
+        false => 1.0,
+    }
+}
+
 /// Room that a request needs on each engine of its chain.
 #[derive(Clone, Copy, Debug)]
 pub struct Need {
--- a/crates/ashgauge/src/lib.rs
+++ b/crates/ashgauge/src/lib.rs
@@ -41,7 +41,7 @@
 //! - [`member`], [`message`]: boxes and upstreams, and what boxes tell each
 //!   other.
 //! - [`clock`], [`record`]: the time line.
-//! - [`routing`], [`roster`], [`share`], [`scene`], [`pipes`], [`stay`], [`cost`], [`choice`], [`admission`],
+//! - [`routing`], [`roster`], [`share`], [`scene`], [`pipes`], [`stay`], [`slack`], [`cost`], [`choice`], [`admission`],
 //!   [`placement`], [`rate`], [`pending`],
 //!   [`handoff`], [`events`], [`fresh`]: what a box decides where engines pass activations on among
 //!   themselves and a request is handed on whole.
@@ -87,6 +87,7 @@
 pub mod scene;
 pub mod share;
 pub mod silence;
+pub mod slack;
 pub mod stay;
 pub mod table;
 
--- /dev/null
+++ b/crates/ashgauge/src/slack.rs
@@ -0,0 +1,64 @@
+//! How much time a request has until it is late, and what follows for its order
+//! at the engines.
+
+use std::time::Duration;
+
+/// How a request stands against its aim.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Slack {
+    /// Its caller has a part of the answer and waits for the next event: late
+    /// after a pause that is nearly over.
+    Short,
+    /// It may still be in time.
+    Ample,
+    /// It is late whatever is done, but its answer is still wanted.
+    Late,
+}
+
+impl Slack {
+    /// How a request stands whose caller waits for its first event, of `patience`
+    /// left of `timeout`: a caller who comes back has used up the rest.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use ashgauge::slack::Slack;
+    /// use std::time::Duration;
+    ///
+    /// let second = Duration::from_secs(1);
+    /// let (timeout, aim) = (second * 20, second / 2);
+    /// assert_eq!(Slack::of(timeout, timeout, aim), Slack::Ample);
+    /// assert_eq!(Slack::of(second * 18, timeout, aim), Slack::Late);
+    /// ```
+    pub fn of(patience: Duration, timeout: Duration, aim: Duration) -> Self {
+        match timeout.saturating_sub(patience) >= aim {
+            true => Slack::Late,
+            false => Slack::Ample,
+        }
+    }
+}
+
+/// The order of a request at the engines, 0 first, by its `rank` and its slack.
+///
+/// Who is late already waits behind those of its rank who are not, level with the
+/// next rank, and who goes on before them: what is late loses nothing more by
+/// waiting. At 2.2 times the usual load with nine of 86 engines dark six plays
+/// earned 0.581 in the mean so, 0.571 by rank alone (worth, without processor
+/// time).
+///
+/// # Example
+///
+/// ```
+/// use ashgauge::slack::{order, Slack};
+///
+/// assert!(order(1, Slack::Short) < order(1, Slack::Ample));
+/// assert!(order(1, Slack::Ample) < order(1, Slack::Late));
+/// assert!(order(1, Slack::Late) < order(3, Slack::Ample));
+/// ```
+pub fn order(rank: u32, slack: Slack) -> u32 {
+    match slack {
+        Slack::Short => rank.saturating_sub(1),
+        Slack::Ample => rank,
+        Slack::Late => rank.saturating_add(1),
+    }
+}
--- a/crates/ashgauge/tests/choice.rs
+++ b/crates/ashgauge/tests/choice.rs
@@ -12,7 +12,7 @@
 use ashgauge::member::UpstreamId;
 use ashgauge::pipes::Pipes;
 use ashgauge::placement::plan;
-use ashgauge::roster::{Roster, Span};
+use ashgauge::roster::{Entry, Roster, Span};
 use ashgauge::routing::{Card, Model};
 use ashgauge::scene::Scene;
 use ashgauge::share::{self, Shares, Use, Word};
@@ -576,3 +576,28 @@
         assert_eq!(&*chosen_when_filling(1, seed), "slow");
     }
 }
+
+/// Those who come back late spread over the engines only while there is room.
+#[test]
+fn room_near_is_counted_over_the_data_centre_alone() {
+    let model = model();
+    let mut roster = twins();
+    let held = Some(Span { first: 0, end: 40 });
+    roster.put(engines::upstream("far", "b", "large", held, 4));
+    roster.begin("far", 1_000_000);
+    let (pipes, shares, place) = (Pipes::default(), Shares::default(), Arc::from("a"));
+    let filled = |roster: &Roster| {
+        let scene = scene(roster, &pipes, &shares, &place);
+        choice::filled_near(&scene, &model)
+    };
+    assert_eq!(filled(&roster), 0.0);
+    let near: f64 = {
+        let here = roster.all().filter(|e| *e.upstream.place == *"a");
+        let room = |e: &Entry| cost::memory(&model, e, e.upstream.layers.expect("layers"));
+        here.map(room).sum()
+    };
+    roster.begin("a1", (near / 2.0 / (BOXES / 3.0)) as u64);
+    let half = filled(&roster);
+    assert!((half - 0.5).abs() < 0.01, "{half}");
+    assert_eq!(filled(&Roster::default()), 1.0);
+}
--- a/crates/ashgauged/src/relay/desk.rs
+++ b/crates/ashgauged/src/relay/desk.rs
@@ -24,6 +24,7 @@
 use ashgauge::routing::{Model, Routing, ServiceId};
 use ashgauge::scene::Scene;
 use ashgauge::share::{self, Shares};
+use ashgauge::slack::Slack;
 use ashgauge::stay::Stay;
 use http::Client;
 use platform::{Fault, Store};
@@ -63,6 +64,23 @@
     pub link: u32,
 }
 
+/// Share of the memory near up to which those who come back late choose as streams
+/// of a lost engine do: they come back together, as they were cut together, and by
+/// the time of a whole answer all went to the same engines. On eight plays with
+/// seeds not used before 0.804 was earned so, 0.792 without (mean worth, without
+/// processor time). Where memory is scarce a chain must be quick as a whole, as it
+/// holds memory for as long.
+const ROOM_TOGETHER: f64 = 0.4;
+
+/// What a chain is chosen for.
+#[derive(Clone, Copy)]
+pub struct Wish {
+    /// Room that it needs; none for a stream that goes on, which is not held up.
+    pub need: Option<Need>,
+    /// How the request stands against its aim.
+    pub slack: Slack,
+}
+
 /// What the tasks of one box share.
 pub struct Desk {
     settings: RefCell<Rc<Settings>>,
@@ -305,15 +323,18 @@
         model: &Model,
         span: Span,
         avoid: &[UpstreamId],
-        need: Option<Need>,
+        wish: Wish,
     ) -> Option<Vec<Stage>> {
         let roster = self.roster.borrow();
         let (pipes, shares) = (self.pipes.borrow(), self.shares.borrow());
-        let scene = Scene {
-            together: need.is_none(),
-            ..self.scene(&roster, &pipes, &shares, service)
+        let scene = self.scene(&roster, &pipes, &shares, service);
+        let together = match wish.slack {
+            Slack::Short => true,
+            Slack::Late => choice::filled_near(&scene, model) < ROOM_TOGETHER,
+            Slack::Ample => false,
         };
-        choice::chain(&scene, model, span, avoid, need, &mut *self.rng())
+        let scene = Scene { together, ..scene };
+        choice::chain(&scene, model, span, avoid, wish.need, &mut *self.rng())
     }
 
     /// Uses the line of requests that wait for a service.
--- a/crates/ashgauged/src/relay/open.rs
+++ b/crates/ashgauged/src/relay/open.rs
@@ -9,6 +9,7 @@
 use ashgauge::handoff::{Handoff, Outcome};
 use ashgauge::member::UpstreamId;
 use ashgauge::silence::next_wait;
+use ashgauge::slack::{self, Slack};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::Response;
@@ -16,7 +17,7 @@
 use platform::engine::{self, Target, Verdict};
 use tokio::time::timeout;
 
-use super::desk::Desk;
+use super::desk::{Desk, Wish};
 use super::dial::{self, Exchange};
 use super::probe::{ask_engines, find_dead};
 use super::request::{Admitted, Hold, is_allowed, lost, refused};
@@ -126,7 +127,7 @@
         id: &lead,
         chain: text.as_deref(),
         team: a.team.as_ref().map(|t| t.name.as_str()),
-        rank: a.rank(),
+        rank: slack::order(a.rank(), slack_of(a, last)),
         left: handoff.left(desk.now()),
         last_event: last,
     };
@@ -184,7 +185,9 @@
     match a.service.model.as_ref().filter(|m| m.layers > 0) {
         Some(model) => {
             let span = whole_model(model.layers);
-            let stages = desk.choose_chain(&a.service.name, model, span, avoid, need)?;
+            let slack = need.map_or(Slack::Short, |_| a.slack());
+            let wish = Wish { need, slack };
+            let stages = desk.choose_chain(&a.service.name, model, span, avoid, wish)?;
             if !chain::covers(0, model.layers, &stages) {
                 return None;
             }
@@ -220,6 +223,14 @@
     })
 }
 
+/// How a request stands that goes on after event `last`, if it has any.
+fn slack_of(a: &Admitted, last: Option<u64>) -> Slack {
+    match last {
+        Some(_) => Slack::Short,
+        None => a.slack(),
+    }
+}
+
 /// Notes what a request will put on its chain.
 fn note_chosen(desk: &Desk, a: &Admitted, stages: &[Stage]) {
     if let Some(model) = a.service.model.as_ref().filter(|m| m.layers > 0) {
--- a/crates/ashgauged/src/relay/pump/mend.rs
+++ b/crates/ashgauged/src/relay/pump/mend.rs
@@ -9,9 +9,11 @@
 use ashgauge::progress::Progress;
 use ashgauge::roster::{Entry, Span};
 use ashgauge::routing::Model;
+use ashgauge::slack::Slack;
 use platform::engine::{self, Reply};
 use serde_json::json;
 
+use super::super::desk::Wish;
 use super::super::open::{Run, SILENT_MOST, begin, id_at, pick};
 use super::super::probe::{ask_engines, find_dead};
 use super::super::request::{Hold, note_outcome};
@@ -221,8 +223,12 @@
             first: stage.first,
             end: stage.end,
         };
+        let wish = Wish {
+            need: None,
+            slack: Slack::Short,
+        };
         self.desk
-            .choose_chain(&self.a.service.name, model, span, avoid, None)
+            .choose_chain(&self.a.service.name, model, span, avoid, wish)
     }
 
     /// Lets another chain go on behind the last event that was passed on.
--- a/crates/ashgauged/src/relay/request.rs
+++ b/crates/ashgauged/src/relay/request.rs
@@ -10,6 +10,7 @@
 use ashgauge::handoff::{End, Outcome};
 use ashgauge::member::UpstreamId;
 use ashgauge::routing::{Access, Route, Service, Team};
+use ashgauge::slack::Slack;
 use bytes::Bytes;
 use http::{Failure, Full};
 use http_body_util::{BodyExt, Empty};
@@ -72,6 +73,13 @@
         team.unwrap_or(self.route.rank)
     }
 
+    /// How the request stands against its aim, at its arrival.
+    pub fn slack(&self) -> Slack {
+        let timeout = self.route.timeout;
+        let patience = self.ask.patience.unwrap_or(timeout);
+        Slack::of(patience, timeout, self.route.aim)
+    }
+
     /// Tokens that the request holds on the average of its time: its prompt and
     /// half of its answer.
     pub fn usual_tokens(&self) -> u32 {
