--- a/crates/ashgauge/tests/engines/mod.rs
+++ b/crates/ashgauge/tests/engines/mod.rs
@@ -5,9 +5,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ashgauge::pipes::Pipes;
 use ashgauge::placement::{Assignment, Seat};
 use ashgauge::roster::{Roster, Span, Upstream};
 use ashgauge::routing::{Card, Model};
+use ashgauge::scene::Scene;
+use ashgauge::share::Shares;
 
 /// A model of 80 layers and four kinds of accelerators.
 pub fn model() -> Model {
@@ -106,3 +109,42 @@
         models: Vec::new(),
     }
 }
+
+/// Boxes of a fleet in three data centres.
+pub const BOXES: f64 = 8.0;
+
+/// What a box of data centre `place` chooses from, at second 100.
+pub fn scene<'a>(
+    roster: &'a Roster,
+    pipes: &'a Pipes,
+    shares: &'a Shares,
+    place: &'a Arc<str>,
+) -> Scene<'a> {
+    Scene {
+        roster,
+        pipes,
+        shares,
+        service: "model",
+        place,
+        lag: Duration::from_millis(100),
+        stay: Duration::from_secs(2),
+        boxes: BOXES,
+        neighbours: BOXES / 3.0,
+        together: false,
+        now: Duration::from_secs(100),
+    }
+}
+
+/// Two engines for each half of the layers, all in one data centre.
+pub fn twins() -> Roster {
+    let mut roster = Roster::default();
+    for (n, (id, first)) in [("a1", 0), ("a2", 0), ("b1", 40), ("b2", 40)]
+        .into_iter()
+        .enumerate()
+    {
+        let end = first + 40;
+        let span = Some(Span { first, end });
+        roster.put(upstream(id, "a", "large", span, n));
+    }
+    roster
+}
--- /dev/null
+++ b/crates/ashgauge/tests/worst_load.rs
@@ -0,0 +1,210 @@
+//! Choices at the worst load: herds after a loss, engines that fill up or read
+//! all the time.
+
+mod engines;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ashgauge::choice;
+use ashgauge::cost;
+use ashgauge::member::UpstreamId;
+use ashgauge::pipes::Pipes;
+use ashgauge::roster::{Entry, Roster, Span};
+use ashgauge::routing::Card;
+use ashgauge::scene::Scene;
+use ashgauge::share::{Shares, Word};
+use engines::{BOXES, model, scene, twins};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+/// Words of 72 other boxes from before the loss, when these engines had nothing
+/// to read.
+fn heard_before() -> Shares {
+    let mut shares = Shares::default();
+    for n in 0..72 {
+        let word = Word {
+            from: format!("box-{n}").into(),
+            boot: 1,
+            number: 1,
+            uses: Vec::new(),
+            suspects: Vec::new(),
+        };
+        assert!(shares.hear(Duration::from_secs(100), word));
+    }
+    shares
+}
+
+/// Part of the streams that the busiest of these engines gets if each of 24 boxes
+/// leads so many streams of a lost engine elsewhere, before any hears of the
+/// others.
+fn busiest_part(engines: [(&str, &str); 4], streams: usize, together: bool) -> f64 {
+    let mut model = model();
+    model.layers = 10;
+    // The fastest kind by steps is not the fastest by reading.
+    let kinds = [("writer", 2.4, 3.2), ("reader", 5.6, 2.7)];
+    for (name, step_factor, read_factor) in kinds {
+        let memory_mb = 72_000.0;
+        let card = Card {
+            memory_mb,
+            step_factor,
+            read_factor,
+        };
+        model.cards.insert(name.into(), card);
+    }
+    let all = choice::whole(model.layers);
+    let place: Arc<str> = "a".into();
+    let (pipes, shares) = (Pipes::default(), heard_before());
+    let mut taken = [0.0; 4];
+    for seed in 0..24 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut roster = Roster::default();
+        for (n, (place, card)) in engines.iter().enumerate() {
+            roster.put(engines::upstream(&n.to_string(), place, card, Some(all), n));
+        }
+        for _ in 0..streams {
+            let scene = Scene {
+                together,
+                lag: Duration::from_secs(1),
+                boxes: 73.0,
+                neighbours: 24.0,
+                ..scene(&roster, &pipes, &shares, &place)
+            };
+            let chain = choice::chain(&scene, &model, all, &[], None, &mut rng).unwrap();
+            let id = chain[0].upstream.clone();
+            let (now, entry) = (scene.now, roster.get(&id).unwrap());
+            let seconds = cost::reading_seconds(&scene, &model, entry, all.len(), 900);
+            roster.note_reading(now, &id, seconds);
+            taken[id.parse::<usize>().unwrap()] += 1.0;
+        }
+    }
+    taken.iter().copied().fold(0.0, f64::max) / taken.iter().sum::<f64>()
+}
+
+/// The streams of a lost engine once went on over the same one or two others,
+/// which read them anew one after the other: pauses of 0.4 s.
+#[test]
+fn streams_of_a_lost_engine_spread() {
+    let engines = [
+        ("a", "large"),
+        ("a", "medium"),
+        ("a", "medium"),
+        ("b", "large"),
+    ];
+    let alone = busiest_part(engines, 3, false);
+    assert!(
+        alone > 0.9,
+        "the load is not what the choice is for: {alone}"
+    );
+    let together = busiest_part(engines, 3, true);
+    assert!(together <= 0.5, "{together} of the streams on one engine");
+}
+
+/// The fastest engine writes an answer in less than half of the time of the
+/// others, and so once got most of the streams of a lost one; their next event
+/// comes as soon from any that has nothing to read.
+#[test]
+fn streams_of_a_lost_engine_go_where_their_next_event_comes_soonest() {
+    let engines = [
+        ("a", "writer"),
+        ("a", "reader"),
+        ("a", "reader"),
+        ("a", "reader"),
+    ];
+    let part = busiest_part(engines, 1, true);
+    assert!(part <= 0.5, "{part} of the streams on one engine");
+}
+
+/// Requests of a fleet that stay two seconds each, 90 a second: the engine that
+/// steps fastest once read 0.69 of its time, and held up all that it led, while the
+/// others were idle.
+#[test]
+fn engine_that_reads_much_leaves_requests_to_others() {
+    let mut model = model();
+    model.layers = 10;
+    model.read_rate = 100_000.0;
+    let all = choice::whole(model.layers);
+    let mut roster = Roster::default();
+    roster.put(engines::upstream("fast", "a", "large", Some(all), 1));
+    for n in 0..4 {
+        let id = format!("other-{n}");
+        roster.put(engines::upstream(&id, "a", "medium", Some(all), 2 + n));
+    }
+    let (pipes, shares, place) = (Pipes::default(), Shares::default(), Arc::from("a"));
+    let mut rng = SmallRng::seed_from_u64(1);
+    let neighbours = BOXES / 3.0;
+    for _ in 0..(180.0 / neighbours) as usize {
+        let scene = scene(&roster, &pipes, &shares, &place);
+        let stages = choice::chain(&scene, &model, all, &[], None, &mut rng).expect("a chain");
+        roster.begin(&stages[0].upstream, 100 * 10);
+    }
+    let fast = roster.get("fast").expect("an engine");
+    let rate = f64::from(fast.inflight) * neighbours / 2.0;
+    let part = rate * f64::from(model.prompt) / model.read_rate;
+    assert!(part <= 0.5, "it reads {part} of its time");
+    assert!(
+        part >= 0.2,
+        "it is faster than the others, but reads {part} only"
+    );
+}
+
+/// The engine that gets a request where a fast one is four fifths full and a slow
+/// one idle; so many engines hold the layers behind theirs.
+fn chosen_when_filling(copies: usize, seed: u64) -> UpstreamId {
+    let mut model = model();
+    model.layers = 10;
+    let (first, rest) = (Span { first: 0, end: 5 }, Span { first: 5, end: 10 });
+    let mut roster = Roster::default();
+    roster.put(engines::upstream("fast", "a", "large", Some(first), 1));
+    roster.put(engines::upstream("slow", "a", "small", Some(first), 2));
+    for n in 0..copies {
+        let id = format!("rest-{n}");
+        roster.put(engines::upstream(&id, "a", "large", Some(rest), 3 + n));
+    }
+    let neighbours = BOXES / 3.0;
+    let fast = roster.get("fast").expect("an engine");
+    let used = cost::memory(&model, fast, first) * 0.8 / neighbours;
+    roster.begin("fast", used as u64);
+    let (pipes, shares, place) = (Pipes::default(), Shares::default(), Arc::from("a"));
+    let scene = scene(&roster, &pipes, &shares, &place);
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let all = choice::whole(model.layers);
+    let chain = choice::chain(&scene, &model, all, &[], None, &mut rng);
+    chain.expect("a chain")[0].upstream.clone()
+}
+
+/// Under 2.2 times the usual load requests went to slow engines while fast ones
+/// had room, and held memory there for several times as long.
+#[test]
+fn fast_engines_are_filled_first_where_others_can_stand_in() {
+    for seed in 0..20 {
+        assert_eq!(&*chosen_when_filling(3, seed), "fast");
+        // With barely a copy its room is kept for what may come.
+        assert_eq!(&*chosen_when_filling(1, seed), "slow");
+    }
+}
+
+/// Those who come back late spread over the engines only while there is room.
+#[test]
+fn room_near_is_counted_over_the_data_centre_alone() {
+    let model = model();
+    let mut roster = twins();
+    let held = Some(Span { first: 0, end: 40 });
+    roster.put(engines::upstream("far", "b", "large", held, 4));
+    roster.begin("far", 1_000_000);
+    let (pipes, shares, place) = (Pipes::default(), Shares::default(), Arc::from("a"));
+    let filled = |roster: &Roster| {
+        let scene = scene(roster, &pipes, &shares, &place);
+        choice::filled_near(&scene, &model)
+    };
+    assert_eq!(filled(&roster), 0.0);
+    let near: f64 = {
+        let here = roster.all().filter(|e| *e.upstream.place == *"a");
+        let room = |e: &Entry| cost::memory(&model, e, e.upstream.layers.expect("layers"));
+        here.map(room).sum()
+    };
+    roster.begin("a1", (near / 2.0 / (BOXES / 3.0)) as u64);
+    let half = filled(&roster);
+    assert!((half - 0.5).abs() < 0.01, "{half}");
+    assert_eq!(filled(&Roster::default()), 1.0);
+}
