--- a/crates/ashgauge/src/placement.rs
+++ b/crates/ashgauge/src/placement.rs
@@ -80,8 +80,8 @@
 /// Other holders that a layer must have for one to give it up: as many in its data
 /// centre, or anywhere if there are fewer here. One is a chain for what comes
 /// meanwhile; elsewhere the next loss must leave one.
-const LEFT_HERE: usize = 1;
-const LEFT_ANYWHERE: usize = 2;
+const LEFT_HERE: i32 = 1;
+const LEFT_ANYWHERE: i32 = 2;
 
 /// Share by which a range is worth more for each end that it has in common
 /// with another engine's: chains then have fewer stages.
@@ -125,7 +125,6 @@
         }
         if let Some((span, _)) = board.best_span(at) {
             out.push(board.assign(at, span));
-            board.seats[at].movable = false;
         }
     }
     // Moves are judged by what those before have brought.
@@ -134,7 +133,6 @@
         let Some((at, span)) = board.best_move() else {
             break;
         };
-        board.seats[at].movable = false;
         out.push(board.assign(at, span));
     }
     out
@@ -195,6 +193,8 @@
     seats: Vec<Seat>,
     /// Holders of each layer.
     all: Vec<f64>,
+    /// Engines that show each layer: were ordered nothing else meanwhile.
+    shown: Vec<i32>,
     /// Data centres by name.
     sites: HashMap<Arc<str>, Site>,
 }
@@ -207,6 +207,8 @@
     fill: f64,
     /// Holders of each layer.
     cover: Vec<f64>,
+    /// Engines that show each layer.
+    shown: Vec<i32>,
 }
 
 impl<'a> Board<'a> {
@@ -229,6 +231,7 @@
             model,
             seats,
             all: vec![0.0; model.layers as usize],
+            shown: vec![0; model.layers as usize],
             sites,
         };
         for at in 0..board.seats.len() {
@@ -244,12 +247,15 @@
             return;
         };
         let more = sign * self.holders(seat, span.len());
+        let shown = if seat.movable { sign as i32 } else { 0 };
         let Some(site) = self.sites.get_mut(&seat.place) else {
             return;
         };
         for layer in span.first..span.end.min(self.model.layers) {
             site.cover[layer as usize] += more;
+            site.shown[layer as usize] += shown;
             self.all[layer as usize] += more;
+            self.shown[layer as usize] += shown;
         }
     }
 
@@ -259,7 +265,10 @@
         self.count(at, 1.0);
     }
 
+    /// Orders an engine to hold a range, which it does not show yet.
     fn assign(&mut self, at: usize, span: Span) -> Assignment {
+        self.set_span(at, None);
+        self.seats[at].movable = false;
         self.set_span(at, Some(span));
         let id = self.seats[at].id.clone();
         Assignment { id, span }
@@ -280,12 +289,10 @@
             let Some((span, gained)) = found else {
                 continue;
             };
-            if !self.can_give_up(at, old, span) {
-                continue;
-            }
             let loaded = (span.first..span.end).filter(|l| !old.holds(*l)).count();
             let more = gained - kept - MOVE_LAYER * loaded as f64;
-            if more >= MOVE_LEAST && best.is_none_or(|(most, ..)| more > most) {
+            let is_best = more >= MOVE_LEAST && best.is_none_or(|(most, ..)| more > most);
+            if is_best && self.can_give_up(at, old, span) {
                 best = Some((more, at, span));
             }
         }
@@ -301,15 +308,14 @@
     /// counted on such ranges left a fleet of 39 engines without a whole chain for
     /// eight seconds.
     fn can_give_up(&self, at: usize, old: Span, new: Span) -> bool {
-        let shown = |layer, place: Option<&str>| {
-            let others = self.seats.iter().enumerate().filter(|(n, _)| *n != at);
-            let here = others.filter(|(_, s)| place.is_none_or(|p| *s.place == *p));
-            let holds = here.filter(|(_, s)| s.movable && s.span.is_some_and(|h| h.holds(layer)));
-            holds.count()
-        };
-        let place = &*self.seats[at].place;
-        let mut given_up = (old.first..old.end).filter(|l| !new.holds(*l));
-        given_up.all(|l| shown(l, Some(place)) >= LEFT_HERE || shown(l, None) >= LEFT_ANYWHERE)
+        let here = self.sites.get(&self.seats[at].place).map(|s| &s.shown[..]);
+        let others = |shown: &[i32], l: Layer| shown[l as usize] - 1;
+        let end = old.end.min(self.model.layers);
+        let mut given_up = (old.first..end).filter(|l| !new.holds(*l));
+        given_up.all(|l| {
+            let near = here.map_or(0, |shown| others(shown, l));
+            near >= LEFT_HERE || others(&self.shown, l) >= LEFT_ANYWHERE
+        })
     }
 
     /// The range for an engine that gains most, and the gain; the lowest of
@@ -406,6 +412,7 @@
             is_rich,
             fill,
             cover: vec![0.0; model.layers as usize],
+            shown: vec![0; model.layers as usize],
         }
     }
 }
