Tell repeats of a request, and what an upstream ran as it was lost

Each 'ended' line has a digest of path, caller and body; 'upstream lost' lines and ashgauge_lost_runs_total say which runs an upstream was lost under, for how long they had run and whether they had brought events. What the box decides is unchanged.

--- a/crates/ashgauge/src/lib.rs
+++ b/crates/ashgauge/src/lib.rs
@@ -43,7 +43,7 @@
 //! - [`clock`], [`record`]: the time line.
 //! - [`routing`], [`roster`], [`share`], [`scene`], [`pipes`], [`stay`], [`slack`], [`cost`], [`choice`], [`admission`],
 //!   [`placement`], [`rate`], [`pending`],
-//!   [`handoff`], [`events`], [`fresh`]: what a box decides where engines pass activations on among
+//!   [`handoff`], [`digest`], [`events`], [`fresh`]: what a box decides where engines pass activations on among
 //!   themselves and a request is handed on whole.
 //! - [`mirror`], [`reader`], [`question`], [`asker`]: a store that few boxes read and all
 //!   know.
@@ -58,6 +58,7 @@
 pub mod claim;
 pub mod clock;
 pub mod cost;
+pub mod digest;
 pub mod editor;
 mod error;
 pub mod events;
--- a/crates/ashgauged/src/relay/forward.rs
+++ b/crates/ashgauged/src/relay/forward.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ashgauge::digest::{self, Digest};
 use ashgauge::fresh::start_patience;
 use ashgauge::handoff::{End, Handoff, Next, Outcome};
 use ashgauge::member::UpstreamId;
@@ -12,6 +13,7 @@
 use http::Full;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use hyper::http::request;
 use hyper::{Request, Response, StatusCode};
 use platform::engine::{self, Target, Verdict};
 use platform::ingress::{self, Ask};
@@ -22,6 +24,7 @@
 use super::desk::Desk;
 use super::dial;
 use super::log;
+use super::loss::{self, Loss};
 use super::record::Record;
 use super::request::{
     Admitted, BACK_FULL, BACK_UNSURE, Hold, Whole, finish, is_allowed, lost, note_outcome, own,
@@ -67,12 +70,15 @@
             return own(status, Some(&ask), not_run.then_some(BACK_FULL));
         }
     };
+    let digest = digest_of(&head, &ask, team.as_deref(), &body);
+    record.digest = Some(digest);
     let mut handoff = Handoff::new(until, route.attempts, route.may_repeat());
     desk.budget(&service.name, |b| b.earn(desk.now()));
     let admitted = Admitted {
         head,
         ask,
         body,
+        digest,
         route,
         service,
         team,
@@ -84,6 +90,14 @@
     }
 }
 
+/// The digest of a request; a team's keys count as one caller.
+fn digest_of(head: &request::Parts, ask: &Ask, team: Option<&Team>, body: &[u8]) -> Digest {
+    let path = head.uri.path_and_query().map_or("/", |p| p.as_str());
+    let key = ask.key.as_deref().unwrap_or_default();
+    let caller = team.map_or(key, |t| t.name.as_str());
+    digest::of(path, caller, body)
+}
+
 /// Why a request is not let in.
 #[derive(Clone, Copy, Debug)]
 enum Refusal {
@@ -162,6 +176,7 @@
         };
         handoff.send(id.clone());
         a.record.sends.push(id.clone());
+        let began = desk.now();
         let (outcome, answer) = match try_plain(desk, &a, handoff, &id, &addr).await {
             Ok(answer) if !answer.status().is_server_error() => {
                 a.record.end("answered");
@@ -171,6 +186,9 @@
             Err(outcome) => (outcome, None),
         };
         note_outcome(desk, &a, &id, outcome);
+        if outcome == Outcome::Lost {
+            loss::look(desk, &a, Loss::before_answer(&id, began)).await;
+        }
         let now = desk.now();
         let next = desk.budget(&a.service.name, |b| handoff.after(now, outcome, b));
         match (next, answer) {
--- a/crates/ashgauged/src/relay/metrics.rs
+++ b/crates/ashgauged/src/relay/metrics.rs
@@ -25,6 +25,8 @@
     pub orders: IntCounterVec,
     /// Datagrams of other boxes, by what became of them.
     pub words: IntCounterVec,
+    /// Upstreams lost while they ran a request, by whether it had brought events.
+    pub losses: IntCounterVec,
     /// Upstreams that became suspect.
     pub suspects: IntCounter,
     /// Time to the first byte of an answer.
@@ -78,6 +80,11 @@
                 &["call", "result"],
             )?,
             orders: counters("ashgauge_orders_total", "Orders by reply", "reply")?,
+            losses: counters(
+                "ashgauge_lost_runs_total",
+                "Runs whose upstream was lost, by events before",
+                "events",
+            )?,
             words: counters("ashgauge_words_total", "Datagrams of other boxes", "result")?,
             first: histogram("ashgauge_first_seconds", "Time to the first byte")?,
             whole: histogram("ashgauge_whole_seconds", "Time to the end")?,
--- a/crates/ashgauged/src/relay/mod.rs
+++ b/crates/ashgauged/src/relay/mod.rs
@@ -12,6 +12,7 @@
 mod follow;
 mod forward;
 mod log;
+mod loss;
 mod metrics;
 mod open;
 mod pack;
--- a/crates/ashgauged/src/relay/open.rs
+++ b/crates/ashgauged/src/relay/open.rs
@@ -37,6 +37,10 @@
     pub first: String,
     /// The answer on its way.
     pub exchange: Exchange,
+    /// When its head had come.
+    pub began: Duration,
+    /// Whole events that it has brought.
+    pub events: u64,
     /// Counts the stream on its engines.
     pub hold: Hold,
 }
@@ -161,6 +165,8 @@
         stages,
         first,
         exchange,
+        began: desk.now(),
+        events: 0,
         hold,
     })
 }
--- a/crates/ashgauged/src/relay/probe.rs
+++ b/crates/ashgauged/src/relay/probe.rs
@@ -33,6 +33,10 @@
 /// How long a probe's result serves others that ask.
 const SHARED_TIME: Duration = Duration::from_millis(200);
 
+/// The same for a look after a connection broke: what was found before it says
+/// nothing, and streams that break together share one look.
+const LOST_SHARED: Duration = Duration::from_millis(20);
+
 /// Results kept before old ones are cleared.
 const KEPT_MOST: usize = 256;
 
@@ -127,16 +131,28 @@
     }
 }
 
+/// Whether an upstream whose connection just broke takes no other one.
+///
+/// That streams heard it a moment ago says nothing here.
+pub async fn is_lost(desk: &Desk, id: &str) -> bool {
+    !takes_connection(desk, id, LOST_SHARED).await
+}
+
 /// Whether an upstream takes a connection; one that is gone does not.
 async fn is_alive(desk: &Desk, id: &str) -> bool {
     let heard = |e: &Entry| e.was_heard(desk.now());
     if desk.roster.borrow().get(id).is_some_and(heard) {
         return true;
     }
+    takes_connection(desk, id, SHARED_TIME).await
+}
+
+/// Connects to an upstream, or goes by what was found less than `shared` ago.
+async fn takes_connection(desk: &Desk, id: &str, shared: Duration) -> bool {
     let Some(addr) = address(desk, id) else {
         return false;
     };
-    let cell = cell(&desk.probes.alive, desk.now(), &addr, SHARED_TIME);
+    let cell = cell(&desk.probes.alive, desk.now(), &addr, shared);
     let probe = async {
         matches!(
             timeout(PROBE_TIME, TcpStream::connect(&addr)).await,
--- a/crates/ashgauged/src/relay/pump/mend.rs
+++ b/crates/ashgauged/src/relay/pump/mend.rs
@@ -14,6 +14,7 @@
 use serde_json::json;
 
 use super::super::desk::Wish;
+use super::super::loss::{self, Loss};
 use super::super::open::{Run, SILENT_MOST, begin, id_at, pick};
 use super::super::probe::{ask_engines, find_dead};
 use super::super::request::{Hold, note_outcome};
@@ -38,6 +39,7 @@
         let dead = find_dead(&self.desk, &self.run.stages).await;
         dead.iter()
             .for_each(|id| self.desk.suspect(id, "no connection"));
+        loss::look(&self.desk, &self.a, self.loss()).await;
         self.resume("broken", false).await
     }
 
@@ -137,6 +139,7 @@
         let first = &self.run.stages[0].upstream;
         if lost.contains(first) {
             self.handoff.lose();
+            loss::look(&self.desk, &self.a, self.loss()).await;
             return self.resume("first engine lost", true).await;
         }
         if self.repairs >= REPAIRS_MOST {
@@ -242,6 +245,15 @@
         }
     }
 
+    /// The run as it stands, if its first engine is lost.
+    fn loss(&self) -> Loss {
+        Loss {
+            upstream: self.run.stages[0].upstream.clone(),
+            began: self.run.began,
+            events: self.run.events,
+        }
+    }
+
     /// As [`Pump::resume`]; returns whether it goes on elsewhere.
     async fn try_resume(&mut self, why: &str) -> bool {
         if !self.rule.resume || (self.last.is_none() && self.passed) {
@@ -260,6 +272,7 @@
                 return false;
             }
             let (desk, a) = (&self.desk, &mut self.a);
+            let began = desk.now();
             let Ok(chosen) = pick(desk, a, &self.handoff, &avoid, true) else {
                 return false;
             };
@@ -271,6 +284,10 @@
                 Err(failed) => {
                     note_outcome(&self.desk, &self.a, &failed.upstream, failed.outcome);
                     outcome = failed.outcome;
+                    if outcome == Outcome::Lost {
+                        let loss = Loss::before_answer(&failed.upstream, began);
+                        loss::look(&self.desk, &self.a, loss).await;
+                    }
                 }
             }
         }
--- a/crates/ashgauged/src/relay/pump/mod.rs
+++ b/crates/ashgauged/src/relay/pump/mod.rs
@@ -196,6 +196,7 @@
         self.last = whole.last.or(self.last);
         self.note_pause(now);
         self.passed |= whole.count > 0;
+        self.run.events += whole.count as u64;
         let left = self.handoff.left(now);
         match timeout(left, self.sender.send(Ok(piece))).await {
             Ok(Ok(())) => Go::On,
--- a/crates/ashgauged/src/relay/record.rs
+++ b/crates/ashgauged/src/relay/record.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ashgauge::digest::{self, Digest};
 use platform::ingress::Ask;
 use serde_json::json;
 use spdlog::Level;
@@ -16,6 +17,8 @@
     desk: Rc<Desk>,
     id: String,
     route: String,
+    /// Tells repeats of a request from others, once its body was read.
+    pub digest: Option<Digest>,
     arrived: Duration,
     /// Upstreams or chains that it was sent to.
     pub sends: Vec<Arc<str>>,
@@ -33,6 +36,7 @@
             desk: desk.clone(),
             id: ask.id.clone(),
             route: route.into(),
+            digest: None,
             arrived,
             sends: Vec::new(),
             first: None,
@@ -65,6 +69,7 @@
         let sends: Vec<&str> = self.sends.iter().map(|s| &**s).collect();
         let fields = json!({
             "id": self.id,
+            "digest": self.digest.map(digest::text),
             "route": self.route,
             "end": what,
             "sends": sends,
--- a/crates/ashgauged/src/relay/request.rs
+++ b/crates/ashgauged/src/relay/request.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use ashgauge::chain::Stage;
+use ashgauge::digest::Digest;
 use ashgauge::handoff::{End, Outcome};
 use ashgauge::member::UpstreamId;
 use ashgauge::routing::{Access, Route, Service, Team};
@@ -56,6 +57,8 @@
     pub ask: Ask,
     /// Its body.
     pub body: Bytes,
+    /// Tells repeats of it from other requests.
+    pub digest: Digest,
     /// Its route.
     pub route: Arc<Route>,
     /// The service that it goes to.
--- a/crates/ashgauged/src/relay/stream.rs
+++ b/crates/ashgauged/src/relay/stream.rs
@@ -3,7 +3,7 @@
 
 use std::rc::Rc;
 
-use ashgauge::handoff::{End, Handoff, Next};
+use ashgauge::handoff::{End, Handoff, Next, Outcome};
 use ashgauge::routing::StreamRule;
 use http_body_util::BodyExt;
 use hyper::Response;
@@ -11,6 +11,7 @@
 use serde_json::json;
 
 use super::desk::Desk;
+use super::loss::{self, Loss};
 use super::open::{NoWay, begin, head_of, pick};
 use super::pump;
 use super::request::{Admitted, finish, no_room, note_outcome, whole};
@@ -45,11 +46,15 @@
             }
         };
         turn.let_in();
+        let began = desk.now();
         let failed = match begin(&desk, &mut a, &mut handoff, &mut avoid, None, chosen).await {
             Ok(run) => break run,
             Err(failed) => failed,
         };
         note_outcome(&desk, &a, &failed.upstream, failed.outcome);
+        if failed.outcome == Outcome::Lost {
+            loss::look(&desk, &a, Loss::before_answer(&failed.upstream, began)).await;
+        }
         let now = desk.now();
         let next = desk.budget(&a.service.name, |b| handoff.after(now, failed.outcome, b));
         match (next, failed.answer) {
