Hold back requests that end the engines that run them

Change: boxes count the starts of upstreams that were lost under a request (ashgauge::quarantine, by a digest of path, caller and body), unless the run had brought events for half a second. They tell each other at once by datagrams and again with their words; three losses hold the request back on all boxes for an hour, refused at once as not run with that time. What is held is kept in the store, as boxes keep nothing, and read by those that read for the others. Upstreams carry the time of their start, as one may start again under its id.

Ruled out: too many sends in one try (two a try), an overspent budget (nothing else runs in the test).

--- a/crates/ashgauge/src/lib.rs
+++ b/crates/ashgauge/src/lib.rs
@@ -43,7 +43,7 @@
 //! - [`clock`], [`record`]: the time line.
 //! - [`routing`], [`roster`], [`share`], [`scene`], [`pipes`], [`stay`], [`slack`], [`cost`], [`choice`], [`admission`],
 //!   [`placement`], [`rate`], [`pending`],
-//!   [`handoff`], [`digest`], [`events`], [`fresh`]: what a box decides where engines pass activations on among
+//!   [`handoff`], [`digest`], [`quarantine`], [`events`], [`fresh`]: what a box decides where engines pass activations on among
 //!   themselves and a request is handed on whole.
 //! - [`mirror`], [`reader`], [`question`], [`asker`]: a store that few boxes read and all
 //!   know.
@@ -77,6 +77,7 @@
 pub mod placement;
 pub mod policy;
 pub mod progress;
+pub mod quarantine;
 pub mod question;
 pub mod queue;
 pub mod rate;
--- /dev/null
+++ b/crates/ashgauge/src/quarantine.rs
@@ -0,0 +1,258 @@
+//! Requests that end the upstreams that run them, and are held back for it.
+//!
+//! The loss of an upstream says little of what ran on it, but a request under which
+//! one upstream after the other is lost ends them. A caller sends it again at any box,
+//! so boxes tell each other which upstreams were lost under which request: sets that
+//! only grow, so reports may come late, twice and in any order.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::digest::Digest;
+
+/// Upstreams lost under a request after which it is held back; the users' figure.
+const LOST_MOST: usize = 3;
+
+/// Time from a run's first event after which it has not ended its upstream. Requests
+/// that do so took 3 to 96 ms from when they began to run; a longer time lays more
+/// losses to requests that only ran beside them.
+const PROVEN_TIME: Duration = Duration::from_millis(500);
+
+/// How long a request is held back before it is tried again, and how long a loss
+/// counts: long against what a caller goes on for and operators need to look into it.
+pub const HOLD_TIME: Duration = Duration::from_secs(3600);
+
+/// Requests whose losses are kept, at 100 bytes or so each.
+const SUSPECTS_MOST: usize = 4096;
+
+/// Requests that are held back at most, at 30 bytes or so each.
+const HELD_MOST: usize = 4096;
+
+/// How long a box tells the others of a loss that it saw itself: three words of a
+/// box to the whole of a fleet of 300.
+const TELL_TIME: Duration = Duration::from_secs(14);
+
+/// Losses in one report, the newest ones: 1 kB or so.
+const LOST_TOLD: usize = 128;
+
+/// Held requests in one report: 300 bytes or so.
+const HELD_TOLD: usize = 32;
+
+/// Own losses that are kept to be told.
+const OWN_MOST: usize = 1024;
+
+/// Number that stands for one start of an upstream.
+pub type StartKey = u32;
+
+/// An upstream was lost while it ran a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Lost {
+    /// The request.
+    pub digest: Digest,
+    /// The upstream's start that was lost.
+    pub start: StartKey,
+}
+
+/// A request that is held back, as one box tells it to others.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Held {
+    /// The request.
+    pub digest: Digest,
+    /// For how much longer, in whole seconds, from the moment of telling.
+    pub left_s: u32,
+}
+
+/// What one box tells the others.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// Losses that it saw itself a short while ago.
+    pub lost: Vec<Lost>,
+    /// Requests that are held back.
+    pub held: Vec<Held>,
+}
+
+/// The losses under one request.
+#[derive(Clone, Debug)]
+struct Suspect {
+    starts: Vec<StartKey>,
+    /// When the last was noted.
+    at: Duration,
+}
+
+/// What is known of requests that may end upstreams.
+///
+/// # Example
+///
+/// ```
+/// use std::time::Duration;
+/// use ashgauge::quarantine::{start_key, Lost, Quarantine};
+///
+/// let now = Duration::from_secs(1);
+/// let mut quarantine = Quarantine::default();
+/// for engine in ["e1", "e2", "e3"] {
+///     assert!(quarantine.time_left(now, 7).is_none());
+///     quarantine.note(now, Lost { digest: 7, start: start_key(engine, None) });
+/// }
+/// assert!(quarantine.time_left(now, 7).is_some());
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Quarantine {
+    suspects: HashMap<Digest, Suspect>,
+    /// Until when each request is held back.
+    held: HashMap<Digest, Duration>,
+    /// Losses that this box saw itself.
+    own: Vec<(Duration, Lost)>,
+}
+
+/// The number of an upstream's start: its id, and when it was born if it says so.
+pub fn start_key(id: &str, born: Option<u64>) -> StartKey {
+    xxh3_64_with_seed(id.as_bytes(), born.unwrap_or_default()) as StartKey
+}
+
+/// Whether a run that brought its first event at `first`, and one at `last`, has shown
+/// that the request does not end its upstream.
+pub fn is_proven(first: Duration, last: Duration) -> bool {
+    last >= first + PROVEN_TIME
+}
+
+impl Quarantine {
+    /// Notes a loss that this box saw; returns whether the request is held back from
+    /// now on.
+    pub fn note(&mut self, now: Duration, lost: Lost) -> bool {
+        self.own.retain(|(at, _)| now < *at + TELL_TIME);
+        if self.own.len() >= OWN_MOST {
+            self.own.remove(0);
+        }
+        self.own.push((now, lost));
+        self.add(now, lost)
+    }
+
+    /// Takes what another box told; returns the requests that are held back from now
+    /// on.
+    pub fn hear(&mut self, now: Duration, report: &Report) -> Vec<Digest> {
+        let mut news = Vec::new();
+        for lost in &report.lost {
+            if self.add(now, *lost) {
+                news.push(lost.digest);
+            }
+        }
+        for held in &report.held {
+            let left = Duration::from_secs(held.left_s.into());
+            if self.hold(now, held.digest, left) {
+                news.push(held.digest);
+            }
+        }
+        news
+    }
+
+    /// Holds a request back for `left`; returns whether it was not.
+    ///
+    /// A time that boxes hand on never grows, as it is told in whole seconds that are
+    /// left, so each hold lapses.
+    pub fn hold(&mut self, now: Duration, digest: Digest, left: Duration) -> bool {
+        let until = now + left.min(HOLD_TIME);
+        if until <= now {
+            return false;
+        }
+        self.suspects.remove(&digest);
+        let is_new = self.time_left(now, digest).is_none();
+        if is_new && self.held.len() >= HELD_MOST {
+            drop_least(&mut self.held, |until| *until);
+        }
+        let known = self.held.entry(digest).or_insert(until);
+        *known = until.max(*known);
+        is_new
+    }
+
+    /// Forgets the losses under a request that an upstream has run well.
+    pub fn clear(&mut self, digest: Digest) {
+        self.suspects.remove(&digest);
+    }
+
+    /// For how much longer a request is held back, if it is.
+    pub fn time_left(&self, now: Duration, digest: Digest) -> Option<Duration> {
+        let until = self.held.get(&digest)?;
+        let left = until.saturating_sub(now);
+        (!left.is_zero()).then_some(left)
+    }
+
+    /// Requests that are held back, those with the most time left first.
+    pub fn held(&self, now: Duration) -> Vec<(Digest, Duration)> {
+        let left = |(digest, until): (&Digest, &Duration)| (*digest, until.saturating_sub(now));
+        let mut held: Vec<_> = self.held.iter().map(left).collect();
+        held.retain(|(_, left)| !left.is_zero());
+        held.sort_unstable_by_key(|(digest, left)| (std::cmp::Reverse(*left), *digest));
+        held
+    }
+
+    /// Requests under which upstreams were lost that are not held back.
+    pub fn suspects(&self) -> usize {
+        self.suspects.len()
+    }
+
+    /// What the other boxes are to know; of many held requests some, in turns by
+    /// `turn`.
+    pub fn report(&self, now: Duration, turn: u64) -> Report {
+        let recent = self.own.iter().rev();
+        let recent = recent.filter(|(at, _)| now < *at + TELL_TIME);
+        let held = self.held(now);
+        let skipped = (turn as usize).wrapping_mul(HELD_TOLD) % held.len().max(1);
+        let told = held.iter().cycle().skip(skipped);
+        let told = told.take(held.len().min(HELD_TOLD));
+        Report {
+            lost: recent.map(|(_, lost)| *lost).take(LOST_TOLD).collect(),
+            held: told.map(Held::of).collect(),
+        }
+    }
+
+    /// Adds a loss to those of its request; returns whether that holds it back.
+    fn add(&mut self, now: Duration, lost: Lost) -> bool {
+        if self.time_left(now, lost.digest).is_some() {
+            return false;
+        }
+        if !self.suspects.contains_key(&lost.digest) && self.suspects.len() >= SUSPECTS_MOST {
+            // What was lost under fewest and longest ago says least.
+            drop_least(&mut self.suspects, |s| (s.starts.len(), s.at));
+        }
+        let suspect = self.suspects.entry(lost.digest).or_insert(Suspect {
+            starts: Vec::new(),
+            at: now,
+        });
+        if now >= suspect.at + HOLD_TIME {
+            suspect.starts.clear();
+        }
+        if !suspect.starts.contains(&lost.start) {
+            suspect.starts.push(lost.start);
+            suspect.at = now;
+        }
+        let holds = suspect.starts.len() >= LOST_MOST;
+        holds && self.hold(now, lost.digest, HOLD_TIME)
+    }
+}
+
+impl Held {
+    fn of((digest, left): &(Digest, Duration)) -> Self {
+        Held {
+            digest: *digest,
+            left_s: left.as_secs().try_into().unwrap_or(u32::MAX),
+        }
+    }
+}
+
+impl Report {
+    /// Whether there is nothing to tell.
+    pub fn is_empty(&self) -> bool {
+        self.lost.is_empty() && self.held.is_empty()
+    }
+}
+
+/// Drops the entry with the least rank.
+fn drop_least<V, R: Ord>(entries: &mut HashMap<Digest, V>, rank: impl Fn(&V) -> R) {
+    let least = entries.iter().min_by_key(|(digest, v)| (rank(v), **digest));
+    if let Some(digest) = least.map(|(digest, _)| *digest) {
+        entries.remove(&digest);
+    }
+}
--- a/crates/ashgauge/src/question.rs
+++ b/crates/ashgauge/src/question.rs
@@ -14,6 +14,7 @@
 
 use crate::member::BoxId;
 use crate::mirror::{Revision, Update};
+use crate::quarantine::Report;
 use crate::share::Word;
 
 /// Number of a question, chosen at random.
@@ -30,6 +31,8 @@
     Answer(Answer),
     /// The box with this name knows something new.
     News(BoxId),
+    /// What the box with this name knows of requests that end upstreams.
+    Losses(BoxId, Report),
 }
 
 /// Asks what another box knows.
@@ -101,7 +104,7 @@
             Datagram::Load(word) => &word.from,
             Datagram::Question(question) => &question.from,
             Datagram::Answer(answer) => &answer.from,
-            Datagram::News(from) => from,
+            Datagram::News(from) | Datagram::Losses(from, _) => from,
         }
     }
 }
--- a/crates/ashgauge/src/roster.rs
+++ b/crates/ashgauge/src/roster.rs
@@ -54,8 +54,11 @@
 /// An upstream as it announces itself.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct Upstream {
-    /// Its id, new with every start.
+    /// Its id.
     pub id: UpstreamId,
+    /// When it started, in Unix milliseconds, if it says so; it may start again under
+    /// the id that it had.
+    pub born: Option<u64>,
     /// Service that it belongs to.
     pub service: ServiceId,
     /// Address.
--- a/crates/ashgauge/tests/engines/mod.rs
+++ b/crates/ashgauge/tests/engines/mod.rs
@@ -99,6 +99,7 @@
 pub fn upstream(id: &str, place: &str, card: &str, span: Option<Span>, n: usize) -> Upstream {
     Upstream {
         id: id.into(),
+        born: None,
         service: "model".into(),
         addr: format!("10.0.0.{n}:80"),
         place: place.into(),
--- /dev/null
+++ b/crates/ashgauge/tests/quarantine.rs
@@ -0,0 +1,188 @@
+//! Requests that end the upstreams that run them.
+
+use std::time::Duration;
+
+use ashgauge::digest::Digest;
+use ashgauge::quarantine::{HOLD_TIME, Held, Lost, Quarantine, Report, is_proven, start_key};
+use proptest::prelude::*;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn lost(digest: Digest, engine: u32) -> Lost {
+    Lost {
+        digest,
+        start: start_key(&format!("e{engine}"), None),
+    }
+}
+
+fn report(lost: &[Lost]) -> Report {
+    Report {
+        lost: lost.to_vec(),
+        held: Vec::new(),
+    }
+}
+
+/// Boxes see one loss each, so none alone sees three.
+#[test]
+fn losses_of_all_boxes_count() {
+    let mut boxes = [(); 3].map(|()| Quarantine::default());
+    for (n, own) in boxes.iter_mut().enumerate() {
+        assert!(!own.note(SECOND, lost(7, n as u32)));
+    }
+    let reports = boxes.each_ref().map(|b| b.report(SECOND, 0));
+    for own in &mut boxes {
+        let news: Vec<_> = reports.iter().flat_map(|r| own.hear(SECOND, r)).collect();
+        assert_eq!(news, [7]);
+        assert_eq!(own.time_left(SECOND, 7), Some(HOLD_TIME));
+        assert_eq!(own.time_left(SECOND, 8), None);
+    }
+}
+
+/// Streams break together with the engine that they are on, and each box tells it.
+#[test]
+fn one_lost_engine_counts_once() {
+    let mut own = Quarantine::default();
+    for _ in 0..5 {
+        assert!(!own.note(SECOND, lost(7, 1)));
+        assert!(
+            own.hear(SECOND, &report(&[lost(7, 1), lost(7, 2)]))
+                .is_empty()
+        );
+    }
+    assert_eq!(own.time_left(SECOND, 7), None);
+    assert!(own.note(SECOND, lost(7, 3)));
+}
+
+/// An engine that starts again under its id is lost once more.
+#[test]
+fn each_start_of_an_engine_counts() {
+    let mut own = Quarantine::default();
+    let held = [None, Some(1), Some(2)].map(|born| {
+        let start = start_key("e1", born);
+        own.note(SECOND, Lost { digest: 7, start })
+    });
+    assert_eq!(held, [false, false, true]);
+}
+
+#[test]
+fn request_that_ran_well_begins_anew() {
+    let mut own = Quarantine::default();
+    own.note(SECOND, lost(7, 1));
+    own.note(SECOND, lost(7, 2));
+    own.clear(7);
+    assert!(!own.note(SECOND, lost(7, 3)));
+    assert_eq!(own.suspects(), 1);
+}
+
+#[test]
+fn run_is_proven_by_the_time_that_it_brought_events() {
+    let first = SECOND;
+    assert!(!is_proven(first, first + SECOND / 10));
+    assert!(is_proven(first, first + SECOND / 2));
+}
+
+/// Boxes that told each other on for ever what another one had told them would never
+/// try the request again.
+#[test]
+fn hold_lapses_however_often_it_is_told() {
+    let mut boxes = [Quarantine::default(), Quarantine::default()];
+    boxes[0].hold(Duration::ZERO, 7, HOLD_TIME);
+    let mut now = Duration::ZERO;
+    while now < HOLD_TIME {
+        now += SECOND * 7 + SECOND / 3;
+        let (left, right) = boxes.split_at_mut(1);
+        left[0].hear(now, &right[0].report(now, 0));
+        right[0].hear(now, &left[0].report(now, 0));
+    }
+    assert_eq!(boxes.map(|b| b.time_left(HOLD_TIME, 7)), [None, None]);
+}
+
+#[test]
+fn request_is_held_again_after_its_time() {
+    let mut own = Quarantine::default();
+    assert!(own.hold(SECOND, 7, HOLD_TIME));
+    let later = SECOND * 2 + HOLD_TIME;
+    assert_eq!(own.time_left(later, 7), None);
+    let again = [4, 5, 6].map(|n| own.note(later, lost(7, n)));
+    assert_eq!(again, [false, false, true]);
+    assert_eq!(own.time_left(later, 7), Some(HOLD_TIME));
+}
+
+/// A box tells only so many at a time; those that started late must hear of all.
+#[test]
+fn all_held_requests_are_told_in_turns() {
+    let (mut own, mut other) = (Quarantine::default(), Quarantine::default());
+    for digest in 0..100 {
+        own.hold(SECOND, digest, HOLD_TIME);
+    }
+    for turn in 0..8 {
+        other.hear(SECOND, &own.report(SECOND, turn));
+    }
+    assert_eq!(other.held(SECOND).len(), 100);
+}
+
+/// A caller can make any number of bodies; what is known of most must not grow with it,
+/// nor be pushed out by those that came once.
+#[test]
+fn memory_is_bounded_and_keeps_those_lost_most() {
+    let mut own = Quarantine::default();
+    own.note(SECOND, lost(7, 1));
+    own.note(SECOND, lost(7, 2));
+    for digest in 100..6_100 {
+        own.note(SECOND * 2, lost(digest, 1));
+    }
+    assert!(own.suspects() <= 4096, "{}", own.suspects());
+    assert!(own.note(SECOND * 3, lost(7, 3)));
+    for digest in 0..6_000 {
+        own.hold(SECOND, digest, HOLD_TIME);
+    }
+    assert!(own.held(SECOND).len() <= 4096);
+}
+
+/// What nobody should tell must not hold anything for ever.
+#[test]
+fn hold_that_is_told_is_bounded() {
+    let mut own = Quarantine::default();
+    let held = vec![Held {
+        digest: 7,
+        left_s: u32::MAX,
+    }];
+    own.hear(SECOND, &Report { lost: vec![], held });
+    assert_eq!(own.time_left(SECOND, 7), Some(HOLD_TIME));
+}
+
+proptest! {
+    /// Reports come late, twice and in any order; all boxes come to the same.
+    #[test]
+    fn order_of_reports_does_not_matter(
+        losses in prop::collection::vec((0u64..4, 0u32..5), 1..20),
+        order in Just((0..40usize).collect::<Vec<_>>()).prop_shuffle(),
+    ) {
+        let losses: Vec<Lost> = losses.into_iter().map(|(d, e)| lost(d, e)).collect();
+        let (mut first, mut second) = (Quarantine::default(), Quarantine::default());
+        for one in &losses {
+            first.note(SECOND, *one);
+        }
+        for n in order {
+            let one = losses[n % losses.len()];
+            second.hear(SECOND, &report(&[one]));
+        }
+        for one in &losses {
+            second.hear(SECOND, &report(&[*one]));
+        }
+        prop_assert_eq!(first.held(SECOND), second.held(SECOND));
+        prop_assert_eq!(first.suspects(), second.suspects());
+    }
+
+    /// No request is held back under which fewer than three starts were lost.
+    #[test]
+    fn fewer_losses_hold_nothing_back(
+        losses in prop::collection::vec((0u64..50, 0u32..2), 0..200),
+    ) {
+        let mut own = Quarantine::default();
+        for (digest, engine) in losses {
+            prop_assert!(!own.note(SECOND, lost(digest, engine)));
+        }
+        prop_assert!(own.held(SECOND).is_empty());
+    }
+}
--- a/crates/ashgauged/src/relay/desk.rs
+++ b/crates/ashgauged/src/relay/desk.rs
@@ -19,6 +19,7 @@
 use ashgauge::member::{BoxId, UpstreamId};
 use ashgauge::mirror::Mirror;
 use ashgauge::pipes::Pipes;
+use ashgauge::quarantine::Quarantine;
 use ashgauge::retry::{Allowance, Window};
 use ashgauge::roster::{Roster, Span};
 use ashgauge::routing::{Model, Routing, ServiceId};
@@ -32,7 +33,7 @@
 use rand::rngs::SmallRng;
 use serde_json::json;
 use spdlog::Level;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::time::timeout;
 
 use super::log;
@@ -128,6 +129,10 @@
     stays: RefCell<HashMap<ServiceId, Stay>>,
     /// What the other boxes have on the upstreams.
     pub shares: RefCell<Shares>,
+    /// Requests that end upstreams.
+    pub quarantine: RefCell<Quarantine>,
+    /// Tells that the other boxes are to know of another loss.
+    pub lost: Notify,
     /// Address on which this box hears the others, if it does.
     pub heard_at: Cell<Option<SocketAddr>>,
     /// The other boxes, by name.
@@ -168,6 +173,8 @@
             lines: RefCell::default(),
             stays: RefCell::default(),
             shares: RefCell::default(),
+            quarantine: RefCell::default(),
+            lost: Notify::new(),
             heard_at: Cell::new(None),
             peers: RefCell::default(),
             pipes: RefCell::default(),
--- a/crates/ashgauged/src/relay/follow/ask.rs
+++ b/crates/ashgauged/src/relay/follow/ask.rs
@@ -15,8 +15,8 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-use super::super::log;
 use super::super::peers::{FETCH_MOST, Heard, Peers};
+use super::super::{log, quarantine};
 use super::Follower;
 
 /// Time between two looks before the other boxes are known.
@@ -137,6 +137,9 @@
             desk.store_away.set(false);
         }
         desk.reads.send_replace(reads);
+        if reads {
+            tokio::task::spawn_local(quarantine::read(desk.clone()));
+        }
         log::line(
             Level::Info,
             "store",
--- a/crates/ashgauged/src/relay/follow/mod.rs
+++ b/crates/ashgauged/src/relay/follow/mod.rs
@@ -23,7 +23,7 @@
 
 use super::desk::Desk;
 use super::peers::{Heard, Peers};
-use super::{census, log};
+use super::{census, log, quarantine};
 
 /// How long after the store's return entries may be missing though their
 /// upstreams live; the users' figure.
@@ -85,7 +85,10 @@
         tokio::task::spawn_local(census::count(follower.desk.clone()));
         match heard.filter(|_| follower.desk.settings().shares_reading()) {
             Some(heard) => drop(tokio::task::spawn_local(follower.ask(heard))),
-            None => drop(follower.desk.reads.send_replace(true)),
+            None => {
+                follower.desk.reads.send_replace(true);
+                tokio::task::spawn_local(quarantine::read(follower.desk.clone()));
+            }
         }
     }
 
--- a/crates/ashgauged/src/relay/follow/prove.rs
+++ b/crates/ashgauged/src/relay/follow/prove.rs
@@ -10,7 +10,7 @@
 use spdlog::Level;
 use tokio::time::{sleep, timeout};
 
-use super::super::{census, log, place};
+use super::super::{census, log, place, quarantine};
 use super::Follower;
 
 /// First pause after a call that failed; doubled up to [`PAUSE_MOST`].
@@ -141,6 +141,10 @@
             return true;
         }
         self.add_known(census::written(&self.desk).await);
+        if self.desk.mirror.borrow().covers(at) {
+            return true;
+        }
+        self.add_known(quarantine::written(&self.desk).await);
         self.desk.mirror.borrow().covers(at)
     }
 
--- a/crates/ashgauged/src/relay/forward.rs
+++ b/crates/ashgauged/src/relay/forward.rs
@@ -27,8 +27,8 @@
 use super::loss::{self, Loss};
 use super::record::Record;
 use super::request::{
-    Admitted, BACK_FULL, BACK_UNSURE, Hold, Whole, finish, is_allowed, lost, note_outcome, own,
-    refused, unsure_time, whole,
+    Admitted, BACK_FULL, BACK_UNSURE, Hold, Whole, finish, held_back, is_allowed, is_held, lost,
+    note_outcome, own, refused, unsure_time, whole,
 };
 use super::serve::Body;
 use super::stream;
@@ -73,7 +73,6 @@
     let digest = digest_of(&head, &ask, team.as_deref(), &body);
     record.digest = Some(digest);
     let mut handoff = Handoff::new(until, route.attempts, route.may_repeat());
-    desk.budget(&service.name, |b| b.earn(desk.now()));
     let admitted = Admitted {
         head,
         ask,
@@ -84,6 +83,11 @@
         team,
         record,
     };
+    if is_held(&desk, &admitted) {
+        return held_back(&desk, admitted, false);
+    }
+    let service = &admitted.service.name;
+    desk.budget(service, |b| b.earn(desk.now()));
     match admitted.route.stream {
         Some(rule) => stream::answer(desk, admitted, handoff, rule).await,
         None => send_plain(&desk, admitted, &mut handoff).await,
@@ -170,6 +174,9 @@
         if !is_allowed(desk, &a) {
             return finish(desk, a, End::NotRun);
         }
+        if is_held(desk, &a) {
+            return held_back(desk, a, handoff.may_have_run());
+        }
         let Some((id, addr)) = desk.choose(&a.service.name, handoff.tried()) else {
             let end = handoff.end(desk.now());
             return finish(desk, a, end);
@@ -179,6 +186,7 @@
         let began = desk.now();
         let (outcome, answer) = match try_plain(desk, &a, handoff, &id, &addr).await {
             Ok(answer) if !answer.status().is_server_error() => {
+                desk.quarantine.borrow_mut().clear(a.digest);
                 a.record.end("answered");
                 return whole(answer);
             }
--- a/crates/ashgauged/src/relay/mod.rs
+++ b/crates/ashgauged/src/relay/mod.rs
@@ -21,6 +21,7 @@
 mod place;
 mod probe;
 mod pump;
+mod quarantine;
 mod record;
 mod request;
 mod serve;
@@ -101,6 +102,7 @@
     let peers = Peers::start(&desk).await?;
     if let Some((peers, _)) = &peers {
         tokio::task::spawn_local(tell::tell(desk.clone(), peers.clone()));
+        tokio::task::spawn_local(quarantine::tell(desk.clone(), peers.clone()));
     }
     Follower::start(desk.clone(), peers);
     Placer::start(desk.clone());
--- a/crates/ashgauged/src/relay/open.rs
+++ b/crates/ashgauged/src/relay/open.rs
@@ -20,7 +20,7 @@
 use super::desk::{Desk, Wish};
 use super::dial::{self, Exchange};
 use super::probe::{ask_engines, find_dead};
-use super::request::{Admitted, Hold, is_allowed, lost, refused};
+use super::request::{Admitted, Hold, is_allowed, is_held, lost, refused};
 
 /// Silence after which a stream whose engines all answer goes on elsewhere;
 /// its caller leaves after two seconds.
@@ -41,6 +41,10 @@
     pub began: Duration,
     /// Whole events that it has brought.
     pub events: u64,
+    /// When the first of them came.
+    pub first_event: Option<Duration>,
+    /// Whether it has shown that the request does not end its upstream.
+    pub proven: bool,
     /// Counts the stream on its engines.
     pub hold: Hold,
 }
@@ -53,6 +57,8 @@
     Crowded,
     /// The key no longer counts.
     Denied,
+    /// The request ends the upstreams that run it.
+    Held,
 }
 
 /// A send that brought nothing.
@@ -86,6 +92,9 @@
     if !is_allowed(desk, a) {
         return Err(NoWay::Denied);
     }
+    if is_held(desk, a) {
+        return Err(NoWay::Held);
+    }
     let need = need(desk, a).filter(|_| !goes_on);
     if let Some(chosen) = choose(desk, a, handoff, avoid, need) {
         return Ok(chosen);
@@ -167,6 +176,8 @@
         exchange,
         began: desk.now(),
         events: 0,
+        first_event: None,
+        proven: false,
         hold,
     })
 }
--- a/crates/ashgauged/src/relay/peers.rs
+++ b/crates/ashgauged/src/relay/peers.rs
@@ -29,7 +29,7 @@
 use tokio::time::sleep;
 
 use super::desk::Desk;
-use super::{census, log, pack};
+use super::{census, log, pack, quarantine};
 
 /// Largest datagram that is read; a word on 860 engines takes 12 kB.
 const DATAGRAM_MOST: usize = 60_000;
@@ -253,6 +253,10 @@
             }
             Datagram::Answer(answer) => self.pass_on(Heard::Answer(answer, None)),
             Datagram::News(from) => self.pass_on(Heard::News(from)),
+            Datagram::Losses(_, report) => {
+                quarantine::hear(&self.desk, &report);
+                Taken::Heard
+            }
         }
     }
 
--- a/crates/ashgauged/src/relay/pump/mend.rs
+++ b/crates/ashgauged/src/relay/pump/mend.rs
@@ -251,6 +251,7 @@
             upstream: self.run.stages[0].upstream.clone(),
             began: self.run.began,
             events: self.run.events,
+            proven: self.run.proven,
         }
     }
 
--- a/crates/ashgauged/src/relay/pump/mod.rs
+++ b/crates/ashgauged/src/relay/pump/mod.rs
@@ -8,6 +8,7 @@
 use ashgauge::events;
 use ashgauge::handoff::Handoff;
 use ashgauge::member::UpstreamId;
+use ashgauge::quarantine::is_proven;
 use ashgauge::routing::StreamRule;
 use ashgauge::silence::Silence;
 use bytes::{Bytes, BytesMut};
@@ -124,6 +125,7 @@
                 Go::Done => {
                     let took = self.a.record.took();
                     self.desk.note_stay(&self.a.service.name, took);
+                    self.desk.quarantine.borrow_mut().clear(self.a.digest);
                     self.a.record.end("answered");
                     return;
                 }
@@ -197,6 +199,7 @@
         self.note_pause(now);
         self.passed |= whole.count > 0;
         self.run.events += whole.count as u64;
+        self.prove(now);
         let left = self.handoff.left(now);
         match timeout(left, self.sender.send(Ok(piece))).await {
             Ok(Ok(())) => Go::On,
@@ -228,6 +231,16 @@
         self.event_at = now;
     }
 
+    /// Notes once that the request does not end its upstream.
+    fn prove(&mut self, now: Duration) {
+        let run = &mut self.run;
+        let first = run.first_event.get_or_insert(now);
+        if !run.proven && is_proven(*first, now) {
+            run.proven = true;
+            self.desk.quarantine.borrow_mut().clear(self.a.digest);
+        }
+    }
+
     /// Whether an event with this id comes next.
     fn follows(&self, first: Option<u64>) -> bool {
         match (self.last, first) {
--- /dev/null
+++ b/crates/ashgauged/src/relay/quarantine.rs
@@ -0,0 +1,200 @@
+//! Holds requests back that end the upstreams that run them: tells the other boxes,
+//! and keeps the requests in the platform's store, as boxes keep nothing.
+
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use ashgauge::digest::{self, Digest};
+use ashgauge::quarantine::{Lost, Report};
+use ashgauge::question::Datagram;
+use platform::Fault;
+use platform::store::{Object, Revision};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use spdlog::Level;
+use tokio::time::sleep;
+
+use super::desk::Desk;
+use super::log;
+use super::peers::{self, Peers};
+
+/// Kind of the objects that keep held requests, by digest.
+const KIND: &str = "ashgauge-quarantine";
+
+/// How long losses are gathered before they are told: those of one upstream are
+/// found within milliseconds of each other.
+const GATHER_TIME: Duration = Duration::from_millis(10);
+
+/// First pause after a call to the store that failed; doubled up to
+/// [`PAUSE_MOST`].
+const PAUSE_FIRST: Duration = Duration::from_millis(500);
+
+/// Longest pause after a call that failed, as calls are priced.
+const PAUSE_MOST: Duration = Duration::from_secs(15);
+
+/// A held request as it is stored.
+#[derive(Debug, Serialize, Deserialize)]
+struct Stored {
+    /// Until when it is held back, in Unix seconds.
+    until_s: u64,
+}
+
+/// Notes that an upstream was lost under a request.
+pub fn note(desk: &Rc<Desk>, lost: Lost) {
+    let holds = desk.quarantine.borrow_mut().note(desk.now(), lost);
+    if holds {
+        log_held(desk, lost.digest, "lost here");
+        tokio::task::spawn_local(keep(desk.clone(), lost.digest));
+    }
+    desk.lost.notify_one();
+}
+
+/// Takes what another box told.
+pub fn hear(desk: &Desk, report: &Report) {
+    let news = desk.quarantine.borrow_mut().hear(desk.now(), report);
+    for digest in news {
+        log_held(desk, digest, "told");
+    }
+}
+
+/// Tells the other boxes of losses as they are found, as long as the process runs;
+/// words that are told now and then make good what is lost of it.
+pub async fn tell(desk: Rc<Desk>, peers: Rc<Peers>) {
+    loop {
+        desk.lost.notified().await;
+        sleep(GATHER_TIME).await;
+        let Some(bytes) = report(&desk, 0) else {
+            continue;
+        };
+        let others: Vec<_> = desk.peers.borrow().values().map(|p| p.addr).collect();
+        for addr in others {
+            peers.send(addr, &bytes).await;
+        }
+    }
+}
+
+/// The datagram that tells what this box knows, if it knows anything.
+pub fn report(desk: &Desk, turn: u64) -> Option<Vec<u8>> {
+    let report = desk.quarantine.borrow().report(desk.now(), turn);
+    if report.is_empty() {
+        return None;
+    }
+    let from = desk.settings().id.as_str().into();
+    peers::encode(&Datagram::Losses(from, report))
+}
+
+/// Reads the held requests from the store, until that succeeds.
+pub async fn read(desk: Rc<Desk>) {
+    let mut pause = PAUSE_FIRST;
+    loop {
+        let listed = desk.store.list::<Stored>(KIND, skipped).await;
+        desk.count_call("list", &listed);
+        match listed {
+            Ok(listing) => return take(&desk, listing.objects),
+            Err(fault) => note_fault("read", &fault),
+        }
+        sleep(pause).await;
+        pause = (pause * 2).min(PAUSE_MOST);
+    }
+}
+
+/// Revisions at which requests were put into the store, as they were known some
+/// seconds ago; what it holds is taken in.
+///
+/// # Errors
+///
+/// As every call of the store.
+pub async fn written(desk: &Desk) -> Result<Vec<Revision>, Fault> {
+    let stored = desk.store.list_stale::<Stored>(KIND).await;
+    desk.count_call("stale", &stored);
+    let stored = stored?;
+    let revisions = stored.iter().map(|object| object.revision).collect();
+    take(desk, stored);
+    Ok(revisions)
+}
+
+fn take(desk: &Desk, stored: Vec<Object<Stored>>) {
+    let now_s = unix_time().as_secs();
+    for object in stored {
+        let Ok(digest) = u64::from_str_radix(&object.name, 16) else {
+            log::line(
+                Level::Warn,
+                "quarantine",
+                "not a digest",
+                json!({"object": object.name}),
+            );
+            continue;
+        };
+        let left = Duration::from_secs(object.value.until_s.saturating_sub(now_s));
+        let is_new = desk.quarantine.borrow_mut().hold(desk.now(), digest, left);
+        if is_new {
+            log_held(desk, digest, "stored");
+        }
+    }
+}
+
+/// Puts a held request into the store, for boxes that start later; tries until that
+/// is done or it is held back no longer.
+async fn keep(desk: Rc<Desk>, digest: Digest) {
+    let mut pause = PAUSE_FIRST;
+    loop {
+        let Some(left) = desk.quarantine.borrow().time_left(desk.now(), digest) else {
+            return;
+        };
+        match keep_once(&desk, digest, left).await {
+            Ok(()) => return,
+            Err(fault) => note_fault("keep", &fault),
+        }
+        sleep(pause).await;
+        pause = (pause * 2).min(PAUSE_MOST);
+    }
+}
+
+async fn keep_once(desk: &Desk, digest: Digest, left: Duration) -> Result<(), Fault> {
+    let name = digest::text(digest);
+    let stored = Stored {
+        until_s: (unix_time() + left).as_secs(),
+    };
+    let created = desk.store.create(KIND, &name, &stored).await;
+    desk.count_call("write", &created);
+    match created {
+        Err(Fault::Conflict) => {}
+        other => return other,
+    }
+    // Another box kept it, or it was held back before.
+    let known = desk.store.get::<Stored>(KIND, &name).await;
+    desk.count_call("get", &known);
+    let known = known?;
+    if known.value.until_s >= unix_time().as_secs() {
+        return Ok(());
+    }
+    let replaced = desk.store.replace(KIND, &name, known.revision, &stored);
+    let replaced = replaced.await;
+    desk.count_call("write", &replaced);
+    replaced
+}
+
+/// Time of day; holds last for an hour, so a clock that is off by seconds does not
+/// matter.
+fn unix_time() -> Duration {
+    // A clock before 1970 is wrong in any case.
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.unwrap_or_default()
+}
+
+fn log_held(desk: &Desk, digest: Digest, why: &str) {
+    let held = desk.quarantine.borrow().held(desk.now()).len();
+    desk.metrics.held.set(held as i64);
+    let fields = json!({"digest": digest::text(digest), "why": why, "held": held});
+    log::line(Level::Warn, "quarantine", "held back", fields);
+}
+
+fn note_fault(call: &str, fault: &Fault) {
+    let fields = json!({"call": call, "fault": fault.to_string()});
+    log::line(Level::Info, "quarantine", "store", fields);
+}
+
+fn skipped(name: &str, fault: &Fault) {
+    let fields = json!({"object": name, "fault": fault.to_string()});
+    log::line(Level::Warn, "store", "object cannot be read", fields);
+}
--- a/crates/ashgauged/src/relay/request.rs
+++ b/crates/ashgauged/src/relay/request.rs
@@ -123,6 +123,12 @@
     desk.fresh.borrow().holds(desk.now()) && matches!(access, Access::Team(_))
 }
 
+/// Whether the request is held back, as it ends the upstreams that run it.
+pub fn is_held(desk: &Desk, a: &Admitted) -> bool {
+    let quarantine = desk.quarantine.borrow();
+    quarantine.time_left(desk.now(), a.digest).is_some()
+}
+
 /// Learns from a refusal of an upstream, or of an engine that it names;
 /// returns whose it was.
 ///
@@ -190,6 +196,18 @@
     own(StatusCode::SERVICE_UNAVAILABLE, Some(&a.ask), Some(after))
 }
 
+/// Ends a request that is held back. Its caller is told that it has not run, and
+/// when it is tried again, unless it may have run.
+pub fn held_back(desk: &Desk, mut a: Admitted, may_have_run: bool) -> Response<Body> {
+    a.record.end("held back");
+    if may_have_run {
+        return own(StatusCode::BAD_GATEWAY, Some(&a.ask), None);
+    }
+    let left = desk.quarantine.borrow().time_left(desk.now(), a.digest);
+    let after = left.unwrap_or(BACK_FULL);
+    own(StatusCode::SERVICE_UNAVAILABLE, Some(&a.ask), Some(after))
+}
+
 /// The box's own answer.
 pub fn own(status: StatusCode, ask: Option<&Ask>, after: Option<Duration>) -> Response<Body> {
     let answer = ingress::answer(status, ask.map(|a| a.id.as_str()), after);
--- a/crates/ashgauged/src/relay/status.rs
+++ b/crates/ashgauged/src/relay/status.rs
@@ -1,5 +1,8 @@
 //! A box's view of the fleet, for operators.
 
+use std::time::Duration;
+
+use ashgauge::digest;
 use serde::Serialize;
 
 use super::desk::Desk;
@@ -25,6 +28,10 @@
     inflight: usize,
     /// Retries spent in the window, by service.
     retries: Vec<(String, f64)>,
+    /// Digests of requests that are held back, with the seconds that are left.
+    held: Vec<(String, u64)>,
+    /// Requests under which upstreams were lost that are not held back.
+    suspects: usize,
     upstreams: Vec<UpstreamStatus>,
 }
 
@@ -51,6 +58,12 @@
     failures: f64,
 }
 
+fn held(desk: &Desk) -> Vec<(String, u64)> {
+    let held = desk.quarantine.borrow().held(desk.now());
+    let text = |(digest, left): (u64, Duration)| (digest::text(digest), left.as_secs());
+    held.into_iter().map(text).collect()
+}
+
 /// Writes the status as JSON.
 pub fn write(desk: &Desk) -> String {
     let now = desk.now();
@@ -87,6 +100,8 @@
         boxes_heard: shares.boxes(),
         inflight: desk.inflight.get(),
         retries: desk.retries(),
+        held: held(desk),
+        suspects: desk.quarantine.borrow().suspects(),
         upstreams,
     };
     match serde_json::to_string(&status) {
--- a/crates/ashgauged/src/relay/stream.rs
+++ b/crates/ashgauged/src/relay/stream.rs
@@ -14,7 +14,7 @@
 use super::loss::{self, Loss};
 use super::open::{NoWay, begin, head_of, pick};
 use super::pump;
-use super::request::{Admitted, finish, no_room, note_outcome, whole};
+use super::request::{Admitted, finish, held_back, no_room, note_outcome, whole};
 use super::serve::Body;
 use super::turn::Turn;
 
@@ -39,6 +39,7 @@
                 turn.join(&a);
                 continue;
             }
+            Err(NoWay::Held) => return held_back(&desk, a, may_have_run),
             Err(NoWay::NoChain | NoWay::Denied) => {
                 a.record.step("no chain", json!({"avoided": avoid.len()}));
                 let end = handoff.end(desk.now());
--- a/crates/ashgauged/src/relay/tell.rs
+++ b/crates/ashgauged/src/relay/tell.rs
@@ -12,6 +12,7 @@
 
 use super::desk::{Desk, Peer};
 use super::peers::{self, Peers};
+use super::quarantine;
 
 /// Longest time without a word, so that the others know that this box is there.
 const SILENT_MOST: Duration = Duration::from_millis(500);
@@ -52,8 +53,12 @@
             let Some(bytes) = peers::encode(&Datagram::Load(word.clone())) else {
                 continue;
             };
+            let report = quarantine::report(&desk, number);
             for other in others.iter().filter(|p| p.near == near) {
                 peers.send(other.addr, &bytes).await;
+                if let Some(report) = &report {
+                    peers.send(other.addr, report).await;
+                }
             }
         }
         if to_near {
