Add a failing test: a box that drives each stage loses engine after engine to one request

The same cause elsewhere: a node replaces a lost stage up to 16 times for one request and begins anew with each repeat of it. Also here: losses of upstreams that were to leave, or whose entry is gone already, are not laid to the request that ran there.

--- a/crates/ashgauge/tests/node.rs
+++ b/crates/ashgauge/tests/node.rs
@@ -131,6 +131,11 @@
 
 impl World {
     fn new() -> Self {
+        World::with(&RANGES)
+    }
+
+    /// A node before engines that hold these ranges.
+    fn with(ranges: &[(u32, u32)]) -> Self {
         let mut world = World {
             node: Node::new(Config::new("box-0", 1)),
             now: Duration::from_secs(1),
@@ -141,7 +146,7 @@
         };
         let content = Content::Table(Arc::new(table(LAYERS)));
         world.feed(Event::Read(Object::Table, Some((1, Some(content)))));
-        world.feed(Event::Listed(listing()));
+        world.feed(Event::Listed(listing(ranges)));
         world
     }
 
@@ -165,7 +170,10 @@
     }
 
     fn arrive(&mut self, id: u64, repeatable: bool) {
-        let prompt = vec![id, id + 1];
+        self.arrive_with(id, repeatable, vec![id, id + 1]);
+    }
+
+    fn arrive_with(&mut self, id: u64, repeatable: bool, prompt: Vec<Value>) {
         let caller = Caller {
             repeatable,
             prompt: prompt.clone(),
@@ -262,8 +270,8 @@
     }
 }
 
-fn listing() -> Listing {
-    let engine = |(n, (first, end)): (usize, (u32, u32))| UpstreamEntry {
+fn listing(ranges: &[(u32, u32)]) -> Listing {
+    let engine = |(n, &(first, end)): (usize, &(u32, u32))| UpstreamEntry {
         id: format!("engine-{n}").into(),
         addr: format!("engine-{n}:1"),
         data_centre: String::new(),
@@ -279,7 +287,7 @@
     Listing {
         version: 1,
         boxes: Vec::new(),
-        upstreams: RANGES.into_iter().enumerate().map(engine).collect(),
+        upstreams: ranges.iter().enumerate().map(engine).collect(),
     }
 }
 
@@ -311,6 +319,43 @@
     }
 }
 
+/// Each engine that runs the request is lost: its connection breaks, and it takes no
+/// other one. A request was replaced up to 16 times so, and again with each repeat.
+#[test]
+fn request_that_ends_engines_is_held_back() {
+    let mut world = World::with(&[(0, LAYERS); 12]);
+    let mut ended = std::collections::BTreeSet::new();
+    for id in 1..=4 {
+        world.arrive_with(id, true, vec![7, 8]);
+        while let Some(run) = world.runs.pop() {
+            ended.insert(run.upstream.clone());
+            world.deliver(run, 3);
+            if let Some(again) = world.runs.pop() {
+                world.deliver(again, 0);
+            }
+            world.now += Duration::from_millis(20);
+        }
+    }
+    assert_eq!(ended.len(), 3, "{ended:?}");
+    for (id, caller) in &world.callers {
+        let Some(Reply::Refused(refusal)) = &caller.last else {
+            panic!("{id}: {:?}", caller.last);
+        };
+        let outcome = if *id == 1 {
+            Outcome::Unknown
+        } else {
+            Outcome::NotRun
+        };
+        assert_eq!(refusal.outcome, outcome, "{id}");
+    }
+    // Another one is served.
+    world.arrive(5, true);
+    while let Some(run) = world.runs.pop() {
+        world.deliver(run, 9);
+    }
+    assert!(matches!(world.callers[&5].last, Some(Reply::End { .. })));
+}
+
 proptest! {
     #![proptest_config(common::seeded(400))]
 
--- a/crates/ashgauged/src/relay/loss.rs
+++ b/crates/ashgauged/src/relay/loss.rs
@@ -5,7 +5,7 @@
 
 use ashgauge::digest;
 use ashgauge::member::UpstreamId;
-use ashgauge::quarantine::{Lost, start_key};
+use ashgauge::quarantine::{Lost, StartKey, start_key};
 use serde_json::json;
 
 use super::desk::Desk;
@@ -36,31 +36,35 @@
     }
 }
 
-/// Looks whether the upstream of a run that broke off is lost, and notes it.
-///
-/// A loss is laid to the request, too, unless it had run well before.
-pub async fn look(desk: &Rc<Desk>, a: &Admitted, loss: Loss) {
+/// Looks whether the upstream of a run that broke off is lost, and notes it; returns
+/// whether it is.
+pub async fn look(desk: &Rc<Desk>, a: &Admitted, loss: Loss) -> bool {
     // Its entry may be gone after the look.
-    let born = desk
-        .roster
-        .borrow()
-        .get(&loss.upstream)
-        .and_then(|e| e.upstream.born);
+    let start = blamed(desk, &loss);
     if !probe::is_lost(desk, &loss.upstream).await {
-        return;
+        return false;
     }
     // Leaving lost engines out does not stop a request that ends them: it went on to
     // the next one with each repeat, to 30 of 39 engines.
-    if !loss.proven {
-        let start = start_key(&loss.upstream, born);
-        quarantine::note(
-            desk,
-            Lost {
-                digest: a.digest,
-                start,
-            },
-        );
+    if let Some(start) = start {
+        let digest = a.digest;
+        quarantine::note(desk, Lost { digest, start });
     }
+    log_loss(desk, a, &loss, start.is_some());
+    true
+}
+
+/// The start of an upstream whose loss is laid to the request: unless the request had
+/// run well before, or the upstream was to end anyway.
+fn blamed(desk: &Desk, loss: &Loss) -> Option<StartKey> {
+    let roster = desk.roster.borrow();
+    let entry = roster.get(&loss.upstream)?;
+    let upstream = &entry.upstream;
+    let counts = !loss.proven && !upstream.leaving;
+    counts.then(|| start_key(&upstream.id, upstream.born))
+}
+
+fn log_loss(desk: &Desk, a: &Admitted, loss: &Loss, counts: bool) {
     let run = desk.now().saturating_sub(loss.began);
     let events = if loss.events == 0 { "none" } else { "some" };
     desk.metrics.losses.with_label_values(&[events]).inc();
@@ -69,7 +73,7 @@
         "digest": digest::text(a.digest),
         "run_ms": run.as_millis() as u64,
         "events": loss.events,
-        "proven": loss.proven,
+        "counts": counts,
     });
     a.record.step("upstream lost", fields);
 }
