Hold back requests that end engines on boxes that drive each stage, too

An engine whose connection breaks and that takes no other one is lost; the node replaced its stage up to 16 times for a request and began anew with each repeat.

Change: the node lays such a loss to the request (ashgauge::quarantine) unless it had run well for half a second, ends it after three with the new kind 'held' (unknown, as it ran), and refuses repeats at once as not run. Boxes tell each other in heartbeats. Losses of plain calls are not counted there: a reset does not say that the service was lost.

--- a/crates/ashgauge/src/message.rs
+++ b/crates/ashgauge/src/message.rs
@@ -6,6 +6,7 @@
 use crate::clock::Stamp;
 use crate::member::{BoxId, Listing, UpstreamId};
 use crate::policy::TeamId;
+use crate::quarantine::Report;
 use crate::table::{Edit, Table, Version};
 
 /// A message with its sender and the sender's clock.
@@ -33,6 +34,9 @@
         leaving: Vec<UpstreamId>,
         /// Whether the receiver should answer with a heartbeat of its own.
         answer: bool,
+        /// Losses under requests, and requests that are held back for them.
+        #[serde(default, skip_serializing_if = "Report::is_empty")]
+        losses: Report,
     },
     /// Asks for loans of team rates.
     AskLoans {
--- a/crates/ashgauge/src/node/admit.rs
+++ b/crates/ashgauge/src/node/admit.rs
@@ -200,6 +200,9 @@
                 None,
             ));
         }
+        if let Some(left) = self.held_back(&team, &order.work) {
+            return Err(no(Kind::Held, "engines were lost under it", Some(left)));
+        }
         let route = &self.policy.routes[&name];
         let timeout = order.timeout.unwrap_or(route.deadline).min(route.deadline);
         let request = Request {
@@ -356,6 +359,9 @@
         (Kind::BadKey, _) => {
             "use a key of 1 to 128 bytes; a UUID of version 7 must not be made ahead"
         }
+        (Kind::Held, _) => {
+            "look into what in it ends engines; it is tried again after the given time"
+        }
         (Kind::KeyTaken, Outcome::Done) => "do not send it again; it has run",
         (Kind::KeyTaken, _) => "check whether it took effect before using a new key",
         (_, Outcome::NotRun) => "send it again after the given time",
--- a/crates/ashgauge/src/node/fleet.rs
+++ b/crates/ashgauge/src/node/fleet.rs
@@ -74,7 +74,9 @@
                 version,
                 leaving,
                 answer,
+                losses,
             } => {
+                self.hear_losses(&losses);
                 self.fleet.awaited.retain(|b| *b != from);
                 for id in leaving {
                     self.note_leaving(&id, &from);
@@ -234,6 +236,7 @@
             version: self.policy.version,
             leaving: self.members.rumours(self.now),
             answer,
+            losses: self.losses(),
         }
     }
 
--- a/crates/ashgauge/src/node/flow.rs
+++ b/crates/ashgauge/src/node/flow.rs
@@ -14,6 +14,8 @@
     pub(super) current: usize,
     pub(super) sessions: Session,
     pub(super) replaced: u32,
+    /// When its stages were last chosen.
+    pub(super) placed: Duration,
     /// Whether the request may have run before the current order went out.
     pub(super) before: bool,
     pub(super) stalled: bool,
@@ -165,6 +167,7 @@
             // Sessions of an earlier try must not be met again.
             sessions: request.attempt << 16,
             replaced: 0,
+            placed: self.now,
             before: false,
             stalled: false,
             past: Vec::new(),
@@ -264,6 +267,7 @@
         self.reply(id, Reply::Token(token));
         if last {
             self.learn_pace(id);
+            self.absolve(id);
             self.reply(id, Reply::End { prompt, generated });
             self.close(id, Outcome::Done, "done");
             self.dispatch_all();
--- a/crates/ashgauge/src/node/mod.rs
+++ b/crates/ashgauge/src/node/mod.rs
@@ -5,6 +5,7 @@
 mod dispatch;
 mod fleet;
 mod flow;
+mod held;
 mod keyed;
 mod recover;
 mod status;
@@ -28,6 +29,7 @@
 use crate::member::{BoxId, Listing, Members, UpstreamId};
 use crate::order::Orders;
 use crate::policy::{Policy, Team};
+use crate::quarantine::Quarantine;
 use crate::queue::{Queue, RequestId};
 use crate::record::{Record, What};
 use crate::retry::Budget;
@@ -168,6 +170,7 @@
     editor: Editor,
     lease: Lease,
     orders: Orders,
+    quarantine: Quarantine,
     fleet: Fleet,
     turn: usize,
     stats: Stats,
@@ -267,6 +270,7 @@
             editor: Editor::default(),
             lease: Lease::new(config.owner(), config.lease),
             orders: Orders::default(),
+            quarantine: Quarantine::default(),
             fleet: Fleet::default(),
             turn: 0,
             stats: Stats::default(),
--- a/crates/ashgauge/src/node/recover.rs
+++ b/crates/ashgauge/src/node/recover.rs
@@ -43,6 +43,9 @@
                 self.send_run(id);
             }
             Fault::Lost(cause) => self.lose(id, &cause, true),
+            // A connection broke and no other comes up: the engine is lost. Replacing
+            // it alone sends a request that ends engines on to the next one.
+            Fault::NotSent(_) if live.tries == 1 && self.blame(id) => self.hold_back(id),
             Fault::NotSent(cause) => {
                 self.undo_ran(id);
                 self.lose(id, &cause, true);
@@ -179,6 +182,7 @@
             return;
         };
         flow.replaced += 1;
+        flow.placed = self.now;
         flow.stalled = false;
         let mut news = Vec::new();
         for stage in &stages {
--- a/crates/ashgauge/src/node/types.rs
+++ b/crates/ashgauge/src/node/types.rs
@@ -212,6 +212,7 @@
     KeyTaken,
     Deadline,
     Broken,
+    Held,
     Stopped,
 }
 
--- a/crates/ashgauge/src/record.rs
+++ b/crates/ashgauge/src/record.rs
@@ -61,6 +61,7 @@
         stages: Vec<Stage>,
         replayed: usize,
     },
+    HeldBack,
     Stalled {
         first: Layer,
         end: Layer,
--- a/crates/ashgauge/tests/node.rs
+++ b/crates/ashgauge/tests/node.rs
@@ -4,11 +4,12 @@
 mod common;
 mod starter;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
-use ashgauge::member::{Hold, Listing, State, UpstreamEntry};
+use ashgauge::member::{BoxEntry, Hold, Listing, State, UpstreamEntry, UpstreamId};
+use ashgauge::message::Envelope;
 use ashgauge::node::{
     Content, Fault, Object, Order, Outcome, Ran, Reason, Reply, Run, Token, Value, Work,
 };
@@ -127,6 +128,8 @@
     runs: Vec<Run>,
     late: Vec<Event>,
     callers: BTreeMap<u64, Caller>,
+    /// Messages to other boxes.
+    sent: Vec<Envelope>,
 }
 
 impl World {
@@ -143,6 +146,7 @@
             runs: Vec::new(),
             late: Vec::new(),
             callers: BTreeMap::new(),
+            sent: Vec::new(),
         };
         let content = Content::Table(Arc::new(table(LAYERS)));
         world.feed(Event::Read(Object::Table, Some((1, Some(content)))));
@@ -155,6 +159,7 @@
             match action {
                 Action::Run(run) => self.runs.push(run),
                 Action::Reply(id, reply) => self.reply(id, reply),
+                Action::Send(_, _, envelope) => self.sent.push(envelope),
                 _ => {}
             }
         }
@@ -194,6 +199,22 @@
         }));
     }
 
+    /// Lets the same request arrive, and loses each engine that runs it: its connection
+    /// breaks, and no other one comes up. Returns the engines.
+    fn lose_all(&mut self, id: u64) -> BTreeSet<UpstreamId> {
+        let mut lost = BTreeSet::new();
+        self.arrive_with(id, true, vec![7, 8]);
+        while let Some(run) = self.runs.pop() {
+            lost.insert(run.upstream.clone());
+            self.deliver(run, 3);
+            if let Some(again) = self.runs.pop() {
+                self.deliver(again, 0);
+            }
+            self.now += Duration::from_millis(20);
+        }
+        lost
+    }
+
     /// What becomes of one order on its way, by `luck`.
     fn deliver(&mut self, run: Run, luck: u8) {
         let failed = |fault| Event::RunFailed(run.id, run.session, run.start, fault);
@@ -286,7 +307,13 @@
     };
     Listing {
         version: 1,
-        boxes: Vec::new(),
+        boxes: vec![BoxEntry {
+            id: "box-1".into(),
+            peer: "box-1:1".into(),
+            operator: "box-1:2".into(),
+            data_centre: String::new(),
+            state: State::Live,
+        }],
         upstreams: ranges.iter().enumerate().map(engine).collect(),
     }
 }
@@ -319,22 +346,13 @@
     }
 }
 
-/// Each engine that runs the request is lost: its connection breaks, and it takes no
-/// other one. A request was replaced up to 16 times so, and again with each repeat.
+/// A lost stage of a request was replaced up to 16 times so, and again with each repeat.
 #[test]
 fn request_that_ends_engines_is_held_back() {
     let mut world = World::with(&[(0, LAYERS); 12]);
-    let mut ended = std::collections::BTreeSet::new();
+    let mut ended = BTreeSet::new();
     for id in 1..=4 {
-        world.arrive_with(id, true, vec![7, 8]);
-        while let Some(run) = world.runs.pop() {
-            ended.insert(run.upstream.clone());
-            world.deliver(run, 3);
-            if let Some(again) = world.runs.pop() {
-                world.deliver(again, 0);
-            }
-            world.now += Duration::from_millis(20);
-        }
+        ended.extend(world.lose_all(id));
     }
     assert_eq!(ended.len(), 3, "{ended:?}");
     for (id, caller) in &world.callers {
@@ -348,6 +366,14 @@
         };
         assert_eq!(refusal.outcome, outcome, "{id}");
     }
+    // A box that heard of it refuses it at once.
+    world.now += Duration::from_secs(5);
+    world.feed(Event::Tick);
+    let mut other = World::with(&[(0, LAYERS); 12]);
+    for envelope in std::mem::take(&mut world.sent) {
+        other.feed(Event::Heard(envelope));
+    }
+    assert!(other.lose_all(1).is_empty());
     // Another one is served.
     world.arrive(5, true);
     while let Some(run) = world.runs.pop() {
--- a/crates/caller/src/answer.rs
+++ b/crates/caller/src/answer.rs
@@ -309,7 +309,7 @@
         Kind::KeyTaken => StatusCode::CONFLICT,
         Kind::RateLimited | Kind::QueueFull => StatusCode::TOO_MANY_REQUESTS,
         Kind::Deadline => StatusCode::GATEWAY_TIMEOUT,
-        Kind::Broken if outcome == Outcome::Unknown => StatusCode::BAD_GATEWAY,
+        Kind::Broken | Kind::Held if outcome == Outcome::Unknown => StatusCode::BAD_GATEWAY,
         _ => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
