Leave out upstreams whose entry is gone when a retry looks for the last one

Cause: a box that is not sure that an entry is gone for good, as the store was away shortly before, keeps it as missing for 2 s; a retry that finds no other upstream that is usable and untried took it all the same.

Change: a missing upstream is a last resort only where all of the service are missing at once, as after an outage. Test seen red: the retry went to the one that had vanished.

--- a/crates/ashgauge/src/choice.rs
+++ b/crates/ashgauge/src/choice.rs
@@ -26,7 +26,8 @@
     let entries = || scene.roster.of(scene.service);
     let usable = |e: &&Entry| e.is_usable(scene.now);
     let new = |e: &&Entry| !tried.contains(&e.upstream.id);
-    let leaving = |e: &&Entry| e.upstream.leaving;
+    let stays = |e: &&Entry| !e.upstream.leaving;
+    let listed = |e: &&Entry| !e.is_missing();
     let mut cheapest = |entries: &mut dyn Iterator<Item = &Entry>| {
         let costs = entries.map(|e| (upstream_cost(scene, e) * scene.jitter(rng), &e.upstream.id));
         costs
@@ -34,8 +35,13 @@
             .map(|(_, id)| id.clone())
     };
     cheapest(&mut entries().filter(usable).filter(new))
-        .or_else(|| cheapest(&mut entries().filter(|e| !leaving(e)).filter(new)))
+        .or_else(|| cheapest(&mut entries().filter(stays).filter(listed).filter(new)))
         .or_else(|| cheapest(&mut entries().filter(usable)))
+        // One whose entry is gone may have left; only an outage takes all at once.
+        .or_else(|| match entries().any(|e| listed(&e)) {
+            true => None,
+            false => cheapest(&mut entries().filter(stays).filter(new)),
+        })
 }
 
 /// Chooses a chain over `span` of the model's layers, without the engines in
--- a/crates/ashgauge/src/roster.rs
+++ b/crates/ashgauge/src/roster.rs
@@ -149,7 +149,12 @@
 impl Entry {
     /// Whether new work may go to it at `now`.
     pub fn is_usable(&self, now: Duration) -> bool {
-        !self.upstream.leaving && self.missing.is_none() && !self.is_suspect(now)
+        !self.upstream.leaving && !self.is_missing() && !self.is_suspect(now)
+    }
+
+    /// Whether its entry vanished while the store was away, so that it may have left.
+    pub fn is_missing(&self) -> bool {
+        self.missing.is_some()
     }
 
     /// Whether it failed a short while ago.
--- a/crates/ashgauge/tests/choice.rs
+++ b/crates/ashgauge/tests/choice.rs
@@ -372,3 +372,34 @@
     }
     assert!(find(&roster).is_some());
 }
+
+/// A request whose first try failed was sent to an upstream whose entry had gone 2.2 s
+/// before, as the box was not sure that it was gone for good and knew no other.
+#[test]
+fn retry_does_not_go_to_an_upstream_that_vanished() {
+    let now = Duration::from_secs(100);
+    let mut roster = Roster::default();
+    for (n, id) in ["first", "second", "gone"].into_iter().enumerate() {
+        roster.put(engines::upstream(id, "a", "large", None, n));
+    }
+    roster.miss(now, "gone");
+    let (pipes, shares, place) = (Pipes::default(), Shares::default(), Arc::from("a"));
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut choose = |roster: &Roster, tried: &[&str]| {
+        let scene = scene(roster, &pipes, &shares, &place);
+        let tried: Vec<_> = tried.iter().map(|t| (*t).into()).collect();
+        choice::upstream(&scene, &tried, &mut rng).map(|id| id.to_string())
+    };
+    assert_eq!(choose(&roster, &["first"]).as_deref(), Some("second"));
+    // One that may be lost goes before one that the store no longer has.
+    roster.suspect(now, "second");
+    assert_eq!(choose(&roster, &["first"]).as_deref(), Some("second"));
+    assert_eq!(
+        choose(&roster, &["first", "second"]).as_deref(),
+        Some("first")
+    );
+    // Where all entries are gone at once, an outage took them.
+    roster.miss(now, "first");
+    roster.miss(now, "second");
+    assert!(choose(&roster, &[]).is_some());
+}
