--- a/crates/ashgauged/src/relay/desk.rs
+++ b/crates/ashgauged/src/relay/desk.rs
@@ -12,20 +12,15 @@
 use std::time::{Duration, Instant};
 
 use ashgauge::admission::Line;
-use ashgauge::chain::Stage;
-use ashgauge::choice::{self, Need};
-use ashgauge::cost;
 use ashgauge::fresh::Freshness;
-use ashgauge::member::{BoxId, UpstreamId};
+use ashgauge::member::BoxId;
 use ashgauge::mirror::Mirror;
 use ashgauge::pipes::Pipes;
 use ashgauge::quarantine::Quarantine;
 use ashgauge::retry::{Allowance, Window};
-use ashgauge::roster::{Roster, Span};
-use ashgauge::routing::{Model, Routing, ServiceId};
-use ashgauge::scene::Scene;
-use ashgauge::share::{self, Shares};
-use ashgauge::slack::Slack;
+use ashgauge::roster::Roster;
+use ashgauge::routing::{Routing, ServiceId};
+use ashgauge::share::Shares;
 use ashgauge::stay::Stay;
 use http::Client;
 use platform::{Fault, Store};
@@ -65,23 +60,6 @@
     pub link: u32,
 }
 
-/// Share of the memory near up to which those who come back late choose as streams
-/// of a lost engine do: they come back together, as they were cut together, and by
-/// the time of a whole answer all went to the same engines. On eight plays with
-/// seeds not used before 0.804 was earned so, 0.792 without (mean worth, without
-/// processor time). Where memory is scarce a chain must be quick as a whole, as it
-/// holds memory for as long.
-const ROOM_TOGETHER: f64 = 0.4;
-
-/// What a chain is chosen for.
-#[derive(Clone, Copy)]
-pub struct Wish {
-    /// Room that it needs; none for a stream that goes on, which is not held up.
-    pub need: Option<Need>,
-    /// How the request stands against its aim.
-    pub slack: Slack,
-}
-
 /// What the tasks of one box share.
 pub struct Desk {
     settings: RefCell<Rc<Settings>>,
@@ -126,7 +104,7 @@
     /// Requests that wait for room, by service.
     pub lines: RefCell<HashMap<ServiceId, Line>>,
     /// How long streams stay, by service.
-    stays: RefCell<HashMap<ServiceId, Stay>>,
+    pub stays: RefCell<HashMap<ServiceId, Stay>>,
     /// What the other boxes have on the upstreams.
     pub shares: RefCell<Shares>,
     /// Requests that end upstreams.
@@ -137,8 +115,10 @@
     pub heard_at: Cell<Option<SocketAddr>>,
     /// The other boxes, by name.
     pub peers: RefCell<HashMap<BoxId, Peer>>,
-    pipes: RefCell<Pipes>,
-    place: Arc<str>,
+    /// What goes between data centres.
+    pub pipes: RefCell<Pipes>,
+    /// This box's data centre.
+    pub place: Arc<str>,
     budgets: RefCell<HashMap<ServiceId, Window>>,
     boxes: Cell<u32>,
     counted: Cell<u32>,
@@ -312,38 +292,6 @@
         }
     }
 
-    /// Chooses an upstream of a plain service.
-    pub fn choose(&self, service: &str, tried: &[UpstreamId]) -> Option<(UpstreamId, String)> {
-        let roster = self.roster.borrow();
-        let (pipes, shares) = (self.pipes.borrow(), self.shares.borrow());
-        let scene = self.scene(&roster, &pipes, &shares, service);
-        let id = choice::upstream(&scene, tried, &mut *self.rng())?;
-        let addr = roster.get(&id)?.upstream.addr.clone();
-        Some((id, addr))
-    }
-
-    /// Chooses a chain over a range of a model's layers; without a `need` for a
-    /// stream that goes on elsewhere, as others do at the same moment.
-    pub fn choose_chain(
-        &self,
-        service: &str,
-        model: &Model,
-        span: Span,
-        avoid: &[UpstreamId],
-        wish: Wish,
-    ) -> Option<Vec<Stage>> {
-        let roster = self.roster.borrow();
-        let (pipes, shares) = (self.pipes.borrow(), self.shares.borrow());
-        let scene = self.scene(&roster, &pipes, &shares, service);
-        let together = match wish.slack {
-            Slack::Short => true,
-            Slack::Late => choice::filled_near(&scene, model) < ROOM_TOGETHER,
-            Slack::Ample => false,
-        };
-        let scene = Scene { together, ..scene };
-        choice::chain(&scene, model, span, avoid, wish.need, &mut *self.rng())
-    }
-
     /// Uses the line of requests that wait for a service.
     pub fn line<T>(&self, service: &ServiceId, with: impl FnOnce(&mut Line) -> T) -> T {
         with(self.lines.borrow_mut().entry(service.clone()).or_default())
@@ -367,82 +315,6 @@
         }
     }
 
-    /// Share of an engine's memory that requests hold, as far as is known.
-    pub fn fullness(&self, id: &str) -> Option<f64> {
-        let (roster, routing) = (self.roster.borrow(), self.routing());
-        let entry = roster.get(id)?;
-        let service = routing.services.get(&entry.upstream.service)?;
-        let (pipes, shares) = (self.pipes.borrow(), self.shares.borrow());
-        let scene = self.scene(&roster, &pipes, &shares, &service.name);
-        choice::fullness(&scene, service.model.as_ref()?, entry)
-    }
-
-    /// How many of a service's engines are filled up to the share at which they
-    /// get no first sends, and how many hold layers.
-    pub fn count_full(&self, service: &ServiceId) -> (usize, usize) {
-        let limit = self.line(service, |l| l.limit());
-        let engines: Vec<UpstreamId> = {
-            let roster = self.roster.borrow();
-            let holding = roster.of(service).filter(|e| e.upstream.layers.is_some());
-            holding.map(|e| e.upstream.id.clone()).collect()
-        };
-        let full = engines.iter().filter_map(|id| self.fullness(id));
-        (full.filter(|f| *f >= limit).count(), engines.len())
-    }
-
-    /// Writes a chain for the wire, with the first engine's address.
-    pub fn chain_text(&self, stages: &[Stage]) -> Option<(String, String)> {
-        let roster = self.roster.borrow();
-        let addr = |id: &str| roster.get(id).map(|e| e.upstream.addr.as_str());
-        let text = platform::engine::chain(stages, addr)?;
-        let first = addr(&stages.first()?.upstream)?;
-        Some((text, first.into()))
-    }
-
-    /// How often a chain changes data centre.
-    pub fn count_crossings(&self, stages: &[Stage]) -> usize {
-        let roster = self.roster.borrow();
-        let place = |s: &Stage| roster.get(&s.upstream).map(|e| e.upstream.place.clone());
-        let pairs = stages.windows(2);
-        pairs.filter(|p| place(&p[0]) != place(&p[1])).count()
-    }
-
-    /// Notes what goes between data centres for `tokens` tokens that a chain
-    /// reads.
-    pub fn note_crossings(&self, model: &Model, stages: &[Stage], tokens: u32) {
-        let (roster, now) = (self.roster.borrow(), self.now());
-        let mut pipes = self.pipes.borrow_mut();
-        let place = |s: &Stage| roster.get(&s.upstream).map(|e| e.upstream.place.clone());
-        for pair in stages.windows(2) {
-            if let (Some(from), Some(to)) = (place(&pair[0]), place(&pair[1]))
-                && from != to
-            {
-                pipes.note(now, &from, &to, f64::from(tokens) * model.activation_mb);
-            }
-        }
-    }
-
-    /// Notes that engines are to read `tokens` tokens, each through its stage.
-    pub fn note_reading<'a>(
-        &self,
-        model: &Model,
-        service: &str,
-        stages: impl Iterator<Item = &'a Stage>,
-        tokens: u32,
-    ) {
-        let mut roster = self.roster.borrow_mut();
-        let (pipes, shares) = (self.pipes.borrow(), self.shares.borrow());
-        for stage in stages {
-            let layers = stage.end - stage.first;
-            let scene = self.scene(&roster, &pipes, &shares, service);
-            let entry = roster.get(&stage.upstream);
-            let seconds = entry.map(|e| cost::reading_seconds(&scene, model, e, layers, tokens));
-            if let Some(seconds) = seconds {
-                roster.note_reading(self.now(), &stage.upstream, seconds);
-            }
-        }
-    }
-
     /// Tells the streams that the upstreams that they use may have changed.
     pub fn wake_streams(&self) {
         self.suspects.send_modify(|n| *n += 1);
@@ -462,40 +334,4 @@
             self.wake_streams();
         }
     }
-
-    /// Boxes of one data centre, on average.
-    fn neighbours(&self, roster: &Roster) -> f64 {
-        let mut places: Vec<_> = roster.all().map(|e| &e.upstream.place).collect();
-        places.sort();
-        places.dedup();
-        (f64::from(self.boxes.get()) / places.len().max(1) as f64).max(1.0)
-    }
-
-    fn scene<'a>(
-        &'a self,
-        roster: &'a Roster,
-        pipes: &'a Pipes,
-        shares: &'a Shares,
-        service: &'a str,
-    ) -> Scene<'a> {
-        Scene {
-            roster,
-            pipes,
-            shares,
-            service,
-            place: &self.place,
-            lag: share::tell_times(0, self.peers.borrow().len()).1,
-            boxes: f64::from(self.boxes.get()),
-            neighbours: self.neighbours(roster),
-            stay: self
-                .stays
-                .borrow()
-                .get(service)
-                .copied()
-                .unwrap_or_default()
-                .mean(),
-            together: false,
-            now: self.now(),
-        }
-    }
 }
--- /dev/null
+++ b/crates/ashgauged/src/relay/fetch.rs
@@ -0,0 +1,61 @@
+//! Connections over which other boxes fetch answers that are too large for a datagram.
+
+use ashgauge::question::{Answer, Question};
+use http::Limits;
+use hyper::{Response, StatusCode};
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot, watch};
+
+use super::peers::{self, TICKET_TIME};
+
+/// Longest question, in bytes.
+const QUESTION_MOST: usize = 1024;
+
+/// Path at which answers are fetched.
+pub const ANSWER_PATH: &str = "/answer";
+
+/// A question that came over a connection.
+pub struct Fetch {
+    /// The question.
+    pub question: Question,
+    /// Where its answer goes.
+    pub reply: oneshot::Sender<Option<Answer>>,
+}
+
+/// Serves connections of boxes that fetch answers.
+pub async fn serve(listener: TcpListener, fetches: mpsc::Sender<Fetch>) {
+    let (_keep, stop) = watch::channel(false);
+    let limits = Limits {
+        connections: 128,
+        ..Limits::default()
+    };
+    http::serve(listener, limits, stop, move |request| {
+        let fetches = fetches.clone();
+        async move {
+            let body = http::read_body(request.into_body(), QUESTION_MOST, TICKET_TIME).await;
+            let answer = match body {
+                Ok(body) => fetch_answer(&body, &fetches).await,
+                Err(status) => Err(status),
+            };
+            answer.unwrap_or_else(|status| {
+                let mut response = Response::new(http::empty());
+                *response.status_mut() = status;
+                response
+            })
+        }
+    })
+    .await;
+}
+
+async fn fetch_answer(
+    body: &[u8],
+    fetches: &mpsc::Sender<Fetch>,
+) -> Result<Response<http::Body>, StatusCode> {
+    let question = postcard::from_bytes(body).map_err(|_| StatusCode::BAD_REQUEST)?;
+    let (reply, answer) = oneshot::channel();
+    let sent = fetches.send(Fetch { question, reply }).await;
+    sent.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
+    let answer = answer.await.ok().flatten().ok_or(StatusCode::FORBIDDEN)?;
+    let bytes = peers::encode(&answer).ok_or(StatusCode::INTERNAL_SERVER_ERROR)?;
+    Ok(Response::new(http::full(bytes)))
+}
--- a/crates/ashgauged/src/relay/open.rs
+++ b/crates/ashgauged/src/relay/open.rs
@@ -17,10 +17,11 @@
 use platform::engine::{self, Target, Verdict};
 use tokio::time::timeout;
 
-use super::desk::{Desk, Wish};
+use super::desk::Desk;
 use super::dial::{self, Exchange};
 use super::probe::{ask_engines, find_dead};
 use super::request::{Admitted, Hold, is_allowed, is_held, lost, refused};
+use super::select::Wish;
 
 /// Silence after which a stream whose engines all answer goes on elsewhere;
 /// its caller leaves after two seconds.
--- a/crates/ashgauged/src/relay/peers.rs
+++ b/crates/ashgauged/src/relay/peers.rs
@@ -18,17 +18,18 @@
 use ashgauge::share::Word;
 use bytes::Bytes;
 use eyre::{Result, WrapErr, eyre};
-use http::{Full, Limits};
-use hyper::{Method, Request, Response, StatusCode};
+use http::Full;
+use hyper::{Method, Request, StatusCode};
 use rand::Rng;
 use serde::Serialize;
 use serde_json::json;
 use spdlog::Level;
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::mpsc;
 use tokio::time::sleep;
 
 use super::desk::Desk;
+use super::fetch::{self, ANSWER_PATH, Fetch};
 use super::{census, log, pack, quarantine};
 
 /// Largest datagram that is read; a word on 860 engines takes 12 kB.
@@ -53,17 +54,11 @@
 const ASKER_TIME: Duration = Duration::from_secs(4);
 
 /// How long a ticket is good.
-const TICKET_TIME: Duration = Duration::from_secs(3);
+pub const TICKET_TIME: Duration = Duration::from_secs(3);
 
 /// Tickets that are kept; each box of a data centre has one at the most.
 const TICKETS_MOST: usize = 512;
 
-/// Longest question, in bytes.
-const QUESTION_MOST: usize = 1024;
-
-/// Path at which answers are fetched.
-const ANSWER_PATH: &str = "/answer";
-
 /// Ports that are tried if the system chooses them.
 const BIND_TRIES: u32 = 32;
 
@@ -107,9 +102,6 @@
     bytes: Vec<u8>,
 }
 
-/// A question that came over a connection, and where its answer goes.
-type Fetch = (Question, oneshot::Sender<Option<Answer>>);
-
 impl Peers {
     /// Starts to hear the other boxes, if the settings name an address for it.
     ///
@@ -134,7 +126,7 @@
         tokio::task::spawn_local(peers.clone().hear());
         let (fetches, asked) = mpsc::channel(HEARD_MOST);
         tokio::task::spawn_local(peers.clone().answer_fetches(asked));
-        tokio::task::spawn_local(serve_fetches(listener, fetches));
+        tokio::task::spawn_local(fetch::serve(listener, fetches));
         Ok(Some((peers, messages)))
     }
 
@@ -380,7 +372,7 @@
 
     /// Answers what comes over connections, to boxes that have a ticket.
     async fn answer_fetches(self: Rc<Self>, mut asked: mpsc::Receiver<Fetch>) {
-        while let Some((question, reply)) = asked.recv().await {
+        while let Some(Fetch { question, reply }) = asked.recv().await {
             let ticket = question.ticket;
             let until = ticket.and_then(|t| self.tickets.borrow_mut().remove(&t));
             let is_good = until.is_some_and(|until| self.desk.now() < until);
@@ -448,41 +440,3 @@
         }
     }
 }
-
-/// Serves connections of boxes that fetch answers.
-async fn serve_fetches(listener: TcpListener, fetches: mpsc::Sender<Fetch>) {
-    let (_keep, stop) = watch::channel(false);
-    let limits = Limits {
-        connections: 128,
-        ..Limits::default()
-    };
-    http::serve(listener, limits, stop, move |request| {
-        let fetches = fetches.clone();
-        async move {
-            let body = http::read_body(request.into_body(), QUESTION_MOST, TICKET_TIME).await;
-            let answer = match body {
-                Ok(body) => fetch_answer(&body, &fetches).await,
-                Err(status) => Err(status),
-            };
-            answer.unwrap_or_else(|status| {
-                let mut response = Response::new(http::empty());
-                *response.status_mut() = status;
-                response
-            })
-        }
-    })
-    .await;
-}
-
-async fn fetch_answer(
-    body: &[u8],
-    fetches: &mpsc::Sender<Fetch>,
-) -> Result<Response<http::Body>, StatusCode> {
-    let question = postcard::from_bytes(body).map_err(|_| StatusCode::BAD_REQUEST)?;
-    let (reply, answer) = oneshot::channel();
-    let sent = fetches.send((question, reply)).await;
-    sent.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
-    let answer = answer.await.ok().flatten().ok_or(StatusCode::FORBIDDEN)?;
-    let bytes = encode(&answer).ok_or(StatusCode::INTERNAL_SERVER_ERROR)?;
-    Ok(Response::new(http::full(bytes)))
-}
--- a/crates/ashgauged/src/relay/pump/mend.rs
+++ b/crates/ashgauged/src/relay/pump/mend.rs
@@ -13,11 +13,11 @@
 use platform::engine::{self, Reply};
 use serde_json::json;
 
-use super::super::desk::Wish;
 use super::super::loss::{self, Loss};
 use super::super::open::{Run, SILENT_MOST, begin, id_at, pick};
 use super::super::probe::{ask_engines, find_dead};
 use super::super::request::{Hold, note_outcome};
+use super::super::select::Wish;
 use super::{Go, Pump};
 
 /// Repairs of one stream at most; each one lost an engine.
