Go by a clock that counts suspensions

Everything that ages went by std's Instant, so a box whose machine was suspended would have served withdrawn keys for as long after it as it stood still, and have kept requests past their time.

Change: one clock in one place (CLOCK_BOOTTIME by nix), given to the code; four times a second it is compared with the steady clock (ashgauge::suspension), and after a suspension all that waits looks at its time anew. No process test: nothing here can suspend a machine without privileges. SIGSTOP, which the steady clock counts, stays as tested.

--- a/crates/ashgauge/src/lib.rs
+++ b/crates/ashgauge/src/lib.rs
@@ -43,7 +43,7 @@
 //! - [`clock`], [`record`]: the time line.
 //! - [`routing`], [`roster`], [`share`], [`scene`], [`pipes`], [`stay`], [`slack`], [`cost`], [`choice`], [`admission`],
 //!   [`placement`], [`rate`], [`pending`],
-//!   [`handoff`], [`digest`], [`quarantine`], [`events`], [`fresh`]: what a box decides where engines pass activations on among
+//!   [`handoff`], [`digest`], [`quarantine`], [`events`], [`fresh`], [`suspension`]: what a box decides where engines pass activations on among
 //!   themselves and a request is handed on whole.
 //! - [`mirror`], [`reader`], [`question`], [`asker`]: a store that few boxes read and all
 //!   know.
@@ -91,6 +91,7 @@
 pub mod silence;
 pub mod slack;
 pub mod stay;
+pub mod suspension;
 pub mod table;
 
 pub use error::{Category, Error, Result};
--- /dev/null
+++ b/crates/ashgauge/src/suspension.rs
@@ -0,0 +1,46 @@
+//! Times for which the machine was suspended.
+//!
+//! A suspended machine's steady clock stands still, and so do all timers that go by it;
+//! what a box knows grows old all the same. The box goes by a clock that counts such
+//! times, and looks now and then whether the two went apart.
+
+use std::time::Duration;
+
+/// Difference between the clocks from which on the machine was suspended: far more than
+/// two reads one after the other take.
+const LEAST: Duration = Duration::from_millis(50);
+
+/// Compares the steady clock with one that counts suspensions.
+///
+/// # Example
+///
+/// ```
+/// use std::time::Duration;
+/// use ashgauge::suspension::Suspension;
+///
+/// let second = Duration::from_secs(1);
+/// let mut suspension = Suspension::new(second * 5, second * 100);
+/// assert_eq!(suspension.look(second * 6, second * 101), None);
+/// assert_eq!(suspension.look(second * 7, second * 105), Some(second * 3));
+/// ```
+#[derive(Clone, Copy, Debug)]
+pub struct Suspension {
+    steady: Duration,
+    whole: Duration,
+}
+
+impl Suspension {
+    /// Begins at a reading of the steady clock, and one of the clock that counts all.
+    pub fn new(steady: Duration, whole: Duration) -> Self {
+        Suspension { steady, whole }
+    }
+
+    /// How long the machine was suspended since the last look, if it was.
+    pub fn look(&mut self, steady: Duration, whole: Duration) -> Option<Duration> {
+        let ran = steady.saturating_sub(self.steady);
+        let passed = whole.saturating_sub(self.whole);
+        *self = Suspension { steady, whole };
+        let stood = passed.saturating_sub(ran);
+        (stood >= LEAST).then_some(stood)
+    }
+}
--- a/crates/ashgauged/src/relay/body.rs
+++ b/crates/ashgauged/src/relay/body.rs
@@ -7,7 +7,6 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::StatusCode;
 use hyper::body::{Body as HttpBody, Incoming};
-use tokio::time::timeout;
 
 use super::desk::Desk;
 
@@ -32,13 +31,14 @@
     let Some(_room) = Room::take(&desk.bodies, told) else {
         return Err((StatusCode::SERVICE_UNAVAILABLE, "no room for the body"));
     };
-    match timeout(held.min(BODY_TIME), Limited::new(body, most).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => {
+    let reading = Limited::new(body, most).collect();
+    match desk.clock.within(held.min(BODY_TIME), reading).await {
+        Some(Ok(body)) => Ok(body.to_bytes()),
+        Some(Err(e)) if e.is::<LengthLimitError>() => {
             Err((StatusCode::PAYLOAD_TOO_LARGE, "body too long"))
         }
-        Ok(Err(_)) => Err((StatusCode::BAD_REQUEST, "broken body")),
-        Err(_) => Err((StatusCode::REQUEST_TIMEOUT, "slow body")),
+        Some(Err(_)) => Err((StatusCode::BAD_REQUEST, "broken body")),
+        None => Err((StatusCode::REQUEST_TIMEOUT, "slow body")),
     }
 }
 
--- a/crates/ashgauged/src/relay/desk.rs
+++ b/crates/ashgauged/src/relay/desk.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use ashgauge::admission::Line;
 use ashgauge::fresh::Freshness;
@@ -31,6 +31,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::timeout;
 
+use super::clock::{Clock, boot_time};
 use super::log;
 use super::metrics::Metrics;
 use super::probe::Probes;
@@ -123,7 +124,8 @@
     boxes: Cell<u32>,
     counted: Cell<u32>,
     rng: RefCell<SmallRng>,
-    epoch: Instant,
+    /// The clock by which everything here goes.
+    pub clock: Clock,
 }
 
 impl Desk {
@@ -163,7 +165,7 @@
             boxes: Cell::new(BOXES_ASSUMED),
             counted: Cell::new(0),
             rng: RefCell::new(SmallRng::from_os_rng()),
-            epoch: Instant::now(),
+            clock: Clock::new(boot_time),
             settings: RefCell::new(Rc::new(settings)),
         }
     }
@@ -185,14 +187,14 @@
     }
 
     /// Time since [`CLOCK_START`] before the process's start; goes on while the
-    /// process stands still.
+    /// process stands still or its machine is suspended.
     pub fn now(&self) -> Duration {
-        CLOCK_START + self.epoch.elapsed()
+        CLOCK_START + self.clock.elapsed()
     }
 
     /// Time since the process's start.
     pub fn uptime(&self) -> Duration {
-        self.epoch.elapsed()
+        self.clock.elapsed()
     }
 
     /// The configuration in force.
--- a/crates/ashgauged/src/relay/follow/ask.rs
+++ b/crates/ashgauged/src/relay/follow/ask.rs
@@ -13,7 +13,7 @@
 use serde_json::json;
 use spdlog::Level;
 use tokio::sync::mpsc;
-use tokio::time::timeout;
+use tokio::time::sleep;
 
 use super::super::peers::{FETCH_MOST, Heard, Peers};
 use super::super::{log, quarantine};
@@ -49,13 +49,18 @@
             return;
         };
         let mut alone_at = Duration::ZERO;
+        let mut woken = self.desk.clock.woken();
         loop {
             let until = self.ask_next(&peers, &mut alone_at).await;
             let rest = until.saturating_sub(self.desk.now());
-            match timeout(rest, heard.recv()).await {
-                Ok(Some(heard)) => self.take(&peers, heard).await,
-                Ok(None) => return,
-                Err(_) => {}
+            tokio::select! {
+                heard = heard.recv() => match heard {
+                    Some(heard) => self.take(&peers, heard).await,
+                    None => return,
+                },
+                () = sleep(rest) => {}
+                // What is known grew old meanwhile; the clock lives as long as the desk.
+                Ok(()) = woken.changed() => {}
             }
         }
     }
--- a/crates/ashgauged/src/relay/follow/mod.rs
+++ b/crates/ashgauged/src/relay/follow/mod.rs
@@ -83,6 +83,7 @@
         tokio::task::spawn_local(follower.clone().follow_config());
         tokio::task::spawn_local(follower.clone().follow_servers());
         tokio::task::spawn_local(census::count(follower.desk.clone()));
+        tokio::task::spawn_local(follower.clone().follow_clock());
         match heard.filter(|_| follower.desk.settings().shares_reading()) {
             Some(heard) => drop(tokio::task::spawn_local(follower.ask(heard))),
             None => {
@@ -92,6 +93,17 @@
         }
     }
 
+    /// Begins watches and proofs anew after the machine was suspended: what they wait
+    /// for may have died meanwhile.
+    async fn follow_clock(self: Rc<Self>) {
+        let mut woken = self.desk.clock.woken();
+        // The clock lives as long as the desk.
+        while woken.changed().await.is_ok() {
+            self.restart.notify_waiters();
+            self.check.notify_one();
+        }
+    }
+
     /// Waits until this box reads the store itself.
     async fn until_reader(&self) {
         let mut reads = self.desk.reads.subscribe();
--- a/crates/ashgauged/src/relay/forward.rs
+++ b/crates/ashgauged/src/relay/forward.rs
@@ -19,7 +19,6 @@
 use platform::ingress::{self, Ask};
 use serde_json::json;
 use spdlog::Level;
-use tokio::time::timeout;
 
 use super::desk::Desk;
 use super::dial;
@@ -240,8 +239,9 @@
         true => silence(desk, a, id).min(left),
         false => left,
     };
-    let answer = timeout(limit, collect(desk, id, line, request, &a.ask.id)).await;
-    let (answer, load) = answer.map_err(|_| Outcome::Lost)??;
+    let collecting = collect(desk, id, line, request, &a.ask.id);
+    let answer = desk.clock.within(limit, collecting).await;
+    let (answer, load) = answer.ok_or(Outcome::Lost)??;
     let mut roster = desk.roster.borrow_mut();
     if let Some((running, waiting)) = load {
         roster.report(id, running, waiting);
--- a/crates/ashgauged/src/relay/mod.rs
+++ b/crates/ashgauged/src/relay/mod.rs
@@ -7,6 +7,7 @@
 
 mod body;
 mod census;
+mod clock;
 mod desk;
 mod dial;
 mod fetch;
@@ -108,6 +109,7 @@
     }
     Follower::start(desk.clone(), peers);
     Placer::start(desk.clone());
+    tokio::task::spawn_local(clock::watch(desk.clone()));
     tokio::task::spawn_local(serve::accept(desk.clone(), callers));
     tokio::task::spawn_local(serve::answer_ready(desk.clone(), ready));
     if let Some(listener) = metrics {
--- a/crates/ashgauged/src/relay/open.rs
+++ b/crates/ashgauged/src/relay/open.rs
@@ -15,7 +15,6 @@
 use hyper::Response;
 use hyper::http::response;
 use platform::engine::{self, Target, Verdict};
-use tokio::time::timeout;
 
 use super::desk::Desk;
 use super::dial::{self, Exchange};
@@ -273,7 +272,8 @@
     let began = desk.now();
     loop {
         let left = handoff.left(desk.now());
-        if let Ok(sent) = timeout(wait.min(left), sending.as_mut()).await {
+        let head = desk.clock.within(wait.min(left), sending.as_mut()).await;
+        if let Some(sent) = head {
             let now = desk.now();
             let mut roster = desk.roster.borrow_mut();
             return match sent {
--- a/crates/ashgauged/src/relay/pump/mod.rs
+++ b/crates/ashgauged/src/relay/pump/mod.rs
@@ -14,7 +14,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use tokio::sync::{mpsc, watch};
-use tokio::time::{sleep_until, timeout};
+use tokio::time::sleep_until;
 
 use super::desk::Desk;
 use super::open::Run;
@@ -201,10 +201,11 @@
         self.run.events += whole.count as u64;
         self.prove(now);
         let left = self.handoff.left(now);
-        match timeout(left, self.sender.send(Ok(piece))).await {
-            Ok(Ok(())) => Go::On,
-            Ok(Err(_)) => Go::Break("caller left"),
-            Err(_) => Go::Break("late"),
+        let sending = self.sender.send(Ok(piece));
+        match self.desk.clock.within(left, sending).await {
+            Some(Ok(())) => Go::On,
+            Some(Err(_)) => Go::Break("caller left"),
+            None => Go::Break("late"),
         }
     }
 
