--- a/crates/ashgauged/src/relay/follow/mod.rs
+++ b/crates/ashgauged/src/relay/follow/mod.rs
@@ -323,7 +323,8 @@
     log::line(Level::Info, "roster", "announced", fields);
 }
 
-fn skipped(name: &str, fault: &Fault) {
+/// Writes a line for an object of the store that cannot be read.
+pub fn skipped(name: &str, fault: &Fault) {
     let fields = json!({"object": name, "fault": fault.to_string()});
     log::line(Level::Warn, "store", "object cannot be read", fields);
 }
--- a/crates/ashgauged/src/relay/quarantine.rs
+++ b/crates/ashgauged/src/relay/quarantine.rs
@@ -15,6 +15,7 @@
 use tokio::time::sleep;
 
 use super::desk::Desk;
+use super::follow::skipped;
 use super::log;
 use super::peers::{self, Peers};
 
@@ -193,8 +194,3 @@
     let fields = json!({"call": call, "fault": fault.to_string()});
     log::line(Level::Info, "quarantine", "store", fields);
 }
-
-fn skipped(name: &str, fault: &Fault) {
-    let fields = json!({"object": name, "fault": fault.to_string()});
-    log::line(Level::Warn, "store", "object cannot be read", fields);
-}
