Take an answer without an event for whole only if its engine is there

Found by reading the diff, and by a stand-in that was wrong for a while: an answer that is cut off where it has no length ends like a whole one. Such an answer now makes the box look at the engine, and is led on elsewhere if that is lost.

--- a/crates/ashgauged/src/relay/pump/mend.rs
+++ b/crates/ashgauged/src/relay/pump/mend.rs
@@ -45,6 +45,16 @@
         self.resume("broken", false).await
     }
 
+    /// An answer that ends is whole, unless it brought nothing and its engine is lost:
+    /// without a length, one that was cut off ends in the same way.
+    pub(super) async fn ended(&mut self) -> Go {
+        if self.run.events > 0 || !loss::look(&self.desk, &self.a, self.loss()).await {
+            return Go::Done;
+        }
+        self.handoff.lose();
+        self.resume("ended without an event", false).await
+    }
+
     /// Looks for the cause of a silence.
     pub(super) async fn check(&mut self) -> Go {
         self.silence.note_check();
--- a/crates/ashgauged/src/relay/pump/mod.rs
+++ b/crates/ashgauged/src/relay/pump/mod.rs
@@ -112,7 +112,7 @@
         loop {
             let go = match self.next().await {
                 Seen::Data(bytes) => self.take(bytes).await,
-                Seen::End if self.buffer.is_empty() => Go::Done,
+                Seen::End if self.buffer.is_empty() => self.ended().await,
                 Seen::End => self.resume("half an event at the end", false).await,
                 Seen::Broken(cause) => self.broken(&cause).await,
                 Seen::Silence => self.check().await,
@@ -125,7 +125,9 @@
                 Go::Done => {
                     let took = self.a.record.took();
                     self.desk.note_stay(&self.a.service.name, took);
-                    self.desk.quarantine.borrow_mut().clear(self.a.digest);
+                    if self.run.events > 0 {
+                        self.desk.quarantine.borrow_mut().clear(self.a.digest);
+                    }
                     self.a.record.end("answered");
                     return;
                 }
