Log what upstreams ask for when they turn requests away

Whether an answer asked for rest, for how long, and whether a send went to an upstream within such a time could not be told from the logs, so a timer of ours that is too short, a memory that is lost and a last resort that ignores it looked alike. Lines and counters only: nothing that a box does has changed.

--- a/crates/ashgauge/src/roster.rs
+++ b/crates/ashgauge/src/roster.rs
@@ -110,6 +110,8 @@
     /// Until when another box's word that it is lost counts.
     rumour: Option<Duration>,
     full: Option<Duration>,
+    /// Until when it wants nothing from this box.
+    rest: Option<Duration>,
     slow: Option<(f64, Duration)>,
     missing: Option<Duration>,
     /// Seconds of reading that it was given and that were not over at a time.
@@ -201,6 +203,12 @@
         self.rumour.is_some_and(|until| now < until) && !self.was_heard(now)
     }
 
+    /// How much longer it wants nothing from this box, by its own word.
+    pub fn rest(&self, now: Duration) -> Option<Duration> {
+        let left = self.rest?.saturating_sub(now);
+        (!left.is_zero()).then_some(left)
+    }
+
     /// Whether it had no room a moment ago.
     pub fn is_full(&self, now: Duration) -> bool {
         self.full.is_some_and(|until| now < until)
@@ -252,6 +260,7 @@
             suspect: None,
             rumour: None,
             full: None,
+            rest: None,
             slow: None,
             missing: None,
             reading: (0.0, Duration::ZERO),
@@ -414,6 +423,13 @@
         }
     }
 
+    /// Notes that an upstream wants nothing from this box for so long.
+    pub fn note_rest(&mut self, now: Duration, id: &str, rest: Duration) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.rest = entry.rest.max(Some(now.saturating_add(rest)));
+        }
+    }
+
     /// Notes an engine's word on how slow it is; returns true if that is news.
     pub fn note_slow(&mut self, now: Duration, id: &str, factor: f64) -> bool {
         let Some(entry) = self.entries.get_mut(id) else {
--- a/crates/ashgauged/src/relay/forward.rs
+++ b/crates/ashgauged/src/relay/forward.rs
@@ -24,6 +24,7 @@
 use super::dial;
 use super::log;
 use super::loss::{self, Loss};
+use super::notice;
 use super::record::Record;
 use super::request::{
     Admitted, BACK_FULL, BACK_UNSURE, Hold, Whole, finish, held_back, is_allowed, is_held, lost,
@@ -234,6 +235,7 @@
         left,
         last_event: None,
     };
+    notice::check_send(desk, id, &a.ask.id);
     let request = engine::request(&a.head, a.body.clone(), &target);
     let limit = match a.route.may_repeat() && handoff.tried().len() < a.route.attempts as usize {
         true => silence(desk, a, id).min(left),
@@ -274,6 +276,7 @@
 ) -> Result<Collected, Outcome> {
     let exchange = line.send(request).await.map_err(|e| lost(&e))?;
     let (parts, body) = exchange.response.into_parts();
+    notice::take(desk, upstream, &parts);
     let load = engine::load(&parts.headers);
     match engine::judge(&parts, id) {
         verdict @ (Verdict::Full(_) | Verdict::Stale(_)) => {
--- a/crates/ashgauged/src/relay/metrics.rs
+++ b/crates/ashgauged/src/relay/metrics.rs
@@ -27,6 +27,10 @@
     pub words: IntCounterVec,
     /// Upstreams lost while they ran a request, by whether it had brought events.
     pub losses: IntCounterVec,
+    /// Answers by which upstreams wanted nothing from this box for some time.
+    pub rests: IntCounter,
+    /// Sends to upstreams within such times.
+    pub rested: IntCounter,
     /// Upstreams that became suspect.
     pub suspects: IntCounter,
     /// Time to the first byte of an answer.
@@ -70,8 +74,11 @@
             registry.register(Box::new(gauge.clone()))?;
             prometheus::Result::Ok(gauge)
         };
-        let suspects = IntCounter::new("ashgauge_suspects_total", "Upstreams that became suspect")?;
-        registry.register(Box::new(suspects.clone()))?;
+        let counter = |name: &str, help: &str| {
+            let counter = IntCounter::new(name, help)?;
+            registry.register(Box::new(counter.clone()))?;
+            prometheus::Result::Ok(counter)
+        };
         Ok(Metrics {
             ends: counters("ashgauge_requests_total", "Requests by end", "end")?,
             sends: counters("ashgauge_sends_total", "Sends by outcome", "outcome")?,
@@ -95,7 +102,9 @@
             held: gauge("ashgauge_held_requests", "Requests that are held back")?,
             inflight: gauge("ashgauge_inflight", "Requests under way")?,
             dropped: gauge("ashgauge_log_dropped", "Lines of the log that were dropped")?,
-            suspects,
+            rests: counter("ashgauge_rests_total", "Rests that upstreams asked for")?,
+            rested: counter("ashgauge_sends_at_rest_total", "Sends to upstreams at rest")?,
+            suspects: counter("ashgauge_suspects_total", "Upstreams that became suspect")?,
             registry,
         })
     }
--- a/crates/ashgauged/src/relay/mod.rs
+++ b/crates/ashgauged/src/relay/mod.rs
@@ -16,6 +16,7 @@
 mod log;
 mod loss;
 mod metrics;
+mod notice;
 mod open;
 mod pack;
 mod peers;
--- a/crates/ashgauged/src/relay/open.rs
+++ b/crates/ashgauged/src/relay/open.rs
@@ -19,6 +19,7 @@
 use super::desk::Desk;
 use super::dial::{self, Exchange};
 use super::loss::Trial;
+use super::notice;
 use super::probe::{ask_engines, find_dead};
 use super::request::{Admitted, Hold, is_allowed, is_held, lost, refused};
 use super::select::Wish;
@@ -151,11 +152,13 @@
         left: handoff.left(desk.now()),
         last_event: last,
     };
+    notice::check_send(desk, &lead, &a.ask.id);
     let request = engine::request(&a.head, a.body.clone(), &target);
     let sending = line.send(request);
     let exchange = await_head(desk, a, &stages, sending, handoff, avoid).await;
     let exchange = exchange.map_err(failed)?;
     let parts = head_of(&exchange);
+    notice::take(desk, &lead, &parts);
     match engine::judge(&parts, &a.ask.id) {
         Verdict::Answer if parts.status.is_success() => {}
         Verdict::Answer => {
