Leave upstreams alone for as long as they ask

Where nothing else is left, the request is refused at once, and its caller told when the first rest ends.

--- a/crates/ashgauge/src/choice.rs
+++ b/crates/ashgauge/src/choice.rs
@@ -1,6 +1,7 @@
 //! Which upstream, or which chain of engines, a request goes to.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use rand::Rng;
 
@@ -23,10 +24,14 @@
 /// Chooses an upstream of a plain service, and not one that was `tried` if
 /// there is another.
 pub fn upstream(scene: &Scene, tried: &[UpstreamId], rng: &mut impl Rng) -> Option<UpstreamId> {
-    let entries = || scene.roster.of(scene.service);
+    // An upstream that turns requests away does so again: one that had asked for 3 s
+    // of rest got 40 requests in 9 s, and turned all of them away.
+    let rested = |e: &&Entry| e.rest(scene.now).is_none();
+    let all = || scene.roster.of(scene.service);
+    let entries = || all().filter(rested);
     let usable = |e: &&Entry| e.is_usable(scene.now);
     let new = |e: &&Entry| !tried.contains(&e.upstream.id);
-    let stays = |e: &&Entry| !e.upstream.leaving;
+    let stays = |e: &&Entry| !e.is_leaving();
     let listed = |e: &&Entry| !e.is_missing();
     let mut cheapest = |entries: &mut dyn Iterator<Item = &Entry>| {
         let costs = entries.map(|e| (upstream_cost(scene, e) * scene.jitter(rng), &e.upstream.id));
@@ -38,7 +43,7 @@
         .or_else(|| cheapest(&mut entries().filter(stays).filter(listed).filter(new)))
         .or_else(|| cheapest(&mut entries().filter(usable)))
         // One whose entry is gone may have left; only an outage takes all at once.
-        .or_else(|| match entries().any(|e| listed(&e)) {
+        .or_else(|| match all().any(|e| listed(&e)) {
             true => None,
             false => cheapest(&mut entries().filter(stays).filter(new)),
         })
@@ -61,7 +66,7 @@
     let mut edges = Vec::new();
     let scale = Scale::new(scene, model);
     for entry in scene.roster.of(scene.service) {
-        let (Some(held), true) = (entry.upstream.layers, entry.is_usable(scene.now)) else {
+        let (Some(held), true) = (entry.upstream.layers, entry.takes_requests(scene.now)) else {
             continue;
         };
         if avoid.contains(&entry.upstream.id) || !held.overlaps(&span) {
@@ -95,6 +100,28 @@
     })
 }
 
+/// How long until there is an upstream, or a chain over the whole `model`, as those
+/// that it lacks want rest until then; `None` if rest is not what stands in the way.
+pub fn rest_left(scene: &Scene, model: Option<&Model>, rng: &mut impl Rng) -> Option<Duration> {
+    let all = scene.roster.of(scene.service);
+    let mut rests: Vec<_> = all.filter_map(|e| e.rest(scene.now)).collect();
+    rests.sort_unstable();
+    let mut is_early = |left: &Duration| {
+        let now = scene.now + *left;
+        let scene = Scene { now, ..*scene };
+        let found = match model {
+            Some(m) => chain(&scene, m, whole(m.layers), &[], None, rng).is_some(),
+            None => upstream(&scene, &[], rng).is_some(),
+        };
+        !found
+    };
+    if !is_early(&Duration::ZERO) {
+        return None;
+    }
+    let first = rests.partition_point(is_early);
+    rests.get(first).copied()
+}
+
 /// Share of an engine's memory for requests that all boxes' requests hold, as
 /// far as this box knows; `None` if it holds no layers.
 pub fn fullness(scene: &Scene, model: &Model, entry: &Entry) -> Option<f64> {
--- a/crates/ashgauge/src/lib.rs
+++ b/crates/ashgauge/src/lib.rs
@@ -71,6 +71,7 @@
 pub mod message;
 pub mod mirror;
 pub mod node;
+pub mod notice;
 pub mod order;
 pub mod pending;
 pub mod pipes;
--- a/crates/ashgauge/src/roster.rs
+++ b/crates/ashgauge/src/roster.rs
@@ -7,6 +7,7 @@
 
 use crate::chain::Layer;
 use crate::member::UpstreamId;
+use crate::notice::{Absent, Notice};
 use crate::routing::ServiceId;
 use crate::share::{self, UpstreamKey, Use};
 
@@ -110,8 +111,8 @@
     /// Until when another box's word that it is lost counts.
     rumour: Option<Duration>,
     full: Option<Duration>,
-    /// Until when it wants nothing from this box.
-    rest: Option<Duration>,
+    /// What it said in its answers.
+    notice: Notice,
     slow: Option<(f64, Duration)>,
     missing: Option<Duration>,
     /// Seconds of reading that it was given and that were not over at a time.
@@ -122,6 +123,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
     entries: HashMap<UpstreamId, Entry>,
+    /// What upstreams said that have no entry.
+    absent: Absent,
     /// Counts changes of what upstreams announce.
     edition: u64,
 }
@@ -149,9 +152,19 @@
 }
 
 impl Entry {
-    /// Whether new work may go to it at `now`.
+    /// Whether it may be used at `now`.
     pub fn is_usable(&self, now: Duration) -> bool {
-        !self.upstream.leaving && !self.is_missing() && !self.is_suspect(now)
+        !self.is_leaving() && !self.is_missing() && !self.is_suspect(now)
+    }
+
+    /// Whether requests may go to it at `now`.
+    pub fn takes_requests(&self, now: Duration) -> bool {
+        self.is_usable(now) && self.rest(now).is_none()
+    }
+
+    /// Whether it is leaving, as its entry or its answers say.
+    pub fn is_leaving(&self) -> bool {
+        self.upstream.leaving || self.notice.is_leaving()
     }
 
     /// Whether its entry vanished while the store was away, so that it may have left.
@@ -205,8 +218,7 @@
 
     /// How much longer it wants nothing from this box, by its own word.
     pub fn rest(&self, now: Duration) -> Option<Duration> {
-        let left = self.rest?.saturating_sub(now);
-        (!left.is_zero()).then_some(left)
+        self.notice.rest(now)
     }
 
     /// Whether it had no room a moment ago.
@@ -226,7 +238,7 @@
             }
         }
         if sure {
-            self.entries.retain(|_, e| e.missing.is_none());
+            self.drop_where(now, Entry::is_missing);
         }
         for upstream in list {
             self.put(upstream);
@@ -239,14 +251,17 @@
     pub fn put(&mut self, upstream: Upstream) {
         self.edition += 1;
         let known = self.entries.get_mut(&upstream.id);
-        let (inflight, leads, tokens) = match known {
+        let (inflight, leads, tokens, notice) = match known {
             Some(entry) if entry.upstream.born == upstream.born => {
                 entry.upstream = upstream;
                 entry.missing = None;
                 return;
             }
-            Some(entry) => (entry.inflight, entry.leads, entry.tokens),
-            None => (0, 0, 0),
+            Some(entry) => {
+                let notice = entry.notice.after_start();
+                (entry.inflight, entry.leads, entry.tokens, notice)
+            }
+            None => (0, 0, 0, self.absent.take(&upstream.id, upstream.born)),
         };
         let entry = Entry {
             upstream,
@@ -260,7 +275,7 @@
             suspect: None,
             rumour: None,
             full: None,
-            rest: None,
+            notice,
             slow: None,
             missing: None,
             reading: (0.0, Duration::ZERO),
@@ -278,9 +293,11 @@
         }
     }
 
-    /// Forgets an upstream that is gone.
-    pub fn remove(&mut self, id: &str) {
-        self.entries.remove(id);
+    /// Forgets an upstream that is gone, but for what it said.
+    pub fn remove(&mut self, now: Duration, id: &str) {
+        if let Some(e) = self.entries.remove(id) {
+            self.absent.keep(now, id, e.upstream.born, e.notice);
+        }
         self.edition += 1;
     }
 
@@ -296,12 +313,19 @@
     pub fn expire(&mut self, now: Duration) {
         let late = |e: &Entry| e.missing.is_some_and(|at| now >= at + RETURN_TIME);
         let before = self.entries.len();
-        self.entries.retain(|_, e| !late(e));
+        self.drop_where(now, late);
         if self.entries.len() != before {
             self.edition += 1;
         }
     }
 
+    /// Drops entries, and keeps what their upstreams said.
+    fn drop_where(&mut self, now: Duration, gone: impl Fn(&Entry) -> bool) {
+        for (id, e) in self.entries.extract_if(|_, e| gone(e)) {
+            self.absent.keep(now, &id, e.upstream.born, e.notice);
+        }
+    }
+
     /// Number that changes whenever an upstream comes, goes or changes.
     pub fn edition(&self) -> u64 {
         self.edition
@@ -425,8 +449,24 @@
 
     /// Notes that an upstream wants nothing from this box for so long.
     pub fn note_rest(&mut self, now: Duration, id: &str, rest: Duration) {
-        if let Some(entry) = self.entries.get_mut(id) {
-            entry.rest = entry.rest.max(Some(now.saturating_add(rest)));
+        self.change_notice(now, id, |n| n.note_rest(now, rest));
+    }
+
+    /// Notes that an upstream says that it leaves; returns true if that is news.
+    pub fn note_leaving(&mut self, now: Duration, id: &str) -> bool {
+        let announced = self.get(id).is_some_and(Entry::is_leaving);
+        self.change_notice(now, id, Notice::note_leaving) && !announced
+    }
+
+    fn change_notice<T>(
+        &mut self,
+        now: Duration,
+        id: &str,
+        change: impl FnOnce(&mut Notice) -> T,
+    ) -> T {
+        match self.entries.get_mut(id) {
+            Some(entry) => change(&mut entry.notice),
+            None => self.absent.change(now, id, change),
         }
     }
 
--- a/crates/ashgauge/tests/choice.rs
+++ b/crates/ashgauge/tests/choice.rs
@@ -246,7 +246,7 @@
         .filter(|u| u.layers.is_some_and(|span| gone(&u.place, span)))
         .map(|u| u.id.clone())
         .collect();
-    lost.iter().for_each(|id| roster.remove(id));
+    lost.iter().for_each(|id| roster.remove(Duration::ZERO, id));
     let place: Arc<str> = "a".into();
     let places = ["a", "b", "c"].map(Arc::from);
     let (mut pipes, shares) = (Pipes::default(), Shares::default());
@@ -403,3 +403,61 @@
     roster.miss(now, "second");
     assert!(choose(&roster, &[]).is_some());
 }
+
+/// Engines that asked for rest are in no chain, neither first nor behind, also not of a
+/// stream that goes on; where layers are left to such engines only, there is none.
+#[test]
+fn no_chain_has_an_engine_at_rest() {
+    let (pipes, shares, place) = (Pipes::default(), Shares::default(), Arc::from("a"));
+    let now = scene(&placed(), &pipes, &shares, &place).now;
+    let span = choice::whole(80);
+    for seed in 0..20 {
+        let mut roster = placed();
+        let mut rng = SmallRng::seed_from_u64(seed);
+        // Chain by chain, all engines of it rest, the last ones the longest.
+        let mut rest = Duration::from_secs(10);
+        let mut chosen = Vec::new();
+        loop {
+            let scene = scene(&roster, &pipes, &shares, &place);
+            let Some(stages) = choice::chain(&scene, &model(), span, &[], None, &mut rng) else {
+                break;
+            };
+            let again = stages.iter().find(|s| chosen.contains(&s.upstream));
+            assert!(again.is_none(), "{again:?} rests");
+            for stage in stages {
+                roster.note_rest(now, &stage.upstream, rest);
+                chosen.push(stage.upstream);
+            }
+            rest += Duration::from_secs(1);
+        }
+        let scene = scene(&roster, &pipes, &shares, &place);
+        let left = choice::rest_left(&scene, Some(&model()), &mut rng);
+        assert_eq!(left, Some(Duration::from_secs(10)));
+    }
+}
+
+/// The time to come back is told only if rest is what stands in the way.
+#[test]
+fn rest_is_not_told_while_there_is_a_way() {
+    let (pipes, shares, place) = (Pipes::default(), Shares::default(), Arc::from("a"));
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut roster = Roster::default();
+    let second = Duration::from_secs(1);
+    let left = |roster: &Roster, rng: &mut SmallRng| {
+        let scene = scene(roster, &pipes, &shares, &place);
+        choice::rest_left(&scene, None, rng)
+    };
+    assert_eq!(left(&roster, &mut rng), None);
+    let now = scene(&roster, &pipes, &shares, &place).now;
+    for id in ["e1", "e2"] {
+        roster.put(engines::upstream(id, "a", "small", None, 1));
+    }
+    roster.note_rest(now, "e1", second * 3);
+    assert_eq!(left(&roster, &mut rng), None);
+    roster.note_rest(now, "e2", second * 2);
+    assert_eq!(left(&roster, &mut rng), Some(second * 2));
+    assert_eq!(
+        choice::upstream(&scene(&roster, &pipes, &shares, &place), &[], &mut rng),
+        None
+    );
+}
--- a/crates/ashgauge/tests/knowledge.rs
+++ b/crates/ashgauge/tests/knowledge.rs
@@ -140,6 +140,61 @@
     );
 }
 
+/// A box learns of upstreams by lists, changes of one entry and their end; the store
+/// forgets entries in an outage. None of it ends a rest, which the upstream counts on.
+#[test]
+fn rest_holds_whatever_becomes_of_the_entry() {
+    let mut roster = Roster::default();
+    let upstreams = [born("e1", 1), born("e2", 1)];
+    let rest = |roster: &Roster, now| roster.get("e1").and_then(|e| e.rest(now));
+    roster.replace(SECOND, upstreams.to_vec(), true);
+    roster.note_rest(SECOND, "e1", SECOND * 30);
+    roster.note_rest(SECOND, "e1", SECOND);
+    assert_eq!(rest(&roster, SECOND * 11), Some(SECOND * 20));
+    roster.put(Upstream {
+        slots: 7,
+        ..born("e1", 1)
+    });
+    assert_eq!(rest(&roster, SECOND * 11), Some(SECOND * 20));
+    roster.replace(SECOND, vec![born("e2", 1)], false);
+    roster.expire(SECOND * 5);
+    assert!(roster.get("e1").is_none());
+    roster.replace(SECOND * 6, upstreams.to_vec(), true);
+    assert_eq!(rest(&roster, SECOND * 11), Some(SECOND * 20));
+    roster.remove(SECOND * 7, "e1");
+    roster.put(born("e1", 1));
+    assert_eq!(rest(&roster, SECOND * 11), Some(SECOND * 20));
+    // Entries come later than answers, so the answer may be of the new start.
+    roster.put(born("e1", 2));
+    assert_eq!(rest(&roster, SECOND * 11), Some(SECOND * 20));
+    assert_eq!(rest(&roster, SECOND * 31), None);
+    assert!(roster.get("e2").is_some_and(|e| e.takes_requests(SECOND)));
+}
+
+/// Its entry may lapse while a request is on its way, and come back.
+#[test]
+fn rest_holds_though_the_entry_was_gone_as_it_was_asked_for() {
+    let mut roster = Roster::default();
+    roster.note_rest(SECOND, "e1", SECOND * 30);
+    roster.put(born("e1", 1));
+    let entry = roster.get("e1").expect("an entry");
+    assert_eq!(entry.rest(SECOND * 11), Some(SECOND * 20));
+    assert!(entry.is_usable(SECOND) && !entry.takes_requests(SECOND));
+}
+
+/// A rest of any length is no end of the box.
+#[test]
+fn longest_rest_is_counted() {
+    let mut roster = Roster::default();
+    roster.put(born("e1", 1));
+    roster.note_rest(SECOND, "e1", Duration::MAX);
+    assert!(
+        roster
+            .get("e1")
+            .is_some_and(|e| !e.takes_requests(SECOND * 9))
+    );
+}
+
 /// An upstream that gets no requests for its failures could never show that it
 /// is well again.
 #[test]
--- a/crates/ashgauged/src/relay/follow/mod.rs
+++ b/crates/ashgauged/src/relay/follow/mod.rs
@@ -226,7 +226,7 @@
         let now = self.desk.now();
         let mut roster = self.desk.roster.borrow_mut();
         match sure {
-            true => roster.remove(id),
+            true => roster.remove(now, id),
             false => roster.miss(now, id),
         }
     }
--- a/crates/ashgauged/src/relay/loss.rs
+++ b/crates/ashgauged/src/relay/loss.rs
@@ -118,7 +118,7 @@
     let roster = desk.roster.borrow();
     let entry = roster.get(&loss.upstream)?;
     let upstream = &entry.upstream;
-    let counts = !loss.proven && !upstream.leaving;
+    let counts = !loss.proven && !entry.is_leaving();
     counts.then(|| start_key(&upstream.id, upstream.born))
 }
 
--- a/crates/ashgauged/src/relay/notice.rs
+++ b/crates/ashgauged/src/relay/notice.rs
@@ -10,13 +10,8 @@
 
 /// Takes in what the head of an upstream's answer says of it.
 pub fn take(desk: &Desk, upstream: &str, head: &response::Parts) {
-    let stays = |id| {
-        let roster = desk.roster.borrow();
-        roster.get(id).is_some_and(|e| !e.upstream.leaving)
-    };
-    if engine::is_leaving(head) && stays(upstream) {
-        let fields = json!({"upstream": upstream});
-        log::line(Level::Info, "roster", "says that it leaves", fields);
+    if engine::is_leaving(&head.headers) {
+        note_leaving(desk, upstream);
     }
     let rest = match engine::rest(head) {
         Ok(Some(rest)) => rest,
@@ -26,15 +21,40 @@
             return log::line(Level::Warn, "roster", "rest cannot be read", fields);
         }
     };
-    desk.roster
-        .borrow_mut()
-        .note_rest(desk.now(), upstream, rest);
+    let mut roster = desk.roster.borrow_mut();
+    // An engine behind the first one of a chain asks by way of that.
+    let named = engine::at_fault(&head.headers).and_then(|addr| roster.at(addr));
+    let named = named.map(|e| e.upstream.id.clone());
+    let now = desk.now();
+    roster.note_rest(now, upstream, rest);
+    if let Some(id) = &named {
+        roster.note_rest(now, id, rest);
+    }
     desk.metrics.rests.inc();
-    let fields = json!({"upstream": upstream, "rest_ms": rest.as_millis() as u64});
+    let fields = json!({
+        "upstream": upstream,
+        "named": named.as_deref(),
+        "rest_ms": rest.as_millis() as u64,
+    });
     log::line(Level::Info, "roster", "asks for rest", fields);
 }
 
-/// Notes a send to an upstream that wants nothing from this box.
+/// Notes that an upstream's answer says that it leaves.
+pub fn note_leaving(desk: &Desk, upstream: &str) {
+    let roster = desk.roster.borrow();
+    if roster.get(upstream).is_none_or(|e| e.is_leaving()) {
+        return;
+    }
+    log::line(
+        Level::Info,
+        "roster",
+        "says that it leaves",
+        json!({"upstream": upstream}),
+    );
+}
+
+/// Notes a send to an upstream that wants nothing from this box, as when it asked for
+/// that while the connection came up.
 pub fn check_send(desk: &Desk, upstream: &str, id: &str) {
     let roster = desk.roster.borrow();
     let Some(left) = roster.get(upstream).and_then(|e| e.rest(desk.now())) else {
--- a/crates/ashgauged/src/relay/place.rs
+++ b/crates/ashgauged/src/relay/place.rs
@@ -437,7 +437,8 @@
 /// Address of an engine that does not show the range yet, and what it holds.
 fn open_order(desk: &Desk, range: &Assignment) -> Option<(String, Option<Span>)> {
     let roster = desk.roster.borrow();
-    let upstream = &roster.get(&range.id)?.upstream;
-    let shown = upstream.layers == Some(range.span) || upstream.leaving;
+    let entry = roster.get(&range.id)?;
+    let upstream = &entry.upstream;
+    let shown = upstream.layers == Some(range.span) || entry.is_leaving();
     (!shown).then(|| (upstream.addr.clone(), upstream.layers))
 }
--- a/crates/ashgauged/src/relay/probe.rs
+++ b/crates/ashgauged/src/relay/probe.rs
@@ -22,7 +22,7 @@
 use tokio::time::timeout;
 
 use super::desk::Desk;
-use super::log;
+use super::{log, notice};
 
 /// For a connection to come up; a healthy one takes under 2 ms. A machine without
 /// power answers nothing, so each millisecond here is one more of pause for every
@@ -95,7 +95,7 @@
         let Ok((n, Some(report))) = answer else {
             continue;
         };
-        note_pace(desk, &stages[n].upstream, &report);
+        note_report(desk, &stages[n].upstream, &report);
         let mut stalled = report.stalled.iter().filter(|s| n == 0 && s.id == id);
         if let Some(stalled) = stalled.next() {
             let roster = desk.roster.borrow();
@@ -105,7 +105,10 @@
     culprit
 }
 
-fn note_pace(desk: &Desk, id: &str, report: &Report) {
+fn note_report(desk: &Desk, id: &str, report: &Report) {
+    if report.leaving {
+        notice::note_leaving(desk, id);
+    }
     let factor = report.pace.unwrap_or(1.0);
     let news = desk.roster.borrow_mut().note_slow(desk.now(), id, factor);
     if news && factor >= SLOW_LEAST {
--- a/crates/ashgauged/src/relay/pump/mend.rs
+++ b/crates/ashgauged/src/relay/pump/mend.rs
@@ -104,7 +104,7 @@
         let mut ends = self.stages_where(|e, stage| {
             let held = e.upstream.layers.unwrap_or(Span { first: 0, end: 0 });
             let gives_up = held.first > stage.first || held.end < stage.end;
-            gives_up || e.upstream.leaving
+            gives_up || e.is_leaving()
         });
         let first = self.run.stages[0].upstream.clone();
         ends.retain(|id| *id != first && !self.left.contains(id));
--- a/crates/ashgauged/src/relay/request.rs
+++ b/crates/ashgauged/src/relay/request.rs
@@ -175,7 +175,11 @@
 pub fn finish(desk: &Desk, mut a: Admitted, end: End) -> Response<Body> {
     let sure = is_allowed(desk, &a);
     let (what, status, after) = match end {
-        End::NotRun if sure => ("not run", StatusCode::SERVICE_UNAVAILABLE, Some(BACK_FULL)),
+        End::NotRun if sure => {
+            // Whoever comes back earlier is refused once more.
+            let after = desk.rest_left(&a.service).unwrap_or(BACK_FULL);
+            ("not run", StatusCode::SERVICE_UNAVAILABLE, Some(after))
+        }
         End::NotRun => (
             "unsure",
             StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/ashgauged/src/relay/select.rs
+++ b/crates/ashgauged/src/relay/select.rs
@@ -1,13 +1,15 @@
 //! What a box chooses for a request: an upstream, or a chain of engines; and what it
 //! notes of what it chose.
 
+use std::time::Duration;
+
 use ashgauge::chain::Stage;
 use ashgauge::choice::{self, Need};
 use ashgauge::cost;
 use ashgauge::member::UpstreamId;
 use ashgauge::pipes::Pipes;
 use ashgauge::roster::{Roster, Span};
-use ashgauge::routing::{Model, ServiceId};
+use ashgauge::routing::{Model, Service, ServiceId};
 use ashgauge::scene::Scene;
 use ashgauge::share::{self, Shares};
 use ashgauge::slack::Slack;
@@ -64,6 +66,16 @@
         choice::chain(&scene, model, span, avoid, wish.need, &mut *self.rng())
     }
 
+    /// How long until a request of a service can go somewhere, if upstreams that want
+    /// rest are what it lacks.
+    pub fn rest_left(&self, service: &Service) -> Option<Duration> {
+        let roster = self.roster.borrow();
+        let (pipes, shares) = (self.pipes.borrow(), self.shares.borrow());
+        let scene = self.scene(&roster, &pipes, &shares, &service.name);
+        let model = service.model.as_ref().filter(|m| m.layers > 0);
+        choice::rest_left(&scene, model, &mut *self.rng())
+    }
+
     /// Share of an engine's memory that requests hold, as far as is known.
     pub fn fullness(&self, id: &str) -> Option<f64> {
         let (roster, routing) = (self.roster.borrow(), self.routing());
--- a/crates/ashgauged/src/relay/status.rs
+++ b/crates/ashgauged/src/relay/status.rs
@@ -45,6 +45,8 @@
     /// First layer and layer after the last, if it holds any.
     layers: Option<(u32, u32)>,
     leaving: bool,
+    /// How much longer it wants nothing from this box, in milliseconds.
+    rest_ms: Option<u64>,
     suspect: bool,
     /// Factor on the time of its work.
     slowness: f64,
@@ -76,7 +78,8 @@
         addr: e.upstream.addr.clone(),
         data_centre: e.upstream.place.to_string(),
         layers: e.upstream.layers.map(|l| (l.first, l.end)),
-        leaving: e.upstream.leaving,
+        leaving: e.is_leaving(),
+        rest_ms: e.rest(now).map(|r| r.as_millis() as u64),
         suspect: e.is_suspect(now),
         slowness: e.slowness(now),
         inflight: e.inflight,
