Go by an upstream's own word that it leaves

Boxes knew of it by the entry only, which comes up to two seconds later, and not at all while the store is away. Now any answer that says so counts, also one to a question for an engine's state: nothing new goes there and streams are led away; an entry that calls it ready does not take that back, a new start does. Known by a gone upstream's id for 600 s, so memory is bounded by those that went in that time (property).

--- a/crates/ashgauge/tests/knowledge.rs
+++ b/crates/ashgauge/tests/knowledge.rs
@@ -7,6 +7,7 @@
 
 use ashgauge::events::cut;
 use ashgauge::fresh::{Freshness, Ledger};
+use ashgauge::notice::Absent;
 use ashgauge::roster::{Roster, Upstream};
 use ashgauge::routing::{Access, Bounds, Route, Routing, Team};
 use engines::upstream;
@@ -182,6 +183,45 @@
     assert!(entry.is_usable(SECOND) && !entry.takes_requests(SECOND));
 }
 
+/// An upstream says in its answers that it leaves before its entry does, or while the
+/// store is away; an entry that calls it ready is older. A new start stays.
+#[test]
+fn leaving_holds_until_a_new_start() {
+    let mut roster = Roster::default();
+    roster.put(born("e1", 1));
+    assert!(roster.note_leaving(SECOND, "e1"));
+    assert!(!roster.note_leaving(SECOND, "e1"));
+    let leaving = |roster: &Roster| roster.get("e1").map(|e| e.is_leaving());
+    roster.put(born("e1", 1));
+    assert_eq!(leaving(&roster), Some(true));
+    roster.remove(SECOND, "e1");
+    roster.put(born("e1", 1));
+    assert_eq!(leaving(&roster), Some(true));
+    roster.remove(SECOND, "e1");
+    roster.put(born("e1", 2));
+    assert_eq!(leaving(&roster), Some(false));
+    roster.note_leaving(SECOND, "e1");
+    roster.put(born("e1", 3));
+    assert_eq!(leaving(&roster), Some(false));
+}
+
+proptest! {
+    /// However many upstreams come and go, what is kept of those that are gone ends.
+    #[test]
+    fn notices_of_upstreams_that_are_gone_end(steps in prop::collection::vec((0u8..8, 0u16..900), 1..200)) {
+        let mut absent = Absent::default();
+        let (mut now, mut last) = (Duration::ZERO, [None; 8]);
+        for (id, pause) in steps {
+            now += Duration::from_secs(pause.into());
+            let name = format!("e{id}");
+            absent.change(now, &name, |n| n.note_rest(now, SECOND * 2000));
+            last[usize::from(id)] = Some(now);
+            let kept = last.iter().flatten().filter(|at| now < **at + SECOND * 600);
+            prop_assert_eq!(absent.len(), kept.count());
+        }
+    }
+}
+
 /// A rest of any length is no end of the box.
 #[test]
 fn longest_rest_is_counted() {
--- a/crates/ashgauged/src/relay/notice.rs
+++ b/crates/ashgauged/src/relay/notice.rs
@@ -39,10 +39,10 @@
     log::line(Level::Info, "roster", "asks for rest", fields);
 }
 
-/// Notes that an upstream's answer says that it leaves.
+/// Notes that an upstream's answer says that it leaves, so that nothing new goes there
+/// and streams are led away, also while the store is down or its entry comes late.
 pub fn note_leaving(desk: &Desk, upstream: &str) {
-    let roster = desk.roster.borrow();
-    if roster.get(upstream).is_none_or(|e| e.is_leaving()) {
+    if !desk.roster.borrow_mut().note_leaving(desk.now(), upstream) {
         return;
     }
     log::line(
@@ -51,6 +51,7 @@
         "says that it leaves",
         json!({"upstream": upstream}),
     );
+    desk.wake_streams();
 }
 
 /// Notes a send to an upstream that wants nothing from this box, as when it asked for
