--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -9,6 +9,7 @@
 use ashgauge::node::{Reason, Token};
 use bytes::Bytes;
 use http::{Body, json};
+use hyper::header::RETRY_AFTER;
 use hyper::http::request::Parts;
 use hyper::{Response, StatusCode};
 use serde::{Deserialize, Serialize};
@@ -68,7 +69,7 @@
         /// How many of them only rebuilt state.
         rebuild: u32,
     },
-    /// It refused a new session, as it is leaving.
+    /// It refused a new session, as it is leaving or wants rest.
     Refused {
         /// Session.
         session: String,
@@ -102,6 +103,8 @@
 pub struct Mode {
     /// Refuse new sessions, as an upstream that leaves.
     pub leaving: bool,
+    /// Refuse new sessions as busy, and ask for so many milliseconds of rest; 0 for not.
+    pub rest_ms: u64,
     /// Answer every nth order with another session's answer; 0 for never.
     pub crossed: u64,
     /// Milliseconds added before an answer goes out.
@@ -179,7 +182,15 @@
         let session = match known {
             Some(session) => session,
             None if order.start > 0 => return refuse(Reason::NoSession),
-            None if mode.leaving => return self.refuse_leaving(order.session),
+            None if mode.leaving => return self.refuse_new(order.session, Reason::Leaving),
+            None if mode.rest_ms > 0 => {
+                let mut refusal = self.refuse_new(order.session, Reason::Busy);
+                let seconds = mode.rest_ms as f64 / 1e3;
+                if let Ok(value) = seconds.to_string().parse() {
+                    refusal.headers_mut().insert(RETRY_AFTER, value);
+                }
+                return refusal;
+            }
             None => self.open(&order),
         };
         let mut session = session.lock().await;
@@ -204,12 +215,12 @@
         json(StatusCode::OK, &self.cross(mode.crossed, reply))
     }
 
-    fn refuse_leaving(&self, session: String) -> Response<Body> {
+    fn refuse_new(&self, session: String, reason: Reason) -> Response<Body> {
         append(
             self.options.records.as_deref(),
             &Record::Refused { session },
         );
-        refuse(Reason::Leaving)
+        refuse(reason)
     }
 
     fn open(&self, order: &RunBody) -> Arc<TaskMutex<Session>> {
