--- a/crates/ashgauge/src/load.rs
+++ b/crates/ashgauge/src/load.rs
@@ -90,6 +90,8 @@
     until: Duration,
     fails: u32,
     probing: bool,
+    /// Until when it wants no new work from this box.
+    rest: Duration,
 }
 
 /// All upstreams as this box sees them.
@@ -112,6 +114,7 @@
             until: Duration::ZERO,
             fails: 0,
             probing: false,
+            rest: Duration::ZERO,
         }
     }
 }
@@ -129,6 +132,9 @@
     }
 
     fn is_open(&self, now: Duration) -> bool {
+        if now < self.rest {
+            return false;
+        }
         if self.fails > 0 {
             return now >= self.until && !self.probing;
         }
@@ -202,6 +208,17 @@
             .is_some_and(|l| l.fails > 0 && now < l.until)
     }
 
+    /// Returns true if the upstream wants no new work from this box.
+    pub fn is_resting(&self, now: Duration, id: &str) -> bool {
+        self.map.get(id).is_some_and(|l| now < l.rest)
+    }
+
+    /// Notes that the upstream wants no new work from this box for so long.
+    pub fn note_rest(&mut self, now: Duration, id: &UpstreamId, rest: Duration) {
+        let l = self.get(id);
+        l.rest = l.rest.max(now.saturating_add(rest));
+    }
+
     /// Counts one more request on the upstream.
     pub fn hold(&mut self, id: &UpstreamId) {
         let l = self.get(id);
--- a/crates/ashgauge/src/node/call.rs
+++ b/crates/ashgauge/src/node/call.rs
@@ -95,13 +95,12 @@
         };
         let (cause, ran) = match &fault {
             Fault::NotSent(cause) => (cause.clone(), false),
-            Fault::Refused(reason) => (format!("{reason:?}"), false),
+            Fault::Refused { reason, .. } => (format!("{reason:?}"), false),
             Fault::Lost(cause) => (cause.clone(), true),
         };
-        if fault == Fault::Refused(Reason::Leaving) {
-            self.note_leaving(&upstream, "upstream");
-        } else {
-            self.loads.fail(self.now, &upstream);
+        match fault {
+            Fault::Refused { reason, rest } => self.note_refusal(&upstream, reason, rest),
+            _ => self.loads.fail(self.now, &upstream),
         }
         self.stats.lost += 1;
         self.note(Some(id), What::Lost { upstream, cause });
--- a/crates/ashgauge/src/node/dispatch.rs
+++ b/crates/ashgauge/src/node/dispatch.rs
@@ -141,7 +141,8 @@
         let now = self.now;
         let edges = self.edges(model, |id| {
             let fine = if urgent {
-                !self.loads.is_suspect(now, id) && lost.is_none_or(|l| &**l != id)
+                let shut = self.loads.is_suspect(now, id) || self.loads.is_resting(now, id);
+                !shut && lost.is_none_or(|l| &**l != id)
             } else {
                 self.loads.is_open(now, id)
             };
--- a/crates/ashgauge/src/node/recover.rs
+++ b/crates/ashgauge/src/node/recover.rs
@@ -50,19 +50,31 @@
                 self.undo_ran(id);
                 self.lose(id, &cause, true);
             }
-            Fault::Refused(reason) => {
-                if reason == Reason::Leaving {
-                    self.note_leaving(&upstream, "upstream");
-                }
-                if reason == Reason::Busy {
-                    self.loads.fail(self.now, &upstream);
-                }
+            Fault::Refused { reason, rest } => {
+                self.note_refusal(&upstream, reason, rest);
                 self.undo_ran(id);
                 self.lose(id, &format!("{reason:?}"), false);
             }
         }
     }
 
+    /// Learns from an upstream's refusal.
+    pub(super) fn note_refusal(
+        &mut self,
+        upstream: &UpstreamId,
+        reason: Reason,
+        rest: Option<Duration>,
+    ) {
+        match reason {
+            Reason::Leaving => self.note_leaving(upstream, "upstream"),
+            Reason::Busy => self.loads.fail(self.now, upstream),
+            Reason::NoSession | Reason::NoLayers => {}
+        }
+        if let Some(rest) = rest {
+            self.loads.note_rest(self.now, upstream, rest);
+        }
+    }
+
     /// Finds silent stages and services, and tries stalled requests again.
     pub(super) fn tick_flows(&mut self) {
         let mut silent = Vec::new();
--- a/crates/ashgauge/src/node/types.rs
+++ b/crates/ashgauge/src/node/types.rs
@@ -129,7 +129,12 @@
     /// No byte of it left this box.
     NotSent(String),
     /// The upstream refused before running, in its protocol's words.
-    Refused(Reason),
+    Refused {
+        /// Why.
+        reason: Reason,
+        /// How long it wants no new work from this box, if it says so.
+        rest: Option<Duration>,
+    },
     /// It was sent and no whole answer came.
     Lost(String),
 }
--- a/crates/ashgauge/tests/node.rs
+++ b/crates/ashgauge/tests/node.rs
@@ -121,6 +121,10 @@
     prompt: Vec<Value>,
 }
 
+fn refused(reason: Reason) -> Fault {
+    Fault::Refused { reason, rest: None }
+}
+
 struct World {
     node: Node,
     now: Duration,
@@ -220,7 +224,7 @@
         let failed = |fault| Event::RunFailed(run.id, run.session, run.start, fault);
         let event = match luck {
             0 => failed(Fault::NotSent("refused".into())),
-            1 => failed(Fault::Refused(Reason::Busy)),
+            1 => failed(refused(Reason::Busy)),
             2 => {
                 // It ran, and the answer was lost.
                 self.touch(&run);
@@ -243,7 +247,7 @@
                 self.touch(&run);
                 match self.engines.run(&run) {
                     Ok(ran) => Event::Ran(ran),
-                    Err(reason) => failed(Fault::Refused(reason)),
+                    Err(reason) => failed(refused(reason)),
                 }
             }
         };
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -6,9 +6,11 @@
 #![warn(missing_docs)]
 #![forbid(unsafe_code)]
 
+mod after;
 mod client;
 mod server;
 
+pub use after::retry_after;
 pub use client::{Client, Failure};
 pub use http_body_util::Full;
 pub use server::{Body, Limits, empty, full, json, read_body, serve};
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -3,7 +3,8 @@
 //! The engine protocol is JSON over HTTP, one call a stage order. An engine
 //! keeps a session a stage of a request. It runs each position of a session
 //! once: the same order sent again brings the kept outputs. A header
-//! `not-run: REASON` is the upstream's own word that it did nothing.
+//! `not-run: REASON` is the upstream's own word that it did nothing, and
+//! `retry-after` beside it how long it wants no new work from the box.
 
 #![warn(missing_docs)]
 #![forbid(unsafe_code)]
@@ -12,12 +13,13 @@
 
 use std::time::Duration;
 
-use ashgauge::node::{Call, Called, Fault, Ran, Reason, Run};
+use ashgauge::node::{Call, Called, Fault, Ran, Run};
 use ashgauge::order::{Command, Reply};
 use bytes::Bytes;
 use http::{Client, Failure, Full};
 use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue};
 use hyper::{Request, Response, StatusCode};
+use spdlog::warn;
 
 pub use wire::{Cancel, NOT_RUN, OrderBody, OrderReply, RunBody, RunReply, reason, reason_word};
 
@@ -90,8 +92,8 @@
         .send(&call.addr, request, limit)
         .await
         .map_err(fault)?;
-    if let Some(reason) = refused(&answer) {
-        return Err(Fault::Refused(reason));
+    if let Some(fault) = refused(&answer) {
+        return Err(fault);
     }
     let content = answer.headers().get(CONTENT_TYPE);
     Ok(Called {
@@ -139,8 +141,8 @@
 }
 
 fn check(answer: &Response<Bytes>) -> Result<(), Fault> {
-    if let Some(reason) = refused(answer) {
-        return Err(Fault::Refused(reason));
+    if let Some(fault) = refused(answer) {
+        return Err(fault);
     }
     if answer.status() == StatusCode::OK {
         return Ok(());
@@ -148,9 +150,16 @@
     Err(Fault::Lost(format!("status {}", answer.status())))
 }
 
-fn refused(answer: &Response<Bytes>) -> Option<Reason> {
+/// The upstream's own refusal, if the answer is one.
+fn refused(answer: &Response<Bytes>) -> Option<Fault> {
     let word = answer.headers().get(NOT_RUN)?;
-    reason(word.to_str().ok()?)
+    let reason = reason(word.to_str().ok()?)?;
+    let rest = http::retry_after(answer.headers());
+    let rest = rest.unwrap_or_else(|text| {
+        warn!("an upstream asks for a rest that is no time: `{text}`");
+        None
+    });
+    Some(Fault::Refused { reason, rest })
 }
 
 fn decode<T: serde::de::DeserializeOwned>(answer: &Response<Bytes>) -> Result<T, Fault> {
