Look for a way to come back only where an upstream rests

Every refusal for want of a chain chose one more, also where no upstream had asked for rest: work in vain, at the worst moment.

--- a/crates/ashgauge/src/choice.rs
+++ b/crates/ashgauge/src/choice.rs
@@ -105,6 +105,9 @@
 pub fn rest_left(scene: &Scene, model: Option<&Model>, rng: &mut impl Rng) -> Option<Duration> {
     let all = scene.roster.of(scene.service);
     let mut rests: Vec<_> = all.filter_map(|e| e.rest(scene.now)).collect();
+    if rests.is_empty() {
+        return None;
+    }
     rests.sort_unstable();
     let mut is_early = |left: &Duration| {
         let now = scene.now + *left;
