Take comments for no events

A keep-alive of half a second cleared a request of the losses laid to it. Events of comments only do not count any more, and are passed on as before.

--- a/crates/ashgauge/src/events.rs
+++ b/crates/ashgauge/src/events.rs
@@ -15,7 +15,8 @@
 
 /// Finds the whole events at the start of `bytes`.
 ///
-/// An event ends with an empty line. Lines end with `\n` or `\r\n`.
+/// An event ends with an empty line. Lines end with `\n` or `\r\n`. Comments, which
+/// begin with a colon, are no event, though they come with what goes before the next one.
 ///
 /// # Example
 ///
@@ -35,7 +36,7 @@
         let line = trim(&bytes[start..start + at]);
         start += at + 1;
         if !line.is_empty() {
-            filled = true;
+            filled |= line[0] != b':';
             id = parse_id(line).or(id);
             continue;
         }
--- a/crates/ashgauge/tests/knowledge.rs
+++ b/crates/ashgauge/tests/knowledge.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use ashgauge::events::cut;
+use ashgauge::events::{Whole, cut};
 use ashgauge::fresh::{Freshness, Ledger};
 use ashgauge::notice::Absent;
 use ashgauge::roster::{Roster, Upstream};
@@ -338,6 +338,22 @@
     }
 }
 
+/// A keep-alive is passed on, and is no sign that the request runs.
+#[test]
+fn comments_are_no_events() {
+    let bytes = b": waiting\n\n:\r\n\r\n: first\nid: 1\ndata: a\n\n: ";
+    let whole = cut(bytes);
+    assert_eq!((whole.count, whole.last), (1, Some(1)));
+    assert_eq!(whole.len, bytes.len() - 2);
+    assert_eq!(
+        cut(&bytes[..11]),
+        Whole {
+            len: 11,
+            ..Whole::default()
+        }
+    );
+}
+
 /// Streams that fell silent opened a connection to every engine of their chain,
 /// though most of them had just served other streams.
 #[test]
--- a/crates/ashgauged/src/relay/pump/mod.rs
+++ b/crates/ashgauged/src/relay/pump/mod.rs
@@ -201,7 +201,9 @@
         self.note_pause(now);
         self.passed |= whole.count > 0;
         self.run.events += whole.count as u64;
-        self.prove(now);
+        if whole.count > 0 {
+            self.prove(now);
+        }
         let left = self.handoff.left(now);
         let sending = self.sender.send(Ok(piece));
         match self.desk.clock.within(left, sending).await {
