--- a/crates/ashgauge/src/choice.rs
+++ b/crates/ashgauge/src/choice.rs
@@ -7,10 +7,11 @@
 
 use crate::chain::{self, Edge, Layer, Stage};
 use crate::cost::{self, Scale};
+use crate::entry::Entry;
 use crate::member::UpstreamId;
-use crate::roster::{Entry, Span};
 use crate::routing::Model;
 use crate::scene::{Scene, Total};
+use crate::upstream::Span;
 
 /// Time assumed for an upstream that has not answered yet, in seconds.
 const UNKNOWN_SECONDS: f64 = 0.02;
--- a/crates/ashgauge/src/cost.rs
+++ b/crates/ashgauge/src/cost.rs
@@ -5,9 +5,10 @@
 use rand::Rng;
 
 use crate::chain::Layer;
-use crate::roster::{Entry, Span};
+use crate::entry::Entry;
 use crate::routing::Model;
 use crate::scene::{Scene, Total};
+use crate::upstream::Span;
 
 /// Most of an engine's time that it is taken to read prompts: its cost is at most
 /// four times as high for it. What the others have there is known late in a large
--- a/crates/ashgauge/src/lib.rs
+++ b/crates/ashgauge/src/lib.rs
@@ -60,6 +60,7 @@
 pub mod cost;
 pub mod digest;
 pub mod editor;
+pub mod entry;
 mod error;
 pub mod events;
 pub mod fresh;
@@ -94,6 +95,7 @@
 pub mod stay;
 pub mod suspension;
 pub mod table;
+pub mod upstream;
 
 pub use error::{Category, Error, Result};
 pub use node::{Action, Config, Event, Node};
--- a/crates/ashgauge/src/mirror.rs
+++ b/crates/ashgauge/src/mirror.rs
@@ -11,7 +11,7 @@
 
 use crate::fresh::Ledger;
 use crate::member::UpstreamId;
-use crate::roster::Upstream;
+use crate::upstream::Upstream;
 
 /// Removals that are remembered. A box that missed more of them is handed the
 /// whole copy.
--- a/crates/ashgauge/src/pending.rs
+++ b/crates/ashgauge/src/pending.rs
@@ -7,7 +7,7 @@
 
 use crate::member::UpstreamId;
 use crate::placement::Assignment;
-use crate::roster::Span;
+use crate::upstream::Span;
 
 /// A range that does not show yet, as one box tells it to others.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -31,7 +31,7 @@
 /// use std::time::Duration;
 /// use ashgauge::pending::Pending;
 /// use ashgauge::placement::Assignment;
-/// use ashgauge::roster::Span;
+/// use ashgauge::upstream::Span;
 ///
 /// let second = Duration::from_secs(1);
 /// let range = Assignment { id: "e1".into(), span: Span { first: 0, end: 4 } };
--- a/crates/ashgauge/src/placement.rs
+++ b/crates/ashgauge/src/placement.rs
@@ -13,8 +13,8 @@
 use crate::chain::Layer;
 use crate::member::UpstreamId;
 use crate::rate;
-use crate::roster::Span;
 use crate::routing::Model;
+use crate::upstream::Span;
 
 /// Least and largest share of an engine's memory that weights may take.
 ///
@@ -144,7 +144,7 @@
 ///
 /// ```
 /// use ashgauge::placement::is_whole;
-/// use ashgauge::roster::Span;
+/// use ashgauge::upstream::Span;
 ///
 /// let spans = [Span { first: 0, end: 3 }, Span { first: 2, end: 4 }];
 /// assert!(is_whole(4, spans.into_iter()));
--- a/crates/ashgauge/src/scene.rs
+++ b/crates/ashgauge/src/scene.rs
@@ -5,8 +5,9 @@
 
 use rand::Rng;
 
+use crate::entry::Entry;
 use crate::pipes::Pipes;
-use crate::roster::{Entry, Roster};
+use crate::roster::Roster;
 use crate::share::Shares;
 
 /// Costs are spread by this share at random, so that boxes that know the same
--- /dev/null
+++ b/crates/ashgauge/src/upstream.rs
@@ -0,0 +1,64 @@
+//! Upstreams, as they announce themselves.
+
+use std::sync::Arc;
+
+use crate::chain::Layer;
+use crate::member::UpstreamId;
+use crate::routing::ServiceId;
+
+/// An upstream as it announces itself.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Upstream {
+    /// Its id.
+    pub id: UpstreamId,
+    /// When it started, in Unix milliseconds, if it says so; it may start again under
+    /// the id that it had.
+    pub born: Option<u64>,
+    /// Service that it belongs to.
+    pub service: ServiceId,
+    /// Address.
+    pub addr: String,
+    /// Data centre.
+    pub place: Arc<str>,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Whether it is leaving and takes nothing new.
+    pub leaving: bool,
+    /// Kind of accelerator, if it is a model engine.
+    pub card: Option<String>,
+    /// Layers that it holds.
+    pub layers: Option<Span>,
+    /// Models that it holds.
+    pub models: Vec<String>,
+}
+
+/// A range of layers, `first..end`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
+pub struct Span {
+    /// First layer.
+    pub first: Layer,
+    /// Layer after the last.
+    pub end: Layer,
+}
+
+impl Span {
+    /// Number of layers.
+    pub fn len(&self) -> Layer {
+        self.end.saturating_sub(self.first)
+    }
+
+    /// Whether it holds no layer.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Whether it holds a layer.
+    pub fn holds(&self, layer: Layer) -> bool {
+        (self.first..self.end).contains(&layer)
+    }
+
+    /// Whether the ranges share a layer.
+    pub fn overlaps(&self, other: &Span) -> bool {
+        self.first < other.end && other.first < self.end
+    }
+}
--- a/crates/ashgauge/tests/engines/mod.rs
+++ b/crates/ashgauge/tests/engines/mod.rs
@@ -7,10 +7,11 @@
 
 use ashgauge::pipes::Pipes;
 use ashgauge::placement::{Assignment, Seat};
-use ashgauge::roster::{Roster, Span, Upstream};
+use ashgauge::roster::Roster;
 use ashgauge::routing::{Card, Model};
 use ashgauge::scene::Scene;
 use ashgauge::share::Shares;
+use ashgauge::upstream::{Span, Upstream};
 
 /// A model of 80 layers and four kinds of accelerators.
 pub fn model() -> Model {
--- a/crates/ashgauge/tests/knowledge.rs
+++ b/crates/ashgauge/tests/knowledge.rs
@@ -8,8 +8,9 @@
 use ashgauge::events::{Whole, cut};
 use ashgauge::fresh::{Freshness, Ledger};
 use ashgauge::notice::Absent;
-use ashgauge::roster::{Roster, Upstream};
+use ashgauge::roster::Roster;
 use ashgauge::routing::{Access, Bounds, Route, Routing, Team};
+use ashgauge::upstream::Upstream;
 use engines::upstream;
 use proptest::prelude::*;
 
--- a/crates/ashgauge/tests/mirror.rs
+++ b/crates/ashgauge/tests/mirror.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 
 use ashgauge::mirror::{Change, Mirror, Revision, Update, What};
-use ashgauge::roster::Upstream;
+use ashgauge::upstream::Upstream;
 use engines::upstream;
 use proptest::prelude::*;
 
--- a/crates/ashgauge/tests/pending.rs
+++ b/crates/ashgauge/tests/pending.rs
@@ -4,7 +4,7 @@
 
 use ashgauge::pending::Pending;
 use ashgauge::placement::Assignment;
-use ashgauge::roster::Span;
+use ashgauge::upstream::Span;
 
 const SECOND: Duration = Duration::from_secs(1);
 
--- a/crates/ashgauge/tests/worst_load.rs
+++ b/crates/ashgauge/tests/worst_load.rs
@@ -8,12 +8,14 @@
 
 use ashgauge::choice;
 use ashgauge::cost;
+use ashgauge::entry::Entry;
 use ashgauge::member::UpstreamId;
 use ashgauge::pipes::Pipes;
-use ashgauge::roster::{Entry, Roster, Span};
+use ashgauge::roster::Roster;
 use ashgauge::routing::Card;
 use ashgauge::scene::Scene;
 use ashgauge::share::{Shares, Word};
+use ashgauge::upstream::Span;
 use engines::{BOXES, model, scene, twins};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
--- a/crates/ashgauged/src/relay/follow/mod.rs
+++ b/crates/ashgauged/src/relay/follow/mod.rs
@@ -15,7 +15,7 @@
 use ashgauge::asker::Asker;
 use ashgauge::member::UpstreamId;
 use ashgauge::mirror::{Change, Revision, What};
-use ashgauge::roster::Upstream;
+use ashgauge::upstream::Upstream;
 use platform::{Fault, config, servers};
 use serde_json::json;
 use spdlog::Level;
--- a/crates/ashgauged/src/relay/place.rs
+++ b/crates/ashgauged/src/relay/place.rs
@@ -9,10 +9,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use ashgauge::entry::Entry;
 use ashgauge::pending::{Pending, Unshown};
 use ashgauge::placement::{self, Assignment, Seat};
-use ashgauge::roster::{Entry, Span};
 use ashgauge::routing::{Model, Service};
+use ashgauge::upstream::Span;
 use platform::Fault;
 use platform::engine::{self, Giving, Reply};
 use platform::store::Revision;
--- a/crates/ashgauged/src/relay/probe.rs
+++ b/crates/ashgauged/src/relay/probe.rs
@@ -11,8 +11,8 @@
 use std::time::Duration;
 
 use ashgauge::chain::Stage;
+use ashgauge::entry::Entry;
 use ashgauge::member::UpstreamId;
-use ashgauge::roster::Entry;
 use platform::engine::{self, Report};
 use serde_json::json;
 use spdlog::Level;
--- a/crates/ashgauged/src/relay/pump/mend.rs
+++ b/crates/ashgauged/src/relay/pump/mend.rs
@@ -4,12 +4,13 @@
 use std::time::Duration;
 
 use ashgauge::chain::{self, Stage};
+use ashgauge::entry::Entry;
 use ashgauge::handoff::{Next, Outcome};
 use ashgauge::member::UpstreamId;
 use ashgauge::progress::Progress;
-use ashgauge::roster::{Entry, Span};
 use ashgauge::routing::Model;
 use ashgauge::slack::Slack;
+use ashgauge::upstream::Span;
 use platform::engine::{self, Reply};
 use serde_json::json;
 
--- a/crates/ashgauged/src/relay/select.rs
+++ b/crates/ashgauged/src/relay/select.rs
@@ -8,11 +8,12 @@
 use ashgauge::cost;
 use ashgauge::member::UpstreamId;
 use ashgauge::pipes::Pipes;
-use ashgauge::roster::{Roster, Span};
+use ashgauge::roster::Roster;
 use ashgauge::routing::{Model, Service, ServiceId};
 use ashgauge::scene::Scene;
 use ashgauge::share::{self, Shares};
 use ashgauge::slack::Slack;
+use ashgauge::upstream::Span;
 
 use super::desk::Desk;
 
