--- a/crates/ashctl/src/relay.rs
+++ b/crates/ashctl/src/relay.rs
@@ -87,5 +87,8 @@
     if slowness > 1.0 {
         words.push(format!("slow x{slowness:.1}"));
     }
+    if let Some(ms) = upstream["rest_ms"].as_f64() {
+        words.push(format!("rests {:.1} s", ms / 1e3));
+    }
     words.join(" ")
 }
