Say when an upstream without room is avoided for a time of the box's own

Comment only: the 0.3 s hold for upstreams that had no room and did not say for how long, which is what the constant's description left open.

--- a/crates/ashgauge/src/entry.rs
+++ b/crates/ashgauge/src/entry.rs
@@ -21,7 +21,7 @@
 /// entry is renewed within about a second.
 const STALE_TIME: Duration = Duration::from_millis(1000);
 
-/// How long an upstream that had no room is avoided.
+/// How long an upstream that had no room, and did not say for how long, is avoided.
 const FULL_TIME: Duration = Duration::from_millis(300);
 
 /// How long something that came proves that the upstream behind it is there: a
