Weigh ways between data centres once for all engines, ends of ranges once a site

Cause: choosing a chain asked for the cost of going on from each data centre for each engine, each boundary and each of its layers; a plan listed the ends of all ranges of a data centre anew for each engine, so it grew with the square of the engines, and added up the same gains again for each first layer.

Change: what leads to a boundary is weighed when the boundary is reached; ends of ranges are counted as ranges change; gains are summed once. The choices are the same (tests of chains, choices and placement unchanged and green).

Ruled out: fewer engines in a choice (near ones only), as that changes choices.

--- a/crates/ashgauge/src/chain.rs
+++ b/crates/ashgauge/src/chain.rs
@@ -103,7 +103,14 @@
     let cuts = boundaries(first, end, edges);
     let places = edges.iter().map(|e| e.place + 1).max().unwrap_or(0);
     let mut best: Vec<Vec<Option<Step>>> = vec![vec![None; places]; cuts.len()];
+    // All edges of a place are alike to what leads there.
+    let enter = |reached: &[Option<Step>], cut: usize| -> Vec<Entry> {
+        let entries = (0..places).map(|place| entry(reached, cut, place, crossing));
+        entries.collect()
+    };
+    let mut entries = Vec::with_capacity(cuts.len());
     for to in 1..cuts.len() {
+        entries.push(enter(&best[to - 1], to - 1));
         for (e, edge) in edges.iter().enumerate() {
             if edge.first >= cuts[to] || edge.end < cuts[to] {
                 continue;
@@ -112,7 +119,7 @@
             for from in from..to {
                 let layers = f64::from(cuts[to] - cuts[from]);
                 let own = edge.fixed + edge.layer * layers;
-                let Some((base, via)) = entry(&best[from], from, edge.place, crossing) else {
+                let Some((base, via)) = entries[from][edge.place] else {
                     continue;
                 };
                 let cost = base + own;
@@ -141,13 +148,16 @@
     edge: usize,
 }
 
-/// Cheapest cost of standing at a boundary and going on at `place`.
+/// Cheapest cost of standing at a boundary and going on at a place, and the place
+/// from which; `None` if there is no way.
+type Entry = Option<(f64, Option<usize>)>;
+
 fn entry(
     reached: &[Option<Step>],
     cut: usize,
     place: usize,
     crossing: &impl Fn(Option<usize>, usize) -> f64,
-) -> Option<(f64, Option<usize>)> {
+) -> Entry {
     if cut == 0 {
         return Some((crossing(None, place), None)).filter(|(cost, _)| cost.is_finite());
     }
--- a/crates/ashgauge/src/placement.rs
+++ b/crates/ashgauge/src/placement.rs
@@ -209,6 +209,8 @@
     cover: Vec<f64>,
     /// Engines that show each layer.
     shown: Vec<i32>,
+    /// Ends of engines' ranges before each layer and behind the last one.
+    edges: Vec<i32>,
 }
 
 impl<'a> Board<'a> {
@@ -251,6 +253,9 @@
         let Some(site) = self.sites.get_mut(&seat.place) else {
             return;
         };
+        for edge in [span.first, span.end] {
+            site.edges[edge.min(self.model.layers) as usize] += sign as i32;
+        }
         for layer in span.first..span.end.min(self.model.layers) {
             site.cover[layer as usize] += more;
             site.shown[layer as usize] += shown;
@@ -332,13 +337,12 @@
         if len == 0 {
             return None;
         }
-        let gains = self.layer_gains(at, len);
-        let edges = self.boundaries(&seat.place);
+        let sums = running_sums(&self.layer_gains(at, len));
         let mut best: Option<(Span, f64, f64)> = None;
         for first in 0..=layers - len {
             let end = first + len;
-            let sum: f64 = gains[first as usize..end as usize].iter().sum();
-            let aligned = edges[first as usize] as u32 + edges[end as usize] as u32;
+            let sum = sums[end as usize] - sums[first as usize];
+            let aligned = u32::from(site.is_edge(first)) + u32::from(site.is_edge(end));
             let worth = sum * (1.0 + ALIGNED_SHARE * f64::from(aligned));
             if best.is_none_or(|(_, _, most)| worth > most + 1e-9) {
                 best = Some((Span { first, end }, sum, worth));
@@ -347,21 +351,6 @@
         best.map(|(span, sum, _)| (span, sum))
     }
 
-    /// Which layers some engine of a data centre begins with or ends before.
-    fn boundaries(&self, place: &str) -> Vec<bool> {
-        let layers = self.model.layers;
-        let mut edges = vec![false; layers as usize + 1];
-        edges[0] = true;
-        edges[layers as usize] = true;
-        let here = self.seats.iter().filter(|s| *s.place == *place);
-        for span in here.filter_map(|s| s.span) {
-            for edge in [span.first, span.end] {
-                edges[edge.min(layers) as usize] = true;
-            }
-        }
-        edges
-    }
-
     /// What an engine gains by holding a range, if it holds nothing else.
     fn gain(&self, at: usize, span: Span) -> f64 {
         let gains = self.layer_gains(at, span.len());
@@ -374,12 +363,13 @@
         let seat = &self.seats[at];
         let more = self.holders(seat, len);
         let here = self.sites.get(&seat.place).map_or(&[][..], |s| &s.cover);
-        let worth = |x: f64| -1.0 / (x + SMOOTHING);
+        // Holders are worth -1 / (holders + SMOOTHING).
+        let gain = |holders: &f64| {
+            let smooth = holders + SMOOTHING;
+            more / (smooth * (smooth + more))
+        };
         let layers = here.iter().zip(&self.all);
-        let layers = layers.map(|(here, all)| {
-            let fleet = worth(all + more) - worth(*all);
-            fleet + HERE_WEIGHT * (worth(here + more) - worth(*here))
-        });
+        let layers = layers.map(|(here, all)| gain(all) + HERE_WEIGHT * gain(here));
         layers.collect()
     }
 
@@ -413,8 +403,25 @@
             fill,
             cover: vec![0.0; model.layers as usize],
             shown: vec![0; model.layers as usize],
+            edges: vec![0; model.layers as usize + 1],
         }
     }
+
+    /// Whether some engine here, or the model, begins with a layer or ends before it.
+    fn is_edge(&self, layer: Layer) -> bool {
+        let ends = [0, self.edges.len() - 1].contains(&(layer as usize));
+        ends || self.edges[layer as usize] > 0
+    }
+}
+
+/// Sums of all values before each one, and of all.
+fn running_sums(values: &[f64]) -> Vec<f64> {
+    let mut sum = 0.0;
+    let sums = values.iter().map(|value| {
+        sum += value;
+        sum
+    });
+    std::iter::once(0.0).chain(sums).collect()
 }
 
 /// Shares of memory that weights may take, from `least` up.
--- a/crates/bench/src/bin/slopes.rs
+++ b/crates/bench/src/bin/slopes.rs
@@ -3,6 +3,7 @@
 //! `cargo run --release -p ashgauge-bench --bin slopes` prints a line of JSON
 //! for each. docs/CAPACITY.md works from them.
 
+use bench::decision;
 use bench::fit::line;
 use bench::slopes::*;
 use eyre::Result;
@@ -33,6 +34,12 @@
         );
         print("loans, bytes of an ask, by teams", &limits());
     }
+    if want("decisions") {
+        let (first, rest) = decision::plans();
+        print("first plan, milliseconds, by engines", &first);
+        print("plan at rest, milliseconds, by engines", &rest);
+        print("chain, milliseconds, by engines", &decision::chains());
+    }
     if want("memory") {
         print("request, bytes, by requests in flight", &request_memory());
     }
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod bound;
 pub mod call;
 pub mod claim;
+pub mod decision;
 pub mod experiment;
 pub mod fit;
 pub mod load;
