Count full engines in one pass, and data centres once a change

Cause: a request that begins to wait for room writes how many engines are full. That made a scene for each engine, and each scene sorted the data centres of all upstreams to count them: before 2,922 engines as many sorts of 3,005 entries, with nothing else done meanwhile.

Change: one scene and one pass for the count (`choice::count_full`); the roster keeps the number of data centres until upstreams change.

Ruled out: that requests wait unseen because their body is unread.

--- a/crates/ashgauge/src/choice.rs
+++ b/crates/ashgauge/src/choice.rs
@@ -134,6 +134,16 @@
     Some(tokens / cost::memory(model, entry, held).max(1.0))
 }
 
+/// How many of the engines are filled up to `limit`, a share of their memory for
+/// requests, and how many hold layers.
+pub fn count_full(scene: &Scene, model: &Model, limit: f64) -> (usize, usize) {
+    let entries = scene.roster.of(scene.service);
+    let filled = entries.filter_map(|e| fullness(scene, model, e));
+    filled.fold((0, 0), |(full, all), filled| {
+        (full + usize::from(filled >= limit), all + 1)
+    })
+}
+
 /// Share of their memory for requests that the engines of the box's data centre
 /// have given away, as far as this box knows; 1 if they have none.
 pub fn filled_near(scene: &Scene, model: &Model) -> f64 {
--- a/crates/ashgauge/src/roster.rs
+++ b/crates/ashgauge/src/roster.rs
@@ -1,5 +1,6 @@
 //! All upstreams that a box knows of: who is there, and who is gone.
 
+use std::cell::Cell;
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
@@ -17,6 +18,8 @@
     absent: Absent,
     /// Counts changes of what upstreams announce.
     edition: u64,
+    /// Data centres with upstreams, and the edition at which they were counted.
+    places: Cell<(u64, usize)>,
 }
 
 impl Roster {
@@ -103,6 +106,17 @@
         self.edition
     }
 
+    /// Number of data centres that have upstreams.
+    pub fn places(&self) -> usize {
+        let (edition, known) = self.places.get();
+        if edition == self.edition {
+            return known;
+        }
+        let places: HashSet<_> = self.all().map(|e| &e.upstream.place).collect();
+        self.places.set((self.edition, places.len()));
+        places.len()
+    }
+
     /// The upstream with this id.
     pub fn get(&self, id: &str) -> Option<&Entry> {
         self.entries.get(id)
--- a/crates/ashgauged/src/relay/select.rs
+++ b/crates/ashgauged/src/relay/select.rs
@@ -9,7 +9,7 @@
 use ashgauge::member::UpstreamId;
 use ashgauge::pipes::Pipes;
 use ashgauge::roster::Roster;
-use ashgauge::routing::{Model, Service, ServiceId};
+use ashgauge::routing::{Model, Service};
 use ashgauge::scene::Scene;
 use ashgauge::share::{self, Shares};
 use ashgauge::slack::Slack;
@@ -89,15 +89,16 @@
 
     /// How many of a service's engines are filled up to the share at which they
     /// get no first sends, and how many hold layers.
-    pub fn count_full(&self, service: &ServiceId) -> (usize, usize) {
-        let limit = self.line(service, |l| l.limit());
-        let engines: Vec<UpstreamId> = {
-            let roster = self.roster.borrow();
-            let holding = roster.of(service).filter(|e| e.upstream.layers.is_some());
-            holding.map(|e| e.upstream.id.clone()).collect()
-        };
-        let full = engines.iter().filter_map(|id| self.fullness(id));
-        (full.filter(|f| *f >= limit).count(), engines.len())
+    pub fn count_full(&self, service: &Service) -> (usize, usize) {
+        let limit = self.line(&service.name, |l| l.limit());
+        let (roster, pipes, shares) = (
+            self.roster.borrow(),
+            self.pipes.borrow(),
+            self.shares.borrow(),
+        );
+        let scene = self.scene(&roster, &pipes, &shares, &service.name);
+        let model = service.model.as_ref();
+        model.map_or((0, 0), |m| choice::count_full(&scene, m, limit))
     }
 
     /// Writes a chain for the wire, with the first engine's address.
@@ -155,10 +156,8 @@
 
     /// Boxes of one data centre, on average.
     fn neighbours(&self, roster: &Roster) -> f64 {
-        let mut places: Vec<_> = roster.all().map(|e| &e.upstream.place).collect();
-        places.sort();
-        places.dedup();
-        (f64::from(self.boxes()) / places.len().max(1) as f64).max(1.0)
+        let places = roster.places().max(1) as f64;
+        (f64::from(self.boxes()) / places).max(1.0)
     }
 
     fn scene<'a>(
--- a/crates/ashgauged/src/relay/turn.rs
+++ b/crates/ashgauged/src/relay/turn.rs
@@ -61,7 +61,7 @@
     pub fn join(&mut self, a: &Admitted) {
         if self.ticket.is_none() {
             let fields = json!({
-                "full": self.desk.count_full(&self.service),
+                "full": self.desk.count_full(&a.service),
                 "limit": self.desk.line(&self.service, |l| l.limit()),
                 "boxes_heard": self.desk.shares.borrow().boxes(),
             });
