Bound the connections of a round of orders

Change: at most 256 orders of a box wait for an answer at one time, and a client keeps 256 connections that rest over all addresses. Neither grows with the engines. Test: a client of 300 servers keeps 256 connections (all 300 before). Ruled out: closing each connection after its order, as reports and checks use them again.

--- a/crates/ashgauged/src/relay/place.rs
+++ b/crates/ashgauged/src/relay/place.rs
@@ -21,6 +21,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use spdlog::Level;
+use tokio::sync::Semaphore;
 use tokio::time::sleep;
 
 use super::desk::Desk;
@@ -59,6 +60,9 @@
 /// Times an order is sent at most.
 const ORDER_TRIES: u32 = 4;
 
+/// Orders of a box that wait for an answer at one time: each has a connection.
+const ORDERS_MOST: usize = 256;
+
 /// Pause before an order that got no answer is sent again; it may have been
 /// taken, and then the engine's report shows it.
 const ORDER_PAUSE: Duration = Duration::from_millis(1200);
@@ -110,6 +114,8 @@
 /// Follows the engines and places those that hold nothing.
 pub struct Placer {
     desk: Rc<Desk>,
+    /// Places of orders that wait for an answer.
+    orders: Rc<Semaphore>,
     /// Ranges ordered by some box that do not show yet.
     pending: Pending,
     /// Round of each service that was taken into `pending`.
@@ -128,6 +134,7 @@
     pub fn start(desk: Rc<Desk>) {
         let placer = Placer {
             desk,
+            orders: Rc::new(Semaphore::new(ORDERS_MOST)),
             pending: Pending::default(),
             rounds: HashMap::new(),
             edition: 0,
@@ -325,7 +332,8 @@
             Giving::Wait
         };
         for range in stored.ranges {
-            tokio::task::spawn_local(give_order(self.desk.clone(), range, giving, time));
+            let (desk, orders) = (self.desk.clone(), self.orders.clone());
+            tokio::task::spawn_local(give_order(desk, orders, range, giving, time));
         }
     }
 }
@@ -349,8 +357,14 @@
 
 /// Orders one engine to hold a range, and writes a line if it does not show
 /// the range in time.
-async fn give_order(desk: Rc<Desk>, range: Assignment, giving: Giving, time: Duration) {
-    order(desk.clone(), range.clone(), giving).await;
+async fn give_order(
+    desk: Rc<Desk>,
+    orders: Rc<Semaphore>,
+    range: Assignment,
+    giving: Giving,
+    time: Duration,
+) {
+    order(desk.clone(), &orders, range.clone(), giving).await;
     sleep(time).await;
     let Some((addr, _)) = open_order(&desk, &range) else {
         return;
@@ -367,9 +381,11 @@
 }
 
 /// Orders one engine to hold a range, until it says that it does.
-async fn order(desk: Rc<Desk>, range: Assignment, giving: Giving) {
+async fn order(desk: Rc<Desk>, orders: &Semaphore, range: Assignment, giving: Giving) {
     let mut before = None;
     for attempt in 1..=ORDER_TRIES {
+        // It is never closed.
+        let place = orders.acquire().await;
         let Some((addr, held)) = open_order(&desk, &range) else {
             return;
         };
@@ -399,6 +415,7 @@
                 return;
             }
         }
+        drop(place);
         sleep(ORDER_PAUSE).await;
     }
 }
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -18,6 +18,10 @@
 /// Idle connections kept for one address.
 const IDLE_MOST: usize = 64;
 
+/// The same for all addresses together: each takes a descriptor, and whoever calls
+/// thousands of upstreams once must not keep one for each.
+const IDLE_ALL: usize = 256;
+
 /// Longest answer, in bytes; a stored object is at most 1 MB.
 const ANSWER_MOST: usize = 8 << 20;
 
@@ -34,7 +38,14 @@
 #[derive(Clone, Debug)]
 pub struct Client {
     connect: Duration,
-    idle: Arc<Mutex<HashMap<String, Vec<Sender>>>>,
+    idle: Arc<Mutex<Idle>>,
+}
+
+/// Connections that rest.
+#[derive(Debug, Default)]
+struct Idle {
+    senders: HashMap<String, Vec<Sender>>,
+    count: usize,
 }
 
 impl Client {
@@ -46,6 +57,11 @@
         }
     }
 
+    /// Connections that rest.
+    pub fn idle(&self) -> usize {
+        self.idle.lock().map_or(0, |idle| idle.count)
+    }
+
     /// Sends a request to `addr` and reads the whole answer.
     ///
     /// # Errors
@@ -123,9 +139,21 @@
     }
 
     fn take(&self, addr: &str) -> Option<Sender> {
-        let mut idle = self.idle.lock().ok()?;
-        let senders = idle.get_mut(addr)?;
+        self.idle.lock().ok()?.take(addr)
+    }
+
+    fn keep(&self, addr: &str, sender: Sender) {
+        if let Ok(mut idle) = self.idle.lock() {
+            idle.keep(addr, sender);
+        }
+    }
+}
+
+impl Idle {
+    fn take(&mut self, addr: &str) -> Option<Sender> {
+        let senders = self.senders.get_mut(addr)?;
         while let Some(sender) = senders.pop() {
+            self.count -= 1;
             if sender.is_ready() {
                 return Some(sender);
             }
@@ -133,14 +161,27 @@
         None
     }
 
-    fn keep(&self, addr: &str, sender: Sender) {
-        let Ok(mut idle) = self.idle.lock() else {
+    fn keep(&mut self, addr: &str, sender: Sender) {
+        if sender.is_closed() {
             return;
-        };
-        let senders = idle.entry(addr.into()).or_default();
-        if !sender.is_closed() && senders.len() < IDLE_MOST {
+        }
+        if self.count >= IDLE_ALL {
+            self.drop_closed();
+        }
+        let senders = self.senders.entry(addr.into()).or_default();
+        if self.count < IDLE_ALL && senders.len() < IDLE_MOST {
             senders.push(sender);
+            self.count += 1;
+        }
+    }
+
+    /// Forgets connections that the other side has closed.
+    fn drop_closed(&mut self) {
+        for senders in self.senders.values_mut() {
+            senders.retain(|sender| !sender.is_closed());
         }
+        self.senders.retain(|_, senders| !senders.is_empty());
+        self.count = self.senders.values().map(Vec::len).sum();
     }
 }
 
--- /dev/null
+++ b/crates/http/tests/client.rs
@@ -0,0 +1,40 @@
+//! What the client keeps open.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Client, Full, Limits};
+use hyper::{Request, Response};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+/// Servers, each of which is called once.
+const SERVERS: usize = 300;
+
+/// Descriptors that a client may hold for connections that rest.
+const IDLE_MOST: usize = 256;
+
+/// Longest time for one answer.
+const ANSWER_MOST: Duration = Duration::from_secs(5);
+
+/// A round of orders once left a connection to each of thousands of engines open.
+#[tokio::test]
+async fn client_of_many_servers_keeps_few_connections() {
+    let (_keep, stop) = watch::channel(false);
+    let client = Client::new(ANSWER_MOST);
+    for _ in 0..SERVERS {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = listener.local_addr().unwrap().to_string();
+        let answer = |_| async { Response::new(http::empty()) };
+        tokio::spawn(http::serve(
+            listener,
+            Limits::default(),
+            stop.clone(),
+            answer,
+        ));
+        let request = Request::builder().header("host", &addr);
+        let request = request.body(Full::<Bytes>::default()).unwrap();
+        client.send(&addr, request, ANSWER_MOST).await.unwrap();
+    }
+    assert!(client.idle() <= IDLE_MOST, "{} connections", client.idle());
+}
