Let one page of the list of boxes show whom to ask

Cause: each box read the first page of the list of boxes (some 500 objects) and took it for the whole: half of 985 boxes were known to nobody, could ask nobody, read the store alone and counted in no budget.

Kept: names in the order of reading (fast links first, then random weights), so that the first page holds the readers of a list of any length; only readers read all of it, as they answer none that is not listed, and they tell the others how many boxes there are. A box that is not on that page never takes itself for a reader.

With it, as each alone would have been in vain: - as many readers as their links call for (30 to 100 boxes each), so 10 of 985; - a reader that has just found the store without a configuration says so, and nobody reads the store for that; - what is fetched has no bound of 256 kB past which each box read the store, but a time that grows with its size; - at most 100 boxes fetch from one reader at a time; four packed updates are kept.

Tests: the two of pages (red before), reader::first_page_shows_the_readers, readers_are_as_many_as_their_links_call_for, empty_store_is_told_from_a_box_that_ knows_nothing, time_for_an_answer_grows_with_its_size. large_configuration_reaches_all asked for a reading of the store past 256 kB; it asks for none now, which is stricter.

--- a/crates/ashgauge/src/asker.rs
+++ b/crates/ashgauge/src/asker.rs
@@ -20,6 +20,10 @@
 /// that started together do not ask together.
 const JITTER: f64 = 0.2;
 
+/// Bytes that a box hands in a millisecond to each of ten others that fetch together,
+/// over a link of 20 Mbit/s.
+const FETCH_BYTES: u64 = 250;
+
 /// The times by which a box asks.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Pace {
@@ -44,14 +48,30 @@
         id: QuestionId,
     },
     /// No box knew enough; comes once a round.
-    Failed {
-        /// Whether one answered at all.
-        answered: bool,
-    },
+    Failed(Lack),
     /// Look again at this time.
     Wait(Duration),
 }
 
+/// What the boxes that were asked in a round lack.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Lack {
+    /// None of them answered.
+    #[default]
+    Answer,
+    /// Those that answered know too little.
+    Knowledge,
+    /// One of them has just read the store, which holds nothing to know.
+    Content,
+}
+
+impl Pace {
+    /// For an answer of so many bytes that is fetched over a connection.
+    pub fn fetch_time(&self, bytes: u64) -> Duration {
+        self.fetch + Duration::from_millis(bytes / FETCH_BYTES)
+    }
+}
+
 /// Asks other boxes, round after round.
 ///
 /// # Example
@@ -84,8 +104,8 @@
     left: VecDeque<BoxId>,
     /// Whether a round is under way.
     is_round: bool,
-    /// Whether a box has answered in this round.
-    answered: bool,
+    /// What the boxes lack that were asked in this round.
+    lack: Lack,
     /// When the next round begins.
     next: Duration,
     /// A box that has said that it knows something new.
@@ -122,9 +142,8 @@
             self.begin(now, pace, sources(), rng);
         }
         let Some(to) = self.left.pop_front() else {
-            let answered = self.answered;
             return match std::mem::take(&mut self.is_round) {
-                true => Step::Failed { answered },
+                true => Step::Failed(self.lack),
                 false => Step::Wait(self.next),
             };
         };
@@ -142,11 +161,17 @@
     /// Takes what a box answered into account.
     pub fn hear(&mut self, now: Duration, pace: &Pace, from: &str, body: &Body) {
         self.silences.clear(from);
-        self.answered = true;
+        let is_empty = matches!(body, Body::Nothing { asked: Some(age) } if *age <= pace.stale);
+        let lack = if is_empty {
+            Lack::Content
+        } else {
+            Lack::Knowledge
+        };
+        self.lack = self.lack.max(lack);
         let is_awaited = self.waiting.as_ref().is_some_and(|(to, _)| &**to == from);
         match body {
-            Body::Large { .. } if is_awaited => {
-                self.waiting = Some((from.into(), now + pace.fetch));
+            Body::Large { bytes, .. } if is_awaited => {
+                self.waiting = Some((from.into(), now + pace.fetch_time(*bytes)));
                 return;
             }
             Body::Known { age, .. } if *age <= pace.stale => {
@@ -178,7 +203,7 @@
         let part = 1.0 - rng.random_range(0.0..JITTER);
         self.next = now + pace.every.mul_f64(part);
         self.is_round = true;
-        self.answered = false;
+        self.lack = Lack::Answer;
         self.left = sources.into();
         if let Some(from) = self.told.take() {
             self.left.retain(|id| *id != from);
--- a/crates/ashgauge/src/question.rs
+++ b/crates/ashgauge/src/question.rs
@@ -59,6 +59,8 @@
     pub from: BoxId,
     /// The question that it answers.
     pub id: QuestionId,
+    /// How many boxes it knows of; 0 if it has not counted them.
+    pub boxes: u32,
     /// What it says.
     pub body: Body,
 }
@@ -67,7 +69,10 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Body {
     /// The box knows nothing yet.
-    Nothing,
+    Nothing {
+        /// How long ago it asked the store, if that held nothing to know.
+        asked: Option<Duration>,
+    },
     /// What the asking box lacks.
     Known {
         /// Age of the proof that it is still so.
--- a/crates/ashgauge/src/reader.rs
+++ b/crates/ashgauge/src/reader.rs
@@ -7,7 +7,7 @@
 //! the answers that it gets ([`crate::question`]), whoever gave them.
 
 use std::cmp::Reverse;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -19,10 +19,15 @@
 /// others that know everything.
 const READERS_LEAST: usize = 3;
 
-/// Boxes for one reader. A question of 30 bytes a second from
-/// each of them takes a reader of 0.12 of a core below a hundredth of its time
-/// (paper).
-const BOXES_EACH: usize = 30;
+/// Boxes that one reader informs at least, however slow its link.
+const BOXES_LEAST: usize = 30;
+
+/// The same at most: each keeps a connection open for a moment when all start.
+pub const BOXES_MOST: usize = 100;
+
+/// Mbit/s of a reader's link for each box that it informs: a whole copy takes a few
+/// Mbit, and all boxes are to have theirs within two seconds.
+const LINK_EACH: usize = 2;
 
 /// Boxes besides the readers that are asked when none of those answers.
 const SPARE_SOURCES: usize = 1;
@@ -40,6 +45,9 @@
 /// Seed of the weights by which boxes become readers.
 const READER_SEED: u64 = 1;
 
+/// Fastest link that is told from others, in Mbit/s.
+const LINK_MOST: u32 = 999_999;
+
 /// A box of the fleet, as it announced itself.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Member {
@@ -63,13 +71,26 @@
     time: Duration,
 }
 
+/// What a box knows of the fleet.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    /// Boxes that may read: those that all boxes know.
+    pub candidates: Vec<Member>,
+    /// How many boxes there are.
+    pub boxes: usize,
+    /// Readers, if not the usual number of them.
+    pub readers: Option<usize>,
+}
+
 /// The readers, as one box sees them.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Readers {
     /// Whether this box is one.
     pub is_own: bool,
     /// Whether there are boxes that do not read.
     pub is_shared: bool,
+    /// All of them.
+    pub all: Vec<BoxId>,
     /// Boxes to ask, the first first.
     pub sources: Vec<BoxId>,
 }
@@ -94,23 +115,52 @@
     }
 }
 
-/// Readers of a fleet of so many boxes.
+/// Name under which a box is listed, so that the first page of a list in the order
+/// of names holds the boxes that read for the others.
+///
+/// # Example
+///
+/// ```
+/// use ashgauge::reader::listing;
+///
+/// assert!(listing(1000, "z") < listing(20, "a"));
+/// ```
+pub fn listing(link: u32, id: &str) -> String {
+    let slowness = LINK_MOST - link.min(LINK_MOST);
+    let weight = u64::MAX - weight(id, READER_SEED);
+    format!("{slowness:06}-{weight:016x}-{id}")
+}
+
+/// How many of the boxes read in a fleet of so many, by the links of those that read
+/// first.
 ///
 /// # Example
 ///
 /// ```
 /// use ashgauge::reader::count;
 ///
-/// assert_eq!(count(295), 10);
-/// assert_eq!(count(22), 3);
-/// assert_eq!(count(1), 1);
+/// assert_eq!(count(295, 3, std::iter::repeat(20)), 10);
+/// assert_eq!(count(295, 3, std::iter::repeat(1000)), 3);
+/// assert_eq!(count(1, 1, std::iter::repeat(20)), 1);
 /// ```
-pub fn count(boxes: usize) -> usize {
-    READERS_LEAST.max(boxes.div_ceil(BOXES_EACH)).min(boxes)
+pub fn count(boxes: usize, places: usize, links: impl Iterator<Item = u32>) -> usize {
+    // One in each data centre that is worth it, so that most need not ask far away.
+    let least = places.min(boxes.div_ceil(BOXES_LEAST)).max(READERS_LEAST);
+    let mut informed = 0;
+    let needed = links.take_while(|link| {
+        let lacks = informed < boxes;
+        informed += informs(*link);
+        lacks
+    });
+    needed.take(boxes).count().max(least).min(boxes)
+}
+
+/// Boxes that a reader with this link informs.
+fn informs(link: u32) -> usize {
+    (link as usize / LINK_EACH).clamp(BOXES_LEAST, BOXES_MOST)
 }
 
-/// Chooses the readers among all `members`, of which `me` is one, and whom to
-/// ask; `most` replaces the usual number of readers.
+/// Chooses the readers among a fleet's candidates, and whom the box `me` asks.
 ///
 /// The data centres take turns, so that readers stand in as many of them as
 /// there are readers.
@@ -119,24 +169,23 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use ashgauge::reader::{choose, Member, Silences};
+/// use ashgauge::reader::{choose, Fleet, Member, Silences};
 ///
 /// let member = |id: &str| Member { id: id.into(), place: "a".into(), link: 0 };
-/// let members = [member("b1"), member("b2"), member("b3")];
-/// let choose = |me: &Member| choose(me, &members, &Silences::default(), Duration::ZERO, Some(1));
-/// let readers: Vec<_> = members.iter().filter(|m| choose(m).is_own).collect();
+/// let candidates = vec![member("b1"), member("b2"), member("b3")];
+/// let fleet = Fleet { candidates, boxes: 3, readers: Some(1) };
+/// let choose = |me: &Member| choose(me, &fleet, &Silences::default(), Duration::ZERO);
+/// let readers: Vec<_> = fleet.candidates.iter().filter(|m| choose(m).is_own).collect();
 /// assert_eq!(readers.len(), 1);
 /// ```
-pub fn choose(
-    me: &Member,
-    members: &[Member],
-    silences: &Silences,
-    now: Duration,
-    most: Option<usize>,
-) -> Readers {
+pub fn choose(me: &Member, fleet: &Fleet, silences: &Silences, now: Duration) -> Readers {
     let heard = |m: &&Member| m.id == me.id || !silences.holds(now, &m.id);
-    let ranked = rank(members.iter().filter(heard).collect());
-    let most = most.unwrap_or_else(|| count(members.len())).max(1);
+    let ranked = rank(fleet.candidates.iter().filter(heard).collect());
+    let usual = || {
+        let places: HashSet<&str> = ranked.iter().map(|m| &*m.place).collect();
+        count(fleet.boxes, places.len(), ranked.iter().map(|m| m.link))
+    };
+    let most = fleet.readers.unwrap_or_else(usual).max(1);
     let readers = &ranked[..most.min(ranked.len())];
     let mut sources: Vec<&Member> = readers.to_vec();
     // Questions go to the nearest, and are spread over those.
@@ -145,15 +194,14 @@
     let sources = sources.iter().filter(|m| m.id != me.id);
     Readers {
         is_own: readers.iter().any(|m| m.id == me.id),
-        is_shared: ranked.len() > most,
+        is_shared: ranked.len().max(fleet.boxes) > most,
+        all: readers.iter().map(|m| m.id.clone()).collect(),
         sources: sources.map(|m| m.id.clone()).take(SOURCES_MOST).collect(),
     }
 }
 
-/// Boxes in the order in which they become readers.
-///
-/// After the loss of all 300 boxes one of 20 Mbit/s handed what 3,000 engines
-/// announce to the others at 80 boxes a second.
+/// Boxes in the order in which they become readers: those with fast links first, as
+/// after the loss of all boxes a slow one takes seconds to inform the others.
 fn rank(mut boxes: Vec<&Member>) -> Vec<&Member> {
     boxes.sort_by_cached_key(|m| Reverse((m.link, weight(&m.id, READER_SEED))));
     let mut turns: HashMap<&str, usize> = HashMap::new();
--- a/crates/ashgauge/tests/reader.rs
+++ b/crates/ashgauge/tests/reader.rs
@@ -4,10 +4,10 @@
 
 use std::time::Duration;
 
-use ashgauge::asker::{Asker, Pace, Step};
+use ashgauge::asker::{Asker, Lack, Pace, Step};
 use ashgauge::member::BoxId;
 use ashgauge::question::Body;
-use ashgauge::reader::{Member, Silences, choose, count};
+use ashgauge::reader::{Fleet, Member, Readers, Silences, count};
 use proptest::prelude::*;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -30,6 +30,22 @@
     }
 }
 
+/// The readers, as a box of a fleet sees them that knows all others.
+fn choose(
+    me: &Member,
+    members: &[Member],
+    silences: &Silences,
+    now: Duration,
+    readers: Option<usize>,
+) -> Readers {
+    let fleet = Fleet {
+        candidates: members.to_vec(),
+        boxes: members.len(),
+        readers,
+    };
+    ashgauge::reader::choose(me, &fleet, silences, now)
+}
+
 fn fleet(sizes: &[usize]) -> Vec<Member> {
     let places = sizes.iter().enumerate();
     let boxes = places.flat_map(|(p, n)| {
@@ -52,7 +68,8 @@
             .map(|me| (me, choose(me, &members, &none, MS, None)))
             .collect();
         let readers: Vec<&Member> = seen.iter().filter(|(_, r)| r.is_own).map(|(m, _)| *m).collect();
-        prop_assert_eq!(readers.len(), count(members.len()));
+        let links = std::iter::repeat(0);
+        prop_assert_eq!(readers.len(), count(members.len(), sizes.len(), links));
         prop_assert!(readers.len() >= members.len().min(3));
         let places: std::collections::BTreeSet<&str> = readers.iter().map(|m| &*m.place).collect();
         prop_assert_eq!(places.len(), sizes.len().min(readers.len()));
@@ -134,8 +151,8 @@
         panic!("only one asked");
     };
     assert_eq!(&*to, "b2");
-    asker.hear(3 * MS, &PACE, &to, &Body::Nothing);
-    assert_eq!(step(&mut asker, 3 * MS), Step::Failed { answered: true });
+    asker.hear(3 * MS, &PACE, &to, &Body::Nothing { asked: None });
+    assert_eq!(step(&mut asker, 3 * MS), Step::Failed(Lack::Knowledge));
     assert!(!asker.silences.holds(4 * MS, "b1"));
     let Step::Wait(next) = step(&mut asker, 4 * MS) else {
         panic!("asks on");
@@ -188,10 +205,10 @@
     );
     assert_eq!(
         asker.step(150 * MS, &PACE, sources, &mut rng),
-        Step::Failed { answered: false }
+        Step::Failed(Lack::Answer)
     );
     assert!(asker.silences.holds(1000 * MS, "b1"));
-    asker.hear(1001 * MS, &PACE, &to, &Body::Nothing);
+    asker.hear(1001 * MS, &PACE, &to, &Body::Nothing { asked: None });
     assert!(!asker.silences.holds(1002 * MS, "b1"));
 }
 
@@ -212,7 +229,7 @@
     asker.hear(MS, &PACE, &to, &large);
     assert_eq!(
         asker.step(500 * MS, &PACE, sources, &mut rng),
-        Step::Wait(1001 * MS)
+        Step::Wait(MS + PACE.fetch_time(9000))
     );
     asker.note_lost(500 * MS, &to);
     let step = asker.step(500 * MS, &PACE, sources, &mut rng);
@@ -243,3 +260,84 @@
         assert!(readers.iter().all(|m| m.link == 200), "{readers:?}");
     }
 }
+
+/// A reader that has just found the store empty was taken for one that knows nothing,
+/// and each box read the store as well.
+#[test]
+fn empty_store_is_told_from_a_box_that_knows_nothing() {
+    let ends = |asked: &[Option<Duration>]| {
+        let mut rng = SmallRng::seed_from_u64(1);
+        let mut asker = Asker::default();
+        let sources = || names(&["b1", "b2"]);
+        for asked in asked {
+            let Step::Ask { to, .. } = asker.step(ZERO, &PACE, sources, &mut rng) else {
+                panic!("nobody asked");
+            };
+            asker.hear(ZERO, &PACE, &to, &Body::Nothing { asked: *asked });
+        }
+        asker.step(ZERO, &PACE, sources, &mut rng)
+    };
+    let fresh = Some(PACE.stale);
+    let old = Some(PACE.stale + MS);
+    assert_eq!(ends(&[fresh, None]), Step::Failed(Lack::Content));
+    assert_eq!(ends(&[old, None]), Step::Failed(Lack::Knowledge));
+}
+
+/// A large answer may take as long as its bytes do over a slow link.
+#[test]
+fn time_for_an_answer_grows_with_its_size() {
+    assert_eq!(PACE.fetch_time(1400), PACE.fetch + 5 * MS);
+    assert_eq!(PACE.fetch_time(1 << 20), PACE.fetch + 4194 * MS);
+}
+
+/// Whoever knows the first page of the list alone sees the readers that those see who
+/// know all of it, and does not take itself for one.
+#[test]
+fn first_page_shows_the_readers() {
+    let mut members: Vec<Member> = (0..2000)
+        .map(|n| Member {
+            link: if n % 20 < 5 { 1000 } else { 20 },
+            ..member(&format!("box-{n}"), &format!("place-{}", n % 5))
+        })
+        .collect();
+    members.sort_by_cached_key(|m| ashgauge::reader::listing(m.link, &m.id));
+    let page = &members[..200];
+    let none = Silences::default();
+    let see = |me: &Member| {
+        let fleet = Fleet {
+            candidates: page.to_vec(),
+            boxes: members.len(),
+            readers: None,
+        };
+        ashgauge::reader::choose(me, &fleet, &none, MS)
+    };
+    let whole = choose(&members[0], &members, &none, MS, None);
+    assert_eq!(whole.all.len(), 20);
+    for me in members.iter().step_by(7) {
+        let seen = see(me);
+        assert_eq!(seen.all, whole.all);
+        assert_eq!(seen.is_own, whole.all.contains(&me.id));
+        let near = seen
+            .sources
+            .first()
+            .and_then(|id| members.iter().find(|m| m.id == *id));
+        assert!(seen.is_own || near.is_some_and(|m| m.place == me.place));
+    }
+}
+
+/// No reader informs more boxes than its link lets it, whatever the fleet's size.
+#[test]
+fn readers_are_as_many_as_their_links_call_for() {
+    for boxes in [100, 985, 2000, 10_000] {
+        let slow = count(boxes, 5, std::iter::repeat(20));
+        let fast = count(boxes, 5, std::iter::repeat(1000));
+        assert!(
+            boxes <= slow * 30 && slow <= boxes / 30 + 2,
+            "{slow} of {boxes}"
+        );
+        assert!(
+            boxes <= fast * 100 && fast <= boxes / 100 + 4,
+            "{fast} of {boxes}"
+        );
+    }
+}
--- a/crates/ashgauged/src/relay/census.rs
+++ b/crates/ashgauged/src/relay/census.rs
@@ -1,13 +1,18 @@
-//! How many boxes there are, for their parts of the fleet's budgets.
+//! Which boxes there are: whom this one may ask, and how many share the fleet's
+//! budgets.
+//!
+//! The list of a large fleet has many pages. Its first one holds the boxes that read
+//! for the others, so that each box finds whom to ask by one call; those that read
+//! know all, as they answer only boxes that are listed.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use ashgauge::reader;
 use platform::Fault;
-use platform::store::Revision;
+use platform::store::{Object, Revision};
 use rand::Rng;
-use serde::de::IgnoredAny;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use spdlog::Level;
@@ -23,25 +28,35 @@
 /// while the store is away do not call it together.
 const RETRY_PAUSE: Duration = Duration::from_millis(800);
 
-/// Times from announcing this box to further counts, so that boxes that start
-/// together see each other; the cheap read is some seconds old. The first
-/// count, at once, serves a box that joins a fleet or was restarted.
-const COUNT_AGAIN: [Duration; 3] = [
+/// Times from the first look to further ones, so that boxes that start together see
+/// each other; the cheap read is some seconds old. The first look, at once, serves
+/// a box that joins a fleet or was restarted.
+const LOOK_AGAIN: [Duration; 3] = [
     Duration::from_millis(1500),
     Duration::from_millis(3000),
     Duration::from_millis(5000),
 ];
 
-/// When most boxes of a fleet that starts for the first time are listed: the
-/// cheap read is some seconds old.
+/// When most boxes of a fleet that starts for the first time are listed. Nobody is
+/// asked before, so looks before are in vain there.
 const SEARCH_TIME: Duration = Duration::from_millis(3000);
 
-/// Time between two counts of the boxes.
-const COUNT_EVERY: Duration = Duration::from_secs(15);
+/// How much later boxes ask whom the readers may not know: only those read the whole
+/// list, and begin to when they find that they are readers.
+const READERS_TIME: Duration = Duration::from_millis(500);
+
+/// Time between two looks at the boxes.
+const LOOK_EVERY: Duration = Duration::from_secs(15);
+
+/// Looks for one of a box that knows only those that all know and asks some of them:
+/// when those fall silent it looks at once.
+const LOOKS_SKIPPED: u32 = 8;
 
 /// A box as it announces itself.
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
 struct Member {
+    /// Its name.
+    id: String,
     /// Address on which it hears what others tell.
     #[serde(default)]
     peer: Option<SocketAddr>,
@@ -59,35 +74,59 @@
 /// Boxes that are gone for good stay counted, so the parts only shrink.
 pub async fn count(desk: Rc<Desk>) {
     let own = Member::of(&desk);
-    let found = first_look(&desk).await;
-    desk.searched.set(!desk.settings().fresh_fleet);
+    let began = desk.now();
+    let fresh = desk.settings().fresh_fleet;
+    let found = if fresh { None } else { first_look(&desk).await };
+    if !fresh {
+        desk.searched.set(Some(began));
+    }
     if found.as_ref() != Some(&own) {
         while let Err(fault) = announce(&desk, &own).await {
             note("announce", &fault);
             pause(&desk).await;
         }
     }
-    let began = desk.now();
-    for time in COUNT_AGAIN {
+    for time in LOOK_AGAIN {
+        if fresh && time < SEARCH_TIME {
+            continue;
+        }
         sleep((began + time).saturating_sub(desk.now())).await;
-        count_once(desk.clone()).await;
-        if time >= SEARCH_TIME {
-            desk.searched.set(true);
+        if desk.searched.get().is_none() || knows_all(&desk) {
+            look_once(desk.clone()).await;
+        }
+        if desk.searched.get().is_none() {
+            end_search(&desk).await;
         }
     }
-    loop {
-        sleep(COUNT_EVERY).await;
-        count_once(desk.clone()).await;
+    desk.believe_count();
+    for turn in 1u32.. {
+        sleep(LOOK_EVERY).await;
+        if knows_all(&desk) || turn.is_multiple_of(LOOKS_SKIPPED) {
+            look_once(desk.clone()).await;
+        }
+    }
+}
+
+/// Whether this box is to know all others: it reads for them, or they are few.
+fn knows_all(desk: &Desk) -> bool {
+    *desk.reads.borrow() || !desk.is_partial.get()
+}
+
+/// Lets this box ask others from now on, or read for them.
+async fn end_search(desk: &Desk) {
+    if desk.is_partial.get() && !desk.is_candidate.get() {
+        sleep(READERS_TIME).await;
     }
+    desk.searched.set(Some(desk.now()));
 }
 
-/// Counts the boxes until the store answers; returns how this box was last
+/// Looks for boxes until the store answers; returns how this box was last
 /// announced, if it was.
 async fn first_look(desk: &Desk) -> Option<Member> {
     loop {
         match look(desk).await {
-            Ok(own) => return own,
-            Err(fault) => note("count", &fault),
+            Ok(seen) => return seen.own,
+            Err(fault) => note("look", &fault),
         }
         pause(desk).await;
     }
@@ -100,59 +139,91 @@
 
 /// Writes this box's object, or corrects one that names another address.
 async fn announce(desk: &Desk, member: &Member) -> Result<(), Fault> {
-    let settings = desk.settings();
-    let created = desk.store.create(KIND, &settings.id, member).await;
+    let name = reader::listing(member.link_mbps, &member.id);
+    let created = desk.store.create(KIND, &name, member).await;
     desk.count_call("write", &created);
     match created {
         Err(Fault::Conflict) => {}
         other => return other,
     }
-    let known = desk.store.get::<Member>(KIND, &settings.id).await;
+    let known = desk.store.get::<Member>(KIND, &name).await;
     desk.count_call("get", &known);
     let known = known?;
     if known.value == *member {
         return Ok(());
     }
-    let replaced = desk
-        .store
-        .replace(KIND, &settings.id, known.revision, member);
+    let replaced = desk.store.replace(KIND, &name, known.revision, member);
     let replaced = replaced.await;
     desk.count_call("write", &replaced);
     replaced
 }
 
 /// Revisions at which boxes announced themselves, as they were known some
-/// seconds ago.
+/// seconds ago; who is listed is taken in.
 ///
 /// # Errors
 ///
 /// As every call of the store.
 pub async fn written(desk: &Desk) -> Result<Vec<Revision>, Fault> {
-    let boxes = desk.store.list_stale::<IgnoredAny>(KIND).await;
-    desk.count_call("stale", &boxes);
-    Ok(boxes?.into_iter().map(|object| object.revision).collect())
+    Ok(look(desk).await?.revisions)
 }
 
-/// Reads which boxes there are.
-pub async fn count_once(desk: Rc<Desk>) {
+/// Looks which boxes there are.
+pub async fn look_once(desk: Rc<Desk>) {
     if let Err(fault) = look(&desk).await {
-        note("count", &fault);
+        note("look", &fault);
+    }
+}
+
+/// What a look at the boxes showed.
+struct Seen {
+    /// How this box is announced, if it is.
+    own: Option<Member>,
+    /// Revisions at which boxes announced themselves.
+    revisions: Vec<Revision>,
+}
+
+/// Reads which boxes there are: the first page of their list, and the rest of it if
+/// this box is to know all.
+async fn look(desk: &Desk) -> Result<Seen, Fault> {
+    let head = desk.store.first_stale::<Member>(KIND).await;
+    desk.count_call("stale", &head);
+    let head = head?;
+    let mut seen = Seen {
+        own: None,
+        revisions: Vec::new(),
+    };
+    let is_whole = head.next.is_none();
+    if !is_whole {
+        let mut peers = desk.peers.borrow_mut();
+        peers.values_mut().for_each(|p| p.is_candidate = false);
     }
+    take(desk, head.objects, true, &mut seen);
+    desk.is_candidate.set(is_whole || seen.own.is_some());
+    desk.is_partial.set(!is_whole);
+    if !is_whole && *desk.reads.borrow() {
+        let rest = desk.store.rest_stale::<Member>(KIND, head.next).await;
+        desk.count_call("stale", &rest);
+        take(desk, rest?, false, &mut seen);
+    }
+    // An older state of the store may lack even this box. The same count again is
+    // believed more than the first one at a start.
+    let count = seen.revisions.len() as u32;
+    if count >= desk.counted_boxes() {
+        desk.set_boxes(count);
+    }
+    Ok(seen)
 }
 
-/// Reads which boxes there are; returns how this one is announced, if it is.
-async fn look(desk: &Desk) -> Result<Option<Member>, Fault> {
-    let boxes = desk.store.list_stale::<Member>(KIND).await;
-    desk.count_call("stale", &boxes);
-    let boxes = boxes?;
-    let count = boxes.len() as u32;
+/// Takes in boxes that are listed.
+fn take(desk: &Desk, objects: Vec<Object<Member>>, is_candidate: bool, seen: &mut Seen) {
     let settings = desk.settings();
-    let mut own = None;
     let mut peers = desk.peers.borrow_mut();
-    for object in boxes {
+    for object in objects {
         let member = object.value;
-        if object.name == settings.id {
-            own = Some(member);
+        seen.revisions.push(object.revision);
+        if member.id == settings.id {
+            seen.own = Some(member);
             continue;
         }
         if let Some(addr) = member.peer {
@@ -163,17 +234,11 @@
                 place,
                 near,
                 link: member.link_mbps,
+                is_candidate,
             };
-            peers.insert(object.name.into(), peer);
+            peers.insert(member.id.into(), peer);
         }
     }
-    drop(peers);
-    // An older state of the store may lack even this box.
-    // The same count again is believed more than the first one at a start.
-    if count >= desk.counted_boxes() {
-        desk.set_boxes(count);
-    }
-    Ok(own)
 }
 
 /// The proofs find out whether the store is away; here it only costs a count.
@@ -186,6 +251,7 @@
     /// What this box announces.
     fn of(desk: &Desk) -> Self {
         Member {
+            id: desk.settings().id.clone(),
             peer: desk.heard_at.get(),
             data_centre: desk.settings().data_centre.clone(),
             link_mbps: desk.settings().link_mbps(),
--- a/crates/ashgauged/src/relay/desk.rs
+++ b/crates/ashgauged/src/relay/desk.rs
@@ -14,9 +14,10 @@
 use ashgauge::admission::Line;
 use ashgauge::fresh::Freshness;
 use ashgauge::member::{BoxId, UpstreamId};
-use ashgauge::mirror::Mirror;
+use ashgauge::mirror::{Mirror, Revision};
 use ashgauge::pipes::Pipes;
 use ashgauge::quarantine::Quarantine;
+use ashgauge::reader::Readers;
 use ashgauge::retry::{Allowance, Window};
 use ashgauge::roster::Roster;
 use ashgauge::routing::{Routing, ServiceId};
@@ -59,6 +60,17 @@
     pub near: bool,
     /// What its link carries, in Mbit/s; 0 if it did not say.
     pub link: u32,
+    /// Whether all boxes know it, so that it may read for them.
+    pub is_candidate: bool,
+}
+
+/// What another box asked last.
+#[derive(Clone, Copy, Debug)]
+pub struct Asked {
+    /// When.
+    pub at: Duration,
+    /// Revision up to which it knew everything.
+    pub known: Revision,
 }
 
 /// What the tasks of one box share.
@@ -80,8 +92,16 @@
     pub sure: Cell<bool>,
     /// Whether this box reads the store itself.
     pub reads: watch::Sender<bool>,
-    /// Whether the other boxes were looked for, so that who reads can be told.
-    pub searched: Cell<bool>,
+    /// When the other boxes had been looked for, so that who reads can be told.
+    pub searched: Cell<Option<Duration>>,
+    /// Whether all boxes know this one, so that it may read for them.
+    pub is_candidate: Cell<bool>,
+    /// Whether there are boxes that this one does not know.
+    pub is_partial: Cell<bool>,
+    /// The boxes that read for the others.
+    pub readers: RefCell<Rc<Readers>>,
+    /// When the store was last asked for a configuration that it did not have.
+    pub vacant_at: Cell<Option<Duration>>,
     /// Whether the last proof failed, so that calls to the store are in vain.
     pub store_away: Cell<bool>,
     /// Whether the list of upstreams was read.
@@ -118,6 +138,8 @@
     pub heard_at: Cell<Option<SocketAddr>>,
     /// The other boxes, by name.
     pub peers: RefCell<HashMap<BoxId, Peer>>,
+    /// Boxes that ask this one.
+    pub askers: RefCell<HashMap<BoxId, Asked>>,
     /// What goes between data centres.
     pub pipes: RefCell<Pipes>,
     /// This box's data centre.
@@ -143,7 +165,11 @@
             mirror: RefCell::default(),
             sure: Cell::new(true),
             reads: watch::Sender::new(false),
-            searched: Cell::new(false),
+            searched: Cell::new(None),
+            is_candidate: Cell::new(true),
+            is_partial: Cell::new(false),
+            readers: RefCell::default(),
+            vacant_at: Cell::new(None),
             store_away: Cell::new(false),
             listed: Cell::new(false),
             known: watch::Sender::new(false),
@@ -162,6 +188,7 @@
             lost: Notify::new(),
             heard_at: Cell::new(None),
             peers: RefCell::default(),
+            askers: RefCell::default(),
             pipes: RefCell::default(),
             place: settings.data_centre.as_str().into(),
             budgets: RefCell::default(),
@@ -254,6 +281,14 @@
         log::line(Level::Info, "fleet", "boxes", json!({"boxes": boxes}));
     }
 
+    /// Believes the last count, as the others have had the time to start.
+    pub fn believe_count(&self) {
+        match self.counted.get() {
+            0 => {}
+            counted => self.set_boxes(counted),
+        }
+    }
+
     /// Counts a call to the store.
     pub fn count_call<T>(&self, call: &str, result: &Result<T, Fault>) {
         let result = match result {
--- a/crates/ashgauged/src/relay/fetch.rs
+++ b/crates/ashgauged/src/relay/fetch.rs
@@ -1,6 +1,7 @@
 //! Connections over which other boxes fetch answers that are too large for a datagram.
 
 use ashgauge::question::{Answer, Question};
+use ashgauge::reader::BOXES_MOST;
 use http::Limits;
 use hyper::{Response, StatusCode};
 use tokio::net::TcpListener;
@@ -11,6 +12,10 @@
 /// Longest question, in bytes.
 const QUESTION_MOST: usize = 1024;
 
+/// Connections that are open at once: of the boxes that a reader informs, and of
+/// those that turn to it as others have gone.
+const CONNECTIONS_MOST: usize = 4 * BOXES_MOST;
+
 /// Path at which answers are fetched.
 pub const ANSWER_PATH: &str = "/answer";
 
@@ -26,7 +31,7 @@
 pub async fn serve(listener: TcpListener, fetches: mpsc::Sender<Fetch>) {
     let (_keep, stop) = watch::channel(false);
     let limits = Limits {
-        connections: 128,
+        connections: CONNECTIONS_MOST,
         ..Limits::default()
     };
     http::serve(listener, limits, stop, move |request| {
--- a/crates/ashgauged/src/relay/follow/ask.rs
+++ b/crates/ashgauged/src/relay/follow/ask.rs
@@ -3,11 +3,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ashgauge::asker::{Pace, Step};
+use ashgauge::asker::{Lack, Pace, Step};
 use ashgauge::member::BoxId;
 use ashgauge::mirror::What;
 use ashgauge::question::{Answer, Body, Question, Ticket, proved};
-use ashgauge::reader::{self, Member, Readers};
+use ashgauge::reader::{self, Fleet, Member, Readers};
 use platform::config::Config;
 use rand::Rng;
 use serde_json::json;
@@ -15,8 +15,8 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
-use super::super::peers::{FETCH_MOST, Heard, Peers};
-use super::super::{log, quarantine};
+use super::super::peers::{Heard, Peers};
+use super::super::{census, log, quarantine};
 use super::Follower;
 
 /// Time between two looks before the other boxes are known.
@@ -30,15 +30,16 @@
 /// one could inform asks the store itself.
 const ALONE_SHARE: f64 = 0.6;
 
-/// How long a box that knows nothing asks others only. Those that answer without
-/// knowledge read the store and may only be waiting for the first configuration:
-/// without the second time 283 of 295 boxes that started together read the
-/// store, too, which was a seventh of the day's calls.
+/// How long a box that knows nothing asks others only, and how long if some answer
+/// that know nothing either: they may be about to.
 const ALONE_FIRST: Duration = Duration::from_millis(1500);
 const ALONE_ANSWERED: Duration = Duration::from_millis(6000);
 
-/// Times between two such calls, at random in between: of 295 boxes some sixty
-/// a second call the store then.
+/// Time for which a choice of the readers holds: who is silent changes it.
+const CHOICE_TIME: Duration = Duration::from_millis(200);
+
+/// Times between two such calls, at random in between, so that boxes that lost
+/// their readers do not call the store together.
 const ALONE_EVERY: std::ops::Range<Duration> =
     Duration::from_millis(2000)..Duration::from_millis(8000);
 
@@ -68,10 +69,10 @@
     /// Asks whoever is to be asked now; returns when to look again.
     async fn ask_next(&self, peers: &Peers, alone_at: &mut Duration) -> Duration {
         let now = self.desk.now();
-        if !self.desk.searched.get() {
+        if self.desk.searched.get().is_none() {
             return now + SEARCH_EVERY;
         }
-        let readers = self.readers();
+        let readers = self.readers(now);
         self.set_role(&readers);
         self.desk.roster.borrow_mut().expire(now);
         let pace = self.pace();
@@ -81,7 +82,7 @@
             return now + pace.every;
         }
         let step = {
-            let sources = move || readers.sources;
+            let sources = || readers.sources.clone();
             let mut asker = self.asker.borrow_mut();
             asker.step(now, &pace, sources, &mut *self.desk.rng())
         };
@@ -91,8 +92,9 @@
                 peers.ask(&to, question).await;
                 now + pace.answer
             }
-            Step::Failed { answered } => {
-                if !self.is_reader() && self.may_read_alone(answered) && now >= *alone_at {
+            Step::Failed(lack) => {
+                self.look_again(now);
+                if !self.is_reader() && self.may_read_alone(lack) && now >= *alone_at {
                     *alone_at = self.read_alone().await;
                 }
                 now
@@ -101,25 +103,44 @@
         }
     }
 
-    fn readers(&self) -> Readers {
+    /// Who reads for the others, as far as this box knows.
+    fn readers(&self, now: Duration) -> Rc<Readers> {
         let desk = &self.desk;
+        if now < self.chosen.get() + CHOICE_TIME {
+            return desk.readers.borrow().clone();
+        }
+        self.chosen.set(now);
         let settings = desk.settings();
         let me = Member {
             id: settings.id.as_str().into(),
             place: settings.data_centre.as_str().into(),
             link: settings.link_mbps(),
         };
-        let members: Vec<Member> = {
-            let peers = desk.peers.borrow();
-            let others = peers.iter().map(|(id, peer)| Member {
-                id: id.clone(),
-                place: peer.place.clone(),
-                link: peer.link,
-            });
-            others.chain([me.clone()]).collect()
+        let peers = desk.peers.borrow();
+        let others = peers.iter().filter(|(_, peer)| peer.is_candidate);
+        let others = others.map(|(id, peer)| Member {
+            id: id.clone(),
+            place: peer.place.clone(),
+            link: peer.link,
+        });
+        let own = desk.is_candidate.get().then(|| me.clone());
+        let fleet = Fleet {
+            candidates: others.chain(own).collect(),
+            boxes: (peers.len() + 1).max(desk.counted_boxes() as usize),
+            readers: settings.readers,
         };
-        let asker = self.asker.borrow();
-        reader::choose(&me, &members, &asker.silences, desk.now(), settings.readers)
+        let readers = reader::choose(&me, &fleet, &self.asker.borrow().silences, now);
+        *desk.readers.borrow_mut() = Rc::new(readers);
+        desk.readers.borrow().clone()
+    }
+
+    /// Looks for other boxes, as those that were asked know too little: others may
+    /// read by now.
+    fn look_again(&self, now: Duration) {
+        if now >= self.look_at.get() {
+            self.look_at.set(now + self.random(ALONE_EVERY));
+            tokio::task::spawn_local(census::look_once(self.desk.clone()));
+        }
     }
 
     fn is_reader(&self) -> bool {
@@ -144,6 +165,8 @@
         desk.reads.send_replace(reads);
         if reads {
             tokio::task::spawn_local(quarantine::read(desk.clone()));
+            // It answers only boxes that it knows.
+            tokio::task::spawn_local(census::look_once(desk.clone()));
         }
         log::line(
             Level::Info,
@@ -176,16 +199,18 @@
     }
 
     /// Whether this box, which no other one could inform, is to read the store.
-    fn may_read_alone(&self, answered: bool) -> bool {
+    fn may_read_alone(&self, lack: Lack) -> bool {
         let desk = &self.desk;
         if let Some(age) = desk.fresh.borrow().age(desk.now()) {
             return age >= desk.settings().key_age().mul_f64(ALONE_SHARE);
         }
-        let patience = match answered {
-            true => ALONE_ANSWERED,
-            false => ALONE_FIRST,
+        let patience = match lack {
+            Lack::Answer => ALONE_FIRST,
+            Lack::Knowledge => ALONE_ANSWERED,
+            Lack::Content => return false,
         };
-        desk.uptime() >= self.random(patience..patience * 2)
+        let asking = desk.searched.get().map(|at| desk.now().saturating_sub(at));
+        asking.is_some_and(|time| time >= self.random(patience..patience * 2))
     }
 
     /// Reads the store; returns when to do so again if no box can inform this
@@ -247,20 +272,18 @@
         self.asker
             .borrow_mut()
             .hear(now, &pace, &answer.from, &answer.body);
+        if answer.boxes > self.desk.counted_boxes() {
+            self.desk.set_boxes(answer.boxes);
+        }
         match answer.body {
             // A packed answer was unpacked when it was fetched.
-            Body::Nothing | Body::Packed { .. } => {}
+            Body::Nothing { .. } | Body::Packed { .. } => {}
             Body::Known { age, update } => self.learn(&answer.from, asked, age, update).await,
-            Body::Large { bytes, .. } if bytes > FETCH_MOST => {
-                if let Err(fault) = self.read_all().await {
-                    let fields = json!({"fault": fault.to_string()});
-                    log::line(Level::Info, "store", "large content not read", fields);
-                }
-            }
-            Body::Large { ticket, .. } => {
+            Body::Large { ticket, bytes } => {
                 let question = self.question(answer.id, Some(ticket));
                 let peers = peers.clone();
-                tokio::task::spawn_local(peers.fetch(answer.from, question, pace));
+                let most = pace.fetch_time(bytes);
+                tokio::task::spawn_local(peers.fetch(answer.from, question, most));
             }
         }
     }
--- a/crates/ashgauged/src/relay/follow/mod.rs
+++ b/crates/ashgauged/src/relay/follow/mod.rs
@@ -48,6 +48,10 @@
     begun: Cell<bool>,
     /// Whether other boxes learn from this one.
     is_shared: Cell<bool>,
+    /// When the readers were chosen last.
+    chosen: Cell<Duration>,
+    /// When boxes may be looked for again as those that were asked know too little.
+    look_at: Cell<Duration>,
     /// When a call to the store last failed, while it is away.
     failed: Cell<Option<Duration>>,
     /// When the store last came back.
@@ -73,6 +77,8 @@
             servers_at: Cell::new(None),
             begun: Cell::new(false),
             is_shared: Cell::new(false),
+            chosen: Cell::new(Duration::ZERO),
+            look_at: Cell::new(Duration::ZERO),
             failed: Cell::new(None),
             returned: Cell::new(None),
             restart: Notify::new(),
@@ -116,9 +122,12 @@
         let read = config::read(&self.desk.store, skipped).await;
         self.desk.count_call("list", &read);
         let (config, at) = read?;
-        if let Some((config, revision)) = config {
-            self.adopt(config, revision)?;
-            self.desk.fresh.borrow_mut().confirm(asked);
+        match config {
+            Some((config, revision)) => {
+                self.adopt(config, revision)?;
+                self.desk.fresh.borrow_mut().confirm(asked);
+            }
+            None => self.desk.vacant_at.set(Some(asked)),
         }
         advance(&self.config_at, at);
         self.note_read();
--- a/crates/ashgauged/src/relay/peers.rs
+++ b/crates/ashgauged/src/relay/peers.rs
@@ -6,15 +6,15 @@
 //! dropped and counted.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use ashgauge::asker::Pace;
 use ashgauge::member::BoxId;
 use ashgauge::mirror::Revision;
 use ashgauge::question::{Answer, Body, Datagram, Question, Ticket};
+use ashgauge::reader::BOXES_MOST;
 use ashgauge::share::Word;
 use bytes::Bytes;
 use eyre::{Result, WrapErr, eyre};
@@ -28,7 +28,7 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
-use super::desk::Desk;
+use super::desk::{Asked, Desk};
 use super::fetch::{self, ANSWER_PATH, Fetch};
 use super::{census, log, pack, quarantine};
 
@@ -39,11 +39,6 @@
 /// in one piece.
 const ANSWER_MOST: usize = 1400;
 
-/// Largest answer that is fetched from a box, packed. What is larger is read from
-/// the store, as a box of 20 Mbit/s would take seconds to give it to thirty
-/// others.
-pub const FETCH_MOST: u64 = 256 << 10;
-
 /// Pause after the socket could not be read.
 const READ_PAUSE: Duration = Duration::from_millis(500);
 
@@ -56,8 +51,13 @@
 /// How long a ticket is good.
 pub const TICKET_TIME: Duration = Duration::from_secs(3);
 
-/// Tickets that are kept; each box of a data centre has one at the most.
-const TICKETS_MOST: usize = 512;
+/// Boxes that may fetch at one time: where a fleet starts, all turn to the first
+/// reader that knows something. The others ask the next one, or again.
+const TICKETS_MOST: usize = BOXES_MOST;
+
+/// Packed updates that are kept: boxes that start together lack the same, and those
+/// that go on lack what came with the last changes.
+const PACKED_MOST: usize = 4;
 
 /// Ports that are tried if the system chooses them.
 const BIND_TRIES: u32 = 32;
@@ -81,12 +81,10 @@
     desk: Rc<Desk>,
     socket: UdpSocket,
     heard: mpsc::Sender<Heard>,
-    /// When each box last asked.
-    askers: RefCell<HashMap<BoxId, Duration>>,
     /// Until when each ticket is good.
     tickets: RefCell<HashMap<Ticket, Duration>>,
-    /// What was packed last: boxes that start together lack the same.
-    packed: RefCell<Option<Packed>>,
+    /// What was packed last, the latest last.
+    packed: RefCell<VecDeque<Packed>>,
 }
 
 /// A packed update, and what it was made for.
@@ -99,7 +97,7 @@
     edition: u64,
     /// Whether entries that are gone are certainly gone.
     sure: bool,
-    bytes: Vec<u8>,
+    bytes: Bytes,
 }
 
 impl Peers {
@@ -119,7 +117,6 @@
             desk: desk.clone(),
             socket,
             heard,
-            askers: RefCell::default(),
             tickets: RefCell::default(),
             packed: RefCell::default(),
         });
@@ -146,9 +143,9 @@
     }
 
     /// Fetches an answer that is too large for a datagram.
-    pub async fn fetch(self: Rc<Self>, to: BoxId, question: Question, pace: Pace) {
+    pub async fn fetch(self: Rc<Self>, to: BoxId, question: Question, most: Duration) {
         let asked = self.desk.now();
-        let heard = match self.fetch_once(&to, &question, pace.fetch).await {
+        let heard = match self.fetch_once(&to, &question, most).await {
             Ok(answer) => Heard::Answer(answer, Some(asked)),
             Err(e) => {
                 let fields = json!({"from": &*to, "fault": format!("{e:#}")});
@@ -192,8 +189,8 @@
             return;
         };
         let to: Vec<SocketAddr> = {
-            let mut askers = self.askers.borrow_mut();
-            askers.retain(|_, at| now < *at + ASKER_TIME);
+            let mut askers = self.desk.askers.borrow_mut();
+            askers.retain(|_, asked| now < asked.at + ASKER_TIME);
             let peers = self.desk.peers.borrow();
             let addrs = askers.keys().filter_map(|id| peers.get(id));
             addrs.map(|p| p.addr).collect()
@@ -218,7 +215,7 @@
             if result == Taken::Stranger && now >= counted + RECOUNT_EVERY {
                 // It may be a box that has just come.
                 counted = now;
-                tokio::task::spawn_local(census::count_once(self.desk.clone()));
+                tokio::task::spawn_local(census::look_once(self.desk.clone()));
             }
         }
     }
@@ -274,52 +271,68 @@
 
     async fn answer(&self, question: Question, addr: SocketAddr) {
         let now = self.desk.now();
-        self.askers.borrow_mut().insert(question.from.clone(), now);
-        let answer = self.answer_to(&question);
-        let Some(mut bytes) = encode(&Datagram::Answer(answer)) else {
-            return;
+        let asked = Asked {
+            at: now,
+            known: question.after,
         };
-        if bytes.len() > ANSWER_MOST {
-            let Some(packed) = self.pack(question.after) else {
-                return;
-            };
-            let large = self.ticket_for(&question, packed.len() as u64);
-            let Some(encoded) = encode(&Datagram::Answer(large)) else {
-                return;
-            };
-            bytes = encoded;
+        let mut askers = self.desk.askers.borrow_mut();
+        askers.insert(question.from.clone(), asked);
+        drop(askers);
+        if let Some(bytes) = self.encode_answer(&question) {
+            self.send(addr, &bytes).await;
         }
-        self.send(addr, &bytes).await;
     }
 
-    /// What a box that knows everything up to `after` lacks, packed.
-    fn pack(&self, after: Revision) -> Option<Vec<u8>> {
+    /// The datagram that answers a question: what this box knows, or how to fetch it.
+    fn encode_answer(&self, question: &Question) -> Option<Vec<u8>> {
+        if self.last_packed(question.after).is_none() {
+            let bytes = encode(&Datagram::Answer(self.answer_to(question)))?;
+            if bytes.len() <= ANSWER_MOST {
+                return Some(bytes);
+            }
+        }
+        let packed = self.pack(question.after)?;
+        let large = self.ticket_for(question, packed.len() as u64);
+        encode(&Datagram::Answer(large))
+    }
+
+    /// What a box that knows everything up to `after` lacks, if it was packed and
+    /// nothing has changed.
+    fn last_packed(&self, after: Revision) -> Option<Bytes> {
         let (mirror, sure) = (self.desk.mirror.borrow(), self.desk.sure.get());
-        let (upto, edition) = (mirror.covered(), mirror.edition());
-        let mut last = self.packed.borrow_mut();
-        if let Some(p) = &*last
-            && (p.after, p.upto, p.edition, p.sure) == (after, upto, edition, sure)
-        {
-            return Some(p.bytes.clone());
+        let now = (after, mirror.covered(), mirror.edition(), sure);
+        let packed = self.packed.borrow();
+        let mut packed = packed.iter();
+        let known = packed.find(|p| (p.after, p.upto, p.edition, p.sure) == now)?;
+        Some(known.bytes.clone())
+    }
+
+    /// What a box that knows everything up to `after` lacks, packed.
+    fn pack(&self, after: Revision) -> Option<Bytes> {
+        if let Some(bytes) = self.last_packed(after) {
+            return Some(bytes);
         }
-        let update = mirror.update(after, sure);
-        match pack::pack(&update) {
-            Ok(bytes) => {
-                *last = Some(Packed {
-                    after,
-                    upto,
-                    edition,
-                    sure,
-                    bytes: bytes.clone(),
-                });
-                Some(bytes)
-            }
+        let (mirror, sure) = (self.desk.mirror.borrow(), self.desk.sure.get());
+        let bytes = match pack::pack(&mirror.update(after, sure)) {
+            Ok(bytes) => Bytes::from(bytes),
             Err(e) => {
                 let fields = json!({"cause": e.to_string()});
                 log::line(Level::Warn, "fleet", "not packed", fields);
-                None
+                return None;
             }
+        };
+        let mut packed = self.packed.borrow_mut();
+        if packed.len() >= PACKED_MOST {
+            packed.pop_front();
         }
+        packed.push_back(Packed {
+            after,
+            upto: mirror.covered(),
+            edition: mirror.edition(),
+            sure,
+            bytes: bytes.clone(),
+        });
+        Some(bytes)
     }
 
     /// What this box knows now, packed for a box that fetches it.
@@ -329,9 +342,9 @@
         let body = match age.filter(|_| desk.is_informed()) {
             Some(age) => Body::Packed {
                 age,
-                bytes: self.pack(question.after)?,
+                bytes: self.pack(question.after)?.to_vec(),
             },
-            None => Body::Nothing,
+            None => self.nothing(),
         };
         Some(self.answer_with(question, body))
     }
@@ -346,15 +359,24 @@
                 age,
                 update: desk.mirror.borrow().update(question.after, desk.sure.get()),
             },
-            None => Body::Nothing,
+            None => self.nothing(),
         };
         self.answer_with(question, body)
     }
 
+    fn nothing(&self) -> Body {
+        let now = self.desk.now();
+        let asked = self.desk.vacant_at.get();
+        Body::Nothing {
+            asked: asked.map(|at| now.saturating_sub(at)),
+        }
+    }
+
     fn answer_with(&self, question: &Question, body: Body) -> Answer {
         Answer {
             from: self.desk.settings().id.as_str().into(),
             id: question.id,
+            boxes: self.desk.counted_boxes(),
             body,
         }
     }
@@ -364,9 +386,10 @@
         let now = self.desk.now();
         let mut tickets = self.tickets.borrow_mut();
         tickets.retain(|_, until| now < *until);
-        if tickets.len() < TICKETS_MOST {
-            tickets.insert(ticket, now + TICKET_TIME);
+        if tickets.len() >= TICKETS_MOST {
+            return self.answer_with(question, Body::Nothing { asked: None });
         }
+        tickets.insert(ticket, now + TICKET_TIME);
         self.answer_with(question, Body::Large { ticket, bytes })
     }
 
