Tell loads over hubs in large fleets

Cause: each box told every other one what it has on the upstreams. To bound what it sends, words were rarer the more boxes there are (4 and 15 ms a box): at 985 boxes one near each 0.8 s and one far each 14.8 s against requests of 2 s; each kept a word of every other, and the fleet sent 985 x 317 datagrams a second.

Two ways were weighed: a fixed sample of boxes whose words are scaled up (bounded, but seven engines of each request are too few to be seen in a sample), and sums. Kept: past 40 boxes the readers are hubs. A box tells its hub each 150 ms, hubs tell each other what their boxes have together, and tell each of their boxes the sum of all others: of near upstreams each 250 ms, of the rest each second in two datagrams. Near words are at most 0.5 s old in a fleet of any size, far ones some 1.5 s; a box keeps three words, a hub one of each of its boxes and of each hub. Losses under requests are handed on the same way. At 40 boxes and fewer nothing changes. In a large fleet a box goes by its own hub's news, as all together would ask the first that has some.

Status and ashctl show the role, the readers, and whom a reader informs.

--- a/crates/ashctl/src/relay.rs
+++ b/crates/ashctl/src/relay.rs
@@ -49,11 +49,15 @@
         "reads",
         "revision",
         "boxes",
+        "role",
+        "readers",
+        "boxes_heard",
         "inflight",
         "retries",
     ] {
         println!("{name:15} {}", status[name]);
     }
+    print_informed(status);
     println!(
         "\n{:14} {:14} {:10} {:>9} {:>8} {:>9}  state",
         "upstream", "service", "place", "layers", "inflight", "answer_ms"
@@ -76,6 +80,19 @@
     }
 }
 
+/// Boxes that this one informs, by data centre.
+fn print_informed(status: &Value) {
+    for place in status["informs"].as_array().into_iter().flatten() {
+        println!(
+            "informs         {} of {} in {}, the last word {} ms old",
+            place["current"],
+            place["boxes"],
+            place["data_centre"].as_str().unwrap_or_default(),
+            place["oldest_ms"],
+        );
+    }
+}
+
 fn state(upstream: &Value) -> String {
     let mut words: Vec<String> = Vec::new();
     for name in ["leaving", "suspect"] {
--- /dev/null
+++ b/crates/ashgauge/src/hub.rs
@@ -0,0 +1,108 @@
+//! Whom a box tells its loads, and how often.
+//!
+//! In a small fleet each box tells every other one. What that takes grows with the
+//! square of the fleet, so in a large one the boxes that read the store are hubs: a
+//! box tells its hub, hubs tell each other what their boxes have together, and hand
+//! on the sum of all. What a box keeps and sends stays the same then, however many
+//! there are.
+
+use std::time::Duration;
+
+use crate::member::BoxId;
+use crate::reader::Readers;
+use crate::share::{Scope, UpstreamKey, tell_times};
+
+/// Boxes of a fleet in which each tells every other one: a word from far away comes
+/// about twice a second then, as over hubs.
+const DIRECT_MOST: usize = 40;
+
+/// Time between two words of a box to its hub, if something changed.
+const UP_TIME: Duration = Duration::from_millis(150);
+
+/// Time between two words of a hub to its boxes on upstreams of their data centre.
+pub const NEAR_TIME: Duration = Duration::from_millis(250);
+
+/// The same on the other upstreams, which are used when those near do not do; there
+/// are several times as many.
+pub const FAR_TIME: Duration = Duration::from_millis(1000);
+
+/// Words in which what boxes have on far upstreams is told.
+const FAR_PARTS: u8 = 2;
+
+/// The words that a hub tells its boxes.
+pub fn below() -> impl Iterator<Item = Scope> {
+    std::iter::once(Scope::Near).chain((0..FAR_PARTS).map(Scope::Far))
+}
+
+/// Whether such a word tells of an upstream, which may be near its receiver.
+pub fn is_told(scope: Scope, key: UpstreamKey, is_near: bool) -> bool {
+    match scope {
+        Scope::Own => true,
+        Scope::Near => is_near,
+        Scope::Far(part) => !is_near && key % u32::from(FAR_PARTS) == u32::from(part),
+    }
+}
+
+/// Time between two such words.
+pub fn below_time(scope: Scope) -> Duration {
+    match scope {
+        Scope::Far(_) => FAR_TIME,
+        _ => NEAR_TIME,
+    }
+}
+
+/// What a box is to the others.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Role {
+    /// It tells every other box.
+    Peer,
+    /// It tells the other hubs, and the boxes that tell it.
+    Hub,
+    /// It tells this hub.
+    Leaf(BoxId),
+}
+
+/// The role of a box in a fleet of so many, that sees these readers.
+///
+/// # Example
+///
+/// ```
+/// use ashgauge::hub::{role, Role};
+/// use ashgauge::reader::Readers;
+///
+/// let readers = Readers { all: vec!["b1".into()], sources: vec!["b1".into()], ..Default::default() };
+/// assert_eq!(role(7, &readers), Role::Peer);
+/// assert_eq!(role(985, &readers), Role::Leaf("b1".into()));
+/// ```
+pub fn role(boxes: usize, readers: &Readers) -> Role {
+    if boxes <= DIRECT_MOST || readers.all.is_empty() {
+        return Role::Peer;
+    }
+    match readers.sources.first() {
+        _ if readers.is_own => Role::Hub,
+        Some(hub) => Role::Leaf(hub.clone()),
+        None => Role::Peer,
+    }
+}
+
+impl Role {
+    /// Times between two words to boxes of the own data centre, of which there are
+    /// `near`, and to those elsewhere, of `others` in all that this box tells.
+    pub fn times(&self, near: usize, others: usize) -> (Duration, Duration) {
+        match self {
+            Role::Leaf(_) => (UP_TIME, UP_TIME),
+            _ => tell_times(near, others),
+        }
+    }
+
+    /// Time between two words on what boxes elsewhere have, where this box tells
+    /// `others`.
+    pub fn lag(&self, others: usize) -> Duration {
+        let told = tell_times(0, others).1;
+        match self {
+            Role::Peer => told,
+            Role::Hub => told + UP_TIME,
+            Role::Leaf(_) => FAR_TIME,
+        }
+    }
+}
--- a/crates/ashgauge/src/lib.rs
+++ b/crates/ashgauge/src/lib.rs
@@ -41,7 +41,7 @@
 //! - [`member`], [`message`]: boxes and upstreams, and what boxes tell each
 //!   other.
 //! - [`clock`], [`record`]: the time line.
-//! - [`routing`], [`roster`], [`share`], [`scene`], [`pipes`], [`stay`], [`slack`], [`cost`], [`choice`], [`admission`],
+//! - [`routing`], [`roster`], [`share`], [`hub`], [`scene`], [`pipes`], [`stay`], [`slack`], [`cost`], [`choice`], [`admission`],
 //!   [`placement`], [`rate`], [`pending`],
 //!   [`handoff`], [`digest`], [`quarantine`], [`events`], [`fresh`], [`suspension`]: what a box decides where engines pass activations on among
 //!   themselves and a request is handed on whole.
@@ -65,6 +65,7 @@
 pub mod events;
 pub mod fresh;
 pub mod handoff;
+pub mod hub;
 pub mod lease;
 pub mod limit;
 pub mod load;
--- a/crates/ashgauge/src/node/held.rs
+++ b/crates/ashgauge/src/node/held.rs
@@ -5,7 +5,7 @@
 
 use super::*;
 use crate::digest;
-use crate::quarantine::{Lost, Report, is_proven, start_key};
+use crate::quarantine::{Audience, Lost, Report, is_proven, start_key};
 
 impl Node {
     /// For how much longer a request of a team is held back, if it is.
@@ -53,7 +53,8 @@
 
     /// What the other boxes are to know, in turns if it is much.
     pub(super) fn losses(&self) -> Report {
-        self.quarantine.report(self.now, self.stats.arrived)
+        self.quarantine
+            .report(self.now, self.stats.arrived, Audience::All)
     }
 
     pub(super) fn hear_losses(&mut self, report: &Report) {
--- a/crates/ashgauge/src/quarantine.rs
+++ b/crates/ashgauge/src/quarantine.rs
@@ -31,8 +31,8 @@
 /// Requests that are held back at most, at 30 bytes or so each.
 const HELD_MOST: usize = 4096;
 
-/// How long a box tells the others of a loss that it saw itself: three words of a
-/// box to the whole of a fleet of 300.
+/// How long a box tells the others of a loss: several words to each, of which some
+/// may be lost.
 const TELL_TIME: Duration = Duration::from_secs(14);
 
 /// Losses in one report, the newest ones: 1 kB or so.
@@ -41,8 +41,8 @@
 /// Held requests in one report: 300 bytes or so.
 const HELD_TOLD: usize = 32;
 
-/// Own losses that are kept to be told.
-const OWN_MOST: usize = 1024;
+/// Losses that are kept to be told.
+const TOLD_MOST: usize = 1024;
 
 /// Number that stands for one start of an upstream.
 pub type StartKey = u32;
@@ -68,7 +68,7 @@
 /// What one box tells the others.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Report {
-    /// Losses that it saw itself a short while ago.
+    /// Losses that it saw or heard of a short while ago.
     pub lost: Vec<Lost>,
     /// Requests that are held back.
     pub held: Vec<Held>,
@@ -103,8 +103,27 @@
     suspects: HashMap<Digest, Suspect>,
     /// Until when each request is held back.
     held: HashMap<Digest, Duration>,
-    /// Losses that this box saw itself.
-    own: Vec<(Duration, Lost)>,
+    /// Losses that this box tells others.
+    told: Vec<Told>,
+}
+
+/// A loss that is told to others.
+#[derive(Clone, Copy, Debug)]
+struct Told {
+    lost: Lost,
+    /// Since when.
+    since: Duration,
+    /// Whom.
+    to: Audience,
+}
+
+/// Whom a box tells what it knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Audience {
+    /// All: those that tell each other, and those that it hands on to.
+    All,
+    /// Those only that hear of others by this box.
+    Below,
 }
 
 /// The number of an upstream's start: its id, and when it was born if it says so.
@@ -122,14 +141,30 @@
     /// Notes a loss that this box saw; returns whether the request is held back from
     /// now on.
     pub fn note(&mut self, now: Duration, lost: Lost) -> bool {
-        self.own.retain(|(at, _)| now < *at + TELL_TIME);
-        if self.own.len() >= OWN_MOST {
-            self.own.remove(0);
-        }
-        self.own.push((now, lost));
+        self.tell(now, lost, Audience::All);
         self.add(now, lost)
     }
 
+    /// Tells others what another box has told, as they do not hear it; returns
+    /// whether there is something new to tell.
+    pub fn hand_on(&mut self, now: Duration, report: &Report, to: Audience) -> bool {
+        let is_told = |told: &Told, lost: &Lost| told.lost == *lost && now < told.since + TELL_TIME;
+        let news = report.lost.iter();
+        let news = news.filter(|lost| !self.told.iter().any(|told| is_told(told, lost)));
+        let news: Vec<Lost> = news.copied().collect();
+        news.iter().for_each(|lost| self.tell(now, *lost, to));
+        !news.is_empty()
+    }
+
+    fn tell(&mut self, now: Duration, lost: Lost, to: Audience) {
+        self.told.retain(|told| now < told.since + TELL_TIME);
+        if self.told.len() >= TOLD_MOST {
+            self.told.remove(0);
+        }
+        let since = now;
+        self.told.push(Told { lost, since, to });
+    }
+
     /// Takes what another box told; returns the requests that are held back from now
     /// on.
     pub fn hear(&mut self, now: Duration, report: &Report) -> Vec<Digest> {
@@ -198,17 +233,18 @@
         self.suspects.len()
     }
 
-    /// What the other boxes are to know; of many held requests some, in turns by
-    /// `turn`.
-    pub fn report(&self, now: Duration, turn: u64) -> Report {
-        let recent = self.own.iter().rev();
-        let recent = recent.filter(|(at, _)| now < *at + TELL_TIME);
+    /// What the boxes of an audience are to know; of many held requests some, in
+    /// turns by `turn`.
+    pub fn report(&self, now: Duration, turn: u64, to: Audience) -> Report {
+        let recent = self.told.iter().rev();
+        let recent = recent.filter(|told| now < told.since + TELL_TIME);
+        let recent = recent.filter(|told| to == Audience::Below || told.to == to);
         let held = self.held(now);
         let skipped = (turn as usize).wrapping_mul(HELD_TOLD) % held.len().max(1);
         let told = held.iter().cycle().skip(skipped);
         let told = told.take(held.len().min(HELD_TOLD));
         Report {
-            lost: recent.map(|(_, lost)| *lost).take(LOST_TOLD).collect(),
+            lost: recent.map(|told| told.lost).take(LOST_TOLD).collect(),
             held: told.map(Held::of).collect(),
         }
     }
--- a/crates/ashgauge/src/share.rs
+++ b/crates/ashgauge/src/share.rs
@@ -5,9 +5,12 @@
 //! known but for what changed since. A word that was lost is made good by the
 //! next one, and of a box that falls silent the last word counts for some
 //! seconds.
+//!
+//! In a large fleet boxes tell a hub, and hubs tell each other and their boxes sums
+//! ([`crate::hub`]).
 
-use std::collections::HashMap;
-use std::sync::Arc;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -19,6 +22,9 @@
 /// died, and go on if it is only cut off from this one; words may be lost.
 const KEEP_LEAST: Duration = Duration::from_secs(2);
 
+/// Upstreams in one word at most, those with most on them: what a datagram holds.
+const USES_MOST: usize = 4000;
+
 /// Words of a box that may be lost before it counts as silent.
 const LOST_MOST: u32 = 3;
 
@@ -55,7 +61,19 @@
     pub reading: u32,
 }
 
-/// What a box tells: its part of every upstream's load.
+/// Whose use of which upstreams a word tells.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Scope {
+    /// That of its box, and of those that tell this box alone.
+    #[default]
+    Own,
+    /// That of all boxes but the one that is told, of upstreams in its data centre.
+    Near,
+    /// The same of a part of the other upstreams, as one datagram may not hold all.
+    Far(u8),
+}
+
+/// What a box tells: its part of every upstream's load, or a sum of several parts.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Word {
     /// The box that tells.
@@ -64,16 +82,34 @@
     pub boot: u64,
     /// Counts its words.
     pub number: u64,
+    /// Whose use of what it tells.
+    pub scope: Scope,
+    /// Boxes for which it tells.
+    pub boxes: u32,
     /// Upstreams that it uses.
-    pub uses: Vec<(UpstreamKey, Use)>,
+    pub uses: Uses,
     /// Upstreams that it found to be lost; only in words that are told often.
     pub suspects: Vec<UpstreamKey>,
 }
 
+/// Uses of upstreams, ordered by their keys.
+pub type Uses = Vec<(UpstreamKey, Use)>;
+
+/// What some boxes have together.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Sum {
+    /// How many boxes.
+    pub boxes: u32,
+    /// What they have on each upstream that they use.
+    pub uses: Uses,
+    /// Upstreams that they found to be lost.
+    pub suspects: Vec<UpstreamKey>,
+}
+
 /// What was heard from the other boxes.
 #[derive(Debug, Default)]
 pub struct Shares {
-    heard: HashMap<BoxId, Heard>,
+    heard: HashMap<(BoxId, Scope), Heard>,
     sums: HashMap<UpstreamKey, Use>,
 }
 
@@ -82,7 +118,9 @@
     boot: u64,
     number: u64,
     at: Duration,
-    uses: Vec<(UpstreamKey, Use)>,
+    boxes: u32,
+    uses: Uses,
+    suspects: Vec<UpstreamKey>,
 }
 
 /// Whether words that are told after this time tell suspects.
@@ -118,13 +156,13 @@
 impl Shares {
     /// Takes a word in; returns false if a later one was heard before.
     pub fn hear(&mut self, now: Duration, word: Word) -> bool {
-        let known = self.heard.get(&word.from);
+        let source = (word.from, word.scope);
+        let known = self.heard.get(&source);
         let is_late = known.is_some_and(|k| k.boot == word.boot && k.number >= word.number);
         if is_late {
             return false;
         }
-        let from: Arc<str> = word.from;
-        self.forget(&from);
+        self.forget_counted(&source);
         for (key, more) in &word.uses {
             self.sums.entry(*key).or_default().add(more);
         }
@@ -132,20 +170,30 @@
             boot: word.boot,
             number: word.number,
             at: now,
+            boxes: word.boxes,
             uses: word.uses,
+            suspects: word.suspects,
         };
-        self.heard.insert(from, heard);
+        self.heard.insert(source, heard);
         true
     }
 
-    /// Forgets boxes that fell silent, in a fleet with so many `others`.
-    pub fn expire(&mut self, now: Duration, others: usize) {
-        let (_, far) = tell_times(0, others);
-        let kept = KEEP_LEAST.max(far * LOST_MOST);
-        let is_old = |h: &Heard| now >= h.at + kept;
-        let silent = self.heard.iter().filter(|(_, h)| is_old(h));
-        let silent: Vec<BoxId> = silent.map(|(id, _)| id.clone()).collect();
-        silent.iter().for_each(|id| self.forget(id));
+    /// Forgets what the next word from this source counts as well: its last one, and
+    /// sums that hold each other.
+    fn forget_counted(&mut self, source: &(BoxId, Scope)) {
+        let (from, scope) = source;
+        let counts = |(other, theirs): &(BoxId, Scope)| match (scope, theirs) {
+            (Scope::Own, _) => other == from,
+            (_, Scope::Own) => other == from,
+            (_, _) => theirs == scope,
+        };
+        self.forget_where(|source, _| counts(source));
+    }
+
+    /// Forgets boxes that fell silent, where words come in each `lag`.
+    pub fn expire(&mut self, now: Duration, lag: Duration) {
+        let kept = KEEP_LEAST.max(lag * LOST_MOST);
+        self.forget_where(|_, heard| now >= heard.at + kept);
     }
 
     /// What all other boxes have on an upstream.
@@ -153,21 +201,102 @@
         self.sums.get(&key(id)).copied().unwrap_or_default()
     }
 
-    /// Boxes that were heard a short while ago.
+    /// Boxes of which something was heard a short while ago.
     pub fn boxes(&self) -> usize {
-        self.heard.len()
+        let counted = self.heard.iter();
+        let counted = counted.filter(|((_, scope), _)| !matches!(scope, Scope::Far(_)));
+        counted.map(|(_, heard)| heard.boxes as usize).sum()
+    }
+
+    /// Boxes that tell this one what they have themselves.
+    pub fn senders(&self) -> impl Iterator<Item = &BoxId> {
+        let own = self.heard.keys().filter(|(_, scope)| *scope == Scope::Own);
+        own.map(|(from, _)| from)
+    }
+
+    /// What this box, with `own`, and those that tell it have together, without the
+    /// boxes that are left out.
+    pub fn below(&self, own: Sum, is_left_out: impl Fn(&str) -> bool) -> Sum {
+        let counts = |(from, scope): &(BoxId, Scope)| *scope == Scope::Own && !is_left_out(from);
+        let heard = self.heard.iter().filter(|(source, _)| counts(source));
+        add_all(own, heard.map(|(_, heard)| heard))
+    }
+
+    /// What this box, with `own`, and all others have together, as far as it knows.
+    pub fn all(&self, own: Sum) -> Sum {
+        add_all(own, self.heard.values())
     }
 
-    fn forget(&mut self, from: &str) {
-        let Some(old) = self.heard.remove(from) else {
-            return;
+    /// A sum without what a box told last.
+    pub fn without(&self, sum: &Sum, from: &BoxId) -> Sum {
+        let mut rest = sum.clone();
+        let Some(told) = self.heard.get(&(from.clone(), Scope::Own)) else {
+            return rest;
         };
-        for (key, less) in &old.uses {
-            if let Some(sum) = self.sums.get_mut(key) {
-                sum.take(less);
+        rest.boxes = rest.boxes.saturating_sub(told.boxes);
+        for (key, less) in &told.uses {
+            if let Ok(at) = rest.uses.binary_search_by_key(key, |(key, _)| *key) {
+                rest.uses[at].1.take(less);
             }
         }
-        self.sums.retain(|_, sum| *sum != Use::default());
+        rest.uses.retain(|(_, used)| *used != Use::default());
+        rest
+    }
+
+    fn forget_where(&mut self, is_old: impl Fn(&(BoxId, Scope), &Heard) -> bool) {
+        let mut emptied = false;
+        for (_, old) in self.heard.extract_if(|source, heard| is_old(source, heard)) {
+            for (key, less) in &old.uses {
+                if let Some(sum) = self.sums.get_mut(key) {
+                    sum.take(less);
+                    emptied |= *sum == Use::default();
+                }
+            }
+        }
+        if emptied {
+            self.sums.retain(|_, sum| *sum != Use::default());
+        }
+    }
+}
+
+/// Adds what was heard to what a box has itself.
+fn add_all<'a>(own: Sum, heard: impl Iterator<Item = &'a Heard>) -> Sum {
+    let mut boxes = own.boxes;
+    let mut sums: BTreeMap<UpstreamKey, Use> = own.uses.into_iter().collect();
+    let mut suspects: BTreeSet<UpstreamKey> = own.suspects.into_iter().collect();
+    for heard in heard {
+        boxes += heard.boxes;
+        suspects.extend(&heard.suspects);
+        for (key, more) in &heard.uses {
+            sums.entry(*key).or_default().add(more);
+        }
+    }
+    Sum {
+        boxes,
+        uses: sums.into_iter().collect(),
+        suspects: suspects.into_iter().collect(),
+    }
+}
+
+impl Sum {
+    /// The part of it on some of the upstreams.
+    pub fn only(&self, is_told: impl Fn(UpstreamKey) -> bool) -> Self {
+        let uses = self.uses.iter().filter(|(key, _)| is_told(*key));
+        Sum {
+            uses: uses.copied().collect(),
+            ..self.clone()
+        }
+    }
+
+    /// The part that a datagram holds: the upstreams with most on them.
+    pub fn fit(mut self) -> Self {
+        if self.uses.len() > USES_MOST {
+            self.uses
+                .select_nth_unstable_by_key(USES_MOST, |(_, used)| Reverse(used.tokens));
+            self.uses.truncate(USES_MOST);
+            self.uses.sort_unstable_by_key(|(key, _)| *key);
+        }
+        self
     }
 }
 
--- a/crates/ashgauge/tests/choice.rs
+++ b/crates/ashgauge/tests/choice.rs
@@ -13,7 +13,7 @@
 use ashgauge::placement::plan;
 use ashgauge::roster::Roster;
 use ashgauge::routing::Model;
-use ashgauge::share::{self, Shares, Use, Word};
+use ashgauge::share::{self, Scope, Shares, Use, Word};
 use ashgauge::upstream::Span;
 use engines::{BOXES, apply, fleet, model, roster, scene, twins};
 use proptest::prelude::*;
@@ -130,6 +130,8 @@
         from: "box-2".into(),
         boot: 1,
         number: 1,
+        scope: Scope::Own,
+        boxes: 1,
         uses: vec![(share::key(id), used)],
         suspects: Vec::new(),
     };
@@ -181,6 +183,8 @@
         from: "box-3".into(),
         boot: 1,
         number: 1,
+        scope: Scope::Own,
+        boxes: 1,
         uses: vec![(share::key("b2"), full)],
         suspects: Vec::new(),
     };
--- a/crates/ashgauge/tests/quarantine.rs
+++ b/crates/ashgauge/tests/quarantine.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use ashgauge::digest::Digest;
-use ashgauge::quarantine::{HOLD_TIME, Held, Lost, Quarantine, Report, is_proven, start_key};
+use ashgauge::quarantine::{
+    Audience, HOLD_TIME, Held, Lost, Quarantine, Report, is_proven, start_key,
+};
 use proptest::prelude::*;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -29,7 +31,7 @@
     for (n, own) in boxes.iter_mut().enumerate() {
         assert!(!own.note(SECOND, lost(7, n as u32)));
     }
-    let reports = boxes.each_ref().map(|b| b.report(SECOND, 0));
+    let reports = boxes.each_ref().map(|b| b.report(SECOND, 0, Audience::All));
     for own in &mut boxes {
         let news: Vec<_> = reports.iter().flat_map(|r| own.hear(SECOND, r)).collect();
         assert_eq!(news, [7]);
@@ -91,8 +93,8 @@
     while now < HOLD_TIME {
         now += SECOND * 7 + SECOND / 3;
         let (left, right) = boxes.split_at_mut(1);
-        left[0].hear(now, &right[0].report(now, 0));
-        right[0].hear(now, &left[0].report(now, 0));
+        left[0].hear(now, &right[0].report(now, 0, Audience::All));
+        right[0].hear(now, &left[0].report(now, 0, Audience::All));
     }
     assert_eq!(boxes.map(|b| b.time_left(HOLD_TIME, 7)), [None, None]);
 }
@@ -116,7 +118,7 @@
         own.hold(SECOND, digest, HOLD_TIME);
     }
     for turn in 0..8 {
-        other.hear(SECOND, &own.report(SECOND, turn));
+        other.hear(SECOND, &own.report(SECOND, turn, Audience::All));
     }
     assert_eq!(other.held(SECOND).len(), 100);
 }
@@ -186,3 +188,21 @@
         prop_assert!(own.held(SECOND).is_empty());
     }
 }
+
+/// In a large fleet boxes hear of each other by hubs only.
+#[test]
+fn hub_hands_on_what_its_boxes_lose() {
+    let mut hubs = [Quarantine::default(), Quarantine::default()];
+    let mut leaf = Quarantine::default();
+    let losses = [lost(7, 1), lost(7, 2), lost(7, 3)];
+    let told = report(&losses);
+    assert!(hubs[0].hand_on(SECOND, &told, Audience::All));
+    // The other hub tells its boxes, and no hub.
+    let told = hubs[0].report(SECOND, 0, Audience::All);
+    assert!(hubs[1].hand_on(SECOND, &told, Audience::Below));
+    assert!(hubs[1].report(SECOND, 0, Audience::All).is_empty());
+    leaf.hear(SECOND, &hubs[1].report(SECOND, 0, Audience::Below));
+    assert!(leaf.time_left(SECOND, 7).is_some());
+    // What goes round ends.
+    assert!(!hubs[1].hand_on(SECOND, &told, Audience::Below));
+}
--- a/crates/ashgauge/tests/share.rs
+++ b/crates/ashgauge/tests/share.rs
@@ -5,7 +5,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use ashgauge::share::{self, Shares, Use, Word, tell_times};
+use ashgauge::share::{self, Scope, Shares, Use, Word, tell_times};
 use proptest::prelude::*;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -21,11 +21,18 @@
         from: format!("box-{from}").into(),
         boot,
         number,
+        scope: Scope::Own,
+        boxes: 1,
         uses: vec![(share::key("e1"), used)],
         suspects: Vec::new(),
     }
 }
 
+/// Time between two words where a box tells so many others.
+fn lag(others: usize) -> Duration {
+    tell_times(0, others).1
+}
+
 #[test]
 fn later_word_replaces_the_one_before() {
     let mut shares = Shares::default();
@@ -59,7 +66,7 @@
     let mut shares = Shares::default();
     shares.hear(SECOND, word(1, 7, 1, 10));
     shares.hear(SECOND * 3, word(2, 7, 1, 5));
-    shares.expire(SECOND * 4, 2);
+    shares.expire(SECOND * 4, lag(2));
     assert_eq!(shares.boxes(), 1);
     assert_eq!(shares.others("e1").requests, 5);
 }
@@ -81,9 +88,9 @@
 fn seldom_words_are_kept_for_longer() {
     let mut shares = Shares::default();
     shares.hear(SECOND, word(1, 7, 1, 10));
-    shares.expire(SECOND * 8, 339);
+    shares.expire(SECOND * 8, lag(339));
     assert_eq!(shares.boxes(), 1);
-    shares.expire(SECOND * 8, 5);
+    shares.expire(SECOND * 8, lag(5));
     assert_eq!(shares.boxes(), 0);
 }
 
@@ -108,7 +115,7 @@
         prop_assert_eq!(shares.others("e1").requests, sum);
         prop_assert_eq!(shares.others("e1").tokens, sum * 900);
         prop_assert_eq!(shares.boxes(), last.len());
-        shares.expire(SECOND * 9, 5);
+        shares.expire(SECOND * 9, lag(5));
         prop_assert_eq!(shares.others("e1"), Use::default());
     }
 }
--- a/crates/ashgauge/tests/worst_load.rs
+++ b/crates/ashgauge/tests/worst_load.rs
@@ -14,7 +14,7 @@
 use ashgauge::roster::Roster;
 use ashgauge::routing::Card;
 use ashgauge::scene::Scene;
-use ashgauge::share::{Shares, Word};
+use ashgauge::share::{Scope, Shares, Word};
 use ashgauge::upstream::Span;
 use engines::{BOXES, model, scene, twins};
 use rand::SeedableRng;
@@ -29,6 +29,8 @@
             from: format!("box-{n}").into(),
             boot: 1,
             number: 1,
+            scope: Scope::Own,
+            boxes: 1,
             uses: Vec::new(),
             suspects: Vec::new(),
         };
--- a/crates/ashgauged/src/relay/desk.rs
+++ b/crates/ashgauged/src/relay/desk.rs
@@ -13,6 +13,7 @@
 
 use ashgauge::admission::Line;
 use ashgauge::fresh::Freshness;
+use ashgauge::hub::{self, Role};
 use ashgauge::member::{BoxId, UpstreamId};
 use ashgauge::mirror::{Mirror, Revision};
 use ashgauge::pipes::Pipes;
@@ -21,7 +22,7 @@
 use ashgauge::retry::{Allowance, Window};
 use ashgauge::roster::Roster;
 use ashgauge::routing::{Routing, ServiceId};
-use ashgauge::share::Shares;
+use ashgauge::share::{self, Shares};
 use ashgauge::stay::Stay;
 use http::Client;
 use platform::{Fault, Store};
@@ -128,6 +129,8 @@
     pub stays: RefCell<HashMap<ServiceId, Stay>>,
     /// What the other boxes have on the upstreams.
     pub shares: RefCell<Shares>,
+    /// Time between two words on what boxes elsewhere have.
+    pub lag: Cell<Duration>,
     /// Requests that end upstreams.
     pub quarantine: RefCell<Quarantine>,
     /// Upstreams that run requests under which others were lost, one for each.
@@ -183,6 +186,7 @@
             lines: RefCell::default(),
             stays: RefCell::default(),
             shares: RefCell::default(),
+            lag: Cell::new(share::tell_times(0, 0).1),
             quarantine: RefCell::default(),
             trials: RefCell::default(),
             lost: Notify::new(),
@@ -281,6 +285,36 @@
         log::line(Level::Info, "fleet", "boxes", json!({"boxes": boxes}));
     }
 
+    /// What this box is to the others.
+    pub fn role(&self) -> Role {
+        let known = self.peers.borrow().len() + 1;
+        let boxes = known.max(self.counted.get() as usize);
+        hub::role(boxes, &self.readers.borrow())
+    }
+
+    /// Boxes that this one tells what it has.
+    pub fn equals(&self) -> Vec<(BoxId, Peer)> {
+        let peers = self.peers.borrow();
+        let named = |id: &BoxId| Some((id.clone(), peers.get(id)?.clone()));
+        match self.role() {
+            Role::Peer => peers.keys().filter_map(named).collect(),
+            Role::Hub => self.readers.borrow().all.iter().filter_map(named).collect(),
+            Role::Leaf(hub) => named(&hub).into_iter().collect(),
+        }
+    }
+
+    /// Boxes that hear of the others by this one.
+    pub fn leaves(&self) -> Vec<(BoxId, Peer)> {
+        if self.role() != Role::Hub {
+            return Vec::new();
+        }
+        let (peers, shares) = (self.peers.borrow(), self.shares.borrow());
+        let hubs = &self.readers.borrow().all;
+        let below = shares.senders().filter(|id| !hubs.contains(id));
+        let named = below.filter_map(|id| Some((id.clone(), peers.get(id)?.clone())));
+        named.collect()
+    }
+
     /// Believes the last count, as the others have had the time to start.
     pub fn believe_count(&self) {
         match self.counted.get() {
--- a/crates/ashgauged/src/relay/follow/ask.rs
+++ b/crates/ashgauged/src/relay/follow/ask.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use ashgauge::asker::{Lack, Pace, Step};
+use ashgauge::hub::Role;
 use ashgauge::member::BoxId;
 use ashgauge::mirror::What;
 use ashgauge::question::{Answer, Body, Question, Ticket, proved};
@@ -241,7 +242,7 @@
 
     async fn take(&self, peers: &Rc<Peers>, heard: Heard) {
         match heard {
-            Heard::News(from) => self.asker.borrow_mut().note_news(from),
+            Heard::News(from) => self.take_news(from),
             Heard::NotFetched(from) => {
                 let now = self.desk.now();
                 self.asker.borrow_mut().note_lost(now, &from);
@@ -250,6 +251,18 @@
         }
     }
 
+    /// Asks a box that knows something new at once. In a large fleet each box goes by
+    /// its own hub, which soon knows the same: all together would ask the first.
+    fn take_news(&self, from: BoxId) {
+        let is_own = match self.desk.role() {
+            Role::Leaf(hub) => hub == from,
+            _ => true,
+        };
+        if is_own {
+            self.asker.borrow_mut().note_news(from);
+        }
+    }
+
     /// Takes an answer in. One to a question that this box did not ask, or that
     /// was answered before, is dropped.
     async fn take_answer(&self, peers: &Rc<Peers>, answer: Answer, fetched: Option<Duration>) {
--- a/crates/ashgauged/src/relay/peers.rs
+++ b/crates/ashgauged/src/relay/peers.rs
@@ -11,6 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use ashgauge::hub::Role;
 use ashgauge::member::BoxId;
 use ashgauge::mirror::Revision;
 use ashgauge::question::{Answer, Body, Datagram, Question, Ticket};
@@ -242,8 +243,8 @@
             }
             Datagram::Answer(answer) => self.pass_on(Heard::Answer(answer, None)),
             Datagram::News(from) => self.pass_on(Heard::News(from)),
-            Datagram::Losses(_, report) => {
-                quarantine::hear(&self.desk, &report);
+            Datagram::Losses(from, report) => {
+                quarantine::hear(&self.desk, &from, &report);
                 Taken::Heard
             }
         }
@@ -251,7 +252,10 @@
 
     fn take_load(&self, mut word: Word) -> Taken {
         let now = self.desk.now();
-        let suspects = std::mem::take(&mut word.suspects);
+        let suspects = word.suspects.clone();
+        if self.desk.role() != Role::Hub {
+            word.suspects.clear();
+        }
         if !self.desk.shares.borrow_mut().hear(now, word) {
             return Taken::Late;
         }
--- a/crates/ashgauged/src/relay/quarantine.rs
+++ b/crates/ashgauged/src/relay/quarantine.rs
@@ -5,7 +5,8 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use ashgauge::digest::{self, Digest};
-use ashgauge::quarantine::{Lost, Report};
+use ashgauge::hub::Role;
+use ashgauge::quarantine::{Audience, Lost, Report};
 use ashgauge::question::Datagram;
 use platform::Fault;
 use platform::store::{Object, Revision};
@@ -50,33 +51,51 @@
     desk.lost.notify_one();
 }
 
-/// Takes what another box told.
-pub fn hear(desk: &Desk, report: &Report) {
-    let news = desk.quarantine.borrow_mut().hear(desk.now(), report);
+/// Takes what another box told; a hub hands it on to those that do not hear it.
+pub fn hear(desk: &Desk, from: &str, report: &Report) {
+    let now = desk.now();
+    let news = desk.quarantine.borrow_mut().hear(now, report);
     for digest in news {
         log_held(desk, digest, "told");
     }
+    if desk.role() != Role::Hub {
+        return;
+    }
+    let is_hub = desk.readers.borrow().all.iter().any(|id| **id == *from);
+    let to = if is_hub {
+        Audience::Below
+    } else {
+        Audience::All
+    };
+    if desk.quarantine.borrow_mut().hand_on(now, report, to) {
+        desk.lost.notify_one();
+    }
 }
 
-/// Tells the other boxes of losses as they are found, as long as the process runs;
+/// Tells other boxes of losses as they are found, as long as the process runs;
 /// words that are told now and then make good what is lost of it.
 pub async fn tell(desk: Rc<Desk>, peers: Rc<Peers>) {
     loop {
         desk.lost.notified().await;
         sleep(GATHER_TIME).await;
-        let Some(bytes) = report(&desk, 0) else {
-            continue;
-        };
-        let others: Vec<_> = desk.peers.borrow().values().map(|p| p.addr).collect();
-        for addr in others {
-            peers.send(addr, &bytes).await;
+        let told = [
+            (Audience::All, desk.equals()),
+            (Audience::Below, desk.leaves()),
+        ];
+        for (audience, boxes) in told {
+            let Some(bytes) = report(&desk, 0, audience) else {
+                continue;
+            };
+            for (_, peer) in boxes {
+                peers.send(peer.addr, &bytes).await;
+            }
         }
     }
 }
 
-/// The datagram that tells what this box knows, if it knows anything.
-pub fn report(desk: &Desk, turn: u64) -> Option<Vec<u8>> {
-    let report = desk.quarantine.borrow().report(desk.now(), turn);
+/// The datagram that tells an audience what this box knows, if it knows anything.
+pub fn report(desk: &Desk, turn: u64, to: Audience) -> Option<Vec<u8>> {
+    let report = desk.quarantine.borrow().report(desk.now(), turn, to);
     if report.is_empty() {
         return None;
     }
--- a/crates/ashgauged/src/relay/select.rs
+++ b/crates/ashgauged/src/relay/select.rs
@@ -11,7 +11,7 @@
 use ashgauge::roster::Roster;
 use ashgauge::routing::{Model, Service};
 use ashgauge::scene::Scene;
-use ashgauge::share::{self, Shares};
+use ashgauge::share::Shares;
 use ashgauge::slack::Slack;
 use ashgauge::upstream::Span;
 
@@ -173,7 +173,7 @@
             shares,
             service,
             place: &self.place,
-            lag: share::tell_times(0, self.peers.borrow().len()).1,
+            lag: self.lag.get(),
             boxes: f64::from(self.boxes()),
             neighbours: self.neighbours(roster),
             stay: self
--- a/crates/ashgauged/src/relay/status.rs
+++ b/crates/ashgauged/src/relay/status.rs
@@ -1,8 +1,10 @@
 //! A box's view of the fleet, for operators.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use ashgauge::digest;
+use ashgauge::hub::Role;
 use serde::Serialize;
 
 use super::desk::Desk;
@@ -23,6 +25,13 @@
     /// Revision of the store up to which everything is known.
     revision: u64,
     boxes: u32,
+    /// Whom it tells its loads: every box, as a hub the other hubs and its boxes, or
+    /// this hub.
+    role: String,
+    /// Boxes that read the store for the others.
+    readers: Vec<String>,
+    /// Boxes that ask this one, by data centre.
+    informs: Vec<Informed>,
     /// Other boxes that told their loads a short while ago.
     boxes_heard: usize,
     inflight: usize,
@@ -35,6 +44,17 @@
     upstreams: Vec<UpstreamStatus>,
 }
 
+/// Boxes of one data centre that ask this one.
+#[derive(Default, Serialize)]
+struct Informed {
+    data_centre: String,
+    boxes: usize,
+    /// Those that knew everything when they asked last.
+    current: usize,
+    /// Time since the one that has been silent longest asked, in milliseconds.
+    oldest_ms: u64,
+}
+
 /// An upstream as this box sees it.
 #[derive(Serialize)]
 struct UpstreamStatus {
@@ -66,6 +86,32 @@
     held.into_iter().map(text).collect()
 }
 
+fn informs(desk: &Desk) -> Vec<Informed> {
+    let (now, covered) = (desk.now(), desk.mirror.borrow().covered());
+    let (askers, peers) = (desk.askers.borrow(), desk.peers.borrow());
+    let mut places: BTreeMap<&str, Informed> = BTreeMap::new();
+    for (id, asked) in askers.iter() {
+        let Some(peer) = peers.get(id) else {
+            continue;
+        };
+        let place = places.entry(&peer.place).or_default();
+        place.data_centre = peer.place.to_string();
+        place.boxes += 1;
+        place.current += usize::from(asked.known >= covered);
+        let age = now.saturating_sub(asked.at).as_millis() as u64;
+        place.oldest_ms = place.oldest_ms.max(age);
+    }
+    places.into_values().collect()
+}
+
+fn role(desk: &Desk) -> String {
+    match desk.role() {
+        Role::Peer => "tells all".into(),
+        Role::Hub => "hub".into(),
+        Role::Leaf(hub) => format!("tells {hub}"),
+    }
+}
+
 /// Writes the status as JSON.
 pub fn write(desk: &Desk) -> String {
     let now = desk.now();
@@ -100,6 +146,15 @@
         reads: *desk.reads.borrow(),
         revision: desk.mirror.borrow().covered(),
         boxes: desk.boxes(),
+        role: role(desk),
+        readers: desk
+            .readers
+            .borrow()
+            .all
+            .iter()
+            .map(|id| id.to_string())
+            .collect(),
+        informs: informs(desk),
         boxes_heard: shares.boxes(),
         inflight: desk.inflight.get(),
         retries: desk.retries(),
--- a/crates/ashgauged/src/relay/tell.rs
+++ b/crates/ashgauged/src/relay/tell.rs
@@ -1,12 +1,15 @@
 //! Boxes tell each other their parts of the upstreams' loads, by datagrams. A
 //! word that is lost is made good by the next.
 
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+use ashgauge::hub::{self, Role};
+use ashgauge::quarantine::Audience;
 use ashgauge::question::Datagram;
-use ashgauge::share::{self, Word};
+use ashgauge::share::{self, Scope, Sum, UpstreamKey, Use, Uses, Word};
 use rand::Rng;
 use tokio::time::sleep;
 
@@ -17,101 +20,216 @@
 /// Longest time without a word, so that the others know that this box is there.
 const SILENT_MOST: Duration = Duration::from_millis(500);
 
-/// Tells the other boxes, as long as the process runs.
+/// Tells other boxes, as long as the process runs.
 pub async fn tell(desk: Rc<Desk>, peers: Rc<Peers>) {
     let boot = desk.rng().random();
-    let (mut number, mut near, mut far) = (0, Told::default(), Told::default());
+    let mut teller = Teller {
+        boot,
+        number: 0,
+        near: Told::default(),
+        far: Told::default(),
+        below: HashMap::new(),
+        desk,
+        peers,
+    };
     loop {
-        let others: Vec<Peer> = desk.peers.borrow().values().cloned().collect();
-        let here = others.iter().filter(|p| p.near).count();
-        let (near_time, far_time) = share::tell_times(here, others.len());
-        sleep(near_time).await;
+        teller.turn().await;
+    }
+}
+
+/// What a box tells, and when it did last.
+struct Teller {
+    desk: Rc<Desk>,
+    peers: Rc<Peers>,
+    boot: u64,
+    number: u64,
+    /// What boxes of the own data centre were told.
+    near: Told,
+    /// What boxes elsewhere were told.
+    far: Told,
+    /// When those below were told each of the words for them.
+    below: HashMap<Scope, Duration>,
+}
+
+impl Teller {
+    async fn turn(&mut self) {
+        let desk = self.desk.clone();
+        let (role, equals) = (desk.role(), desk.equals());
+        let here = equals.iter().filter(|(_, p)| p.near).count();
+        let (near_time, far_time) = role.times(here, equals.len());
+        sleep(near_time.min(far_time)).await;
         let now = desk.now();
-        desk.shares.borrow_mut().expire(now, others.len());
-        let uses = uses(&desk);
-        let to_near = near.is_due(now, near_time, &uses);
-        let to_far = far.is_due(now, far_time, &uses);
-        if !to_near && !to_far {
-            continue;
-        }
-        number += 1;
-        let mut word = Word {
-            from: Arc::from(desk.settings().id.as_str()),
-            boot,
-            number,
-            uses: uses.clone(),
-            suspects: Vec::new(),
+        let lag = role.lag(equals.len());
+        desk.lag.set(lag);
+        desk.shares.borrow_mut().expire(now, lag);
+        let own = own_sum(&desk);
+        let told = match role {
+            Role::Hub => {
+                let hubs = desk.readers.borrow().clone();
+                let is_hub = |id: &str| hubs.all.iter().any(|hub| **hub == *id);
+                desk.shares.borrow().below(own.clone(), is_hub).fit()
+            }
+            _ => own.clone(),
         };
+        self.tell_equals(now, &equals, (near_time, far_time), told)
+            .await;
+        if role == Role::Hub {
+            self.tell_below(now, own).await;
+        }
+    }
+
+    /// Tells the boxes that are told the same, near ones more often.
+    async fn tell_equals(
+        &mut self,
+        now: Duration,
+        equals: &[(Arc<str>, Peer)],
+        (near_time, far_time): (Duration, Duration),
+        sum: Sum,
+    ) {
+        let to_near = self.near.is_due(now, near_time, &sum.uses);
+        let to_far = self.far.is_due(now, far_time, &sum.uses);
         for (near, due, time) in [(true, to_near, near_time), (false, to_far, far_time)] {
             if !due {
                 continue;
             }
-            word.suspects = match share::tells_suspects(time) {
-                true => suspects(&desk),
-                false => Vec::new(),
-            };
-            let Some(bytes) = peers::encode(&Datagram::Load(word.clone())) else {
-                continue;
-            };
-            let report = quarantine::report(&desk, number);
-            for other in others.iter().filter(|p| p.near == near) {
-                peers.send(other.addr, &bytes).await;
-                if let Some(report) = &report {
-                    peers.send(other.addr, report).await;
-                }
+            let mut sum = sum.clone();
+            if !share::tells_suspects(time) {
+                sum.suspects.clear();
             }
+            let to = equals.iter().filter(|(_, p)| p.near == near);
+            let to: Vec<&Peer> = to.map(|(_, p)| p).collect();
+            self.send(Scope::Own, sum, &to).await;
+            self.send_losses(Audience::All, &to).await;
         }
         if to_near {
-            near.note(now, &uses);
+            self.near.note(now, &sum.uses);
         }
         if to_far {
-            far.note(now, &uses);
+            self.far.note(now, &sum.uses);
+        }
+    }
+
+    /// Tells the boxes that hear of the others by this one what all have together.
+    async fn tell_below(&mut self, now: Duration, own: Sum) {
+        let told = |scope: &Scope| self.below.get(scope).copied().unwrap_or_default();
+        let due = hub::below().filter(|scope| now >= told(scope) + hub::below_time(*scope));
+        let due: Vec<Scope> = due.collect();
+        if due.is_empty() {
+            return;
+        }
+        let leaves = self.desk.leaves();
+        let parts = Parts::new(&self.desk, own);
+        for scope in due {
+            self.below.insert(scope, now);
+            let mut by_place: HashMap<Arc<str>, Sum> = HashMap::new();
+            for (id, leaf) in &leaves {
+                let part = by_place.entry(leaf.place.clone());
+                let part = part.or_insert_with(|| parts.of(scope, &leaf.place));
+                let part = self.desk.shares.borrow().without(part, id);
+                self.send(scope, part.fit(), &[leaf]).await;
+            }
+            if scope == Scope::Far(0) {
+                let leaves: Vec<&Peer> = leaves.iter().map(|(_, leaf)| leaf).collect();
+                self.send_losses(Audience::Below, &leaves).await;
+            }
+        }
+    }
+
+    async fn send(&mut self, scope: Scope, sum: Sum, to: &[&Peer]) {
+        self.number += 1;
+        let word = Word {
+            from: Arc::from(self.desk.settings().id.as_str()),
+            boot: self.boot,
+            number: self.number,
+            scope,
+            boxes: sum.boxes,
+            uses: sum.uses,
+            suspects: sum.suspects,
+        };
+        let Some(bytes) = peers::encode(&Datagram::Load(word)) else {
+            return;
+        };
+        for peer in to {
+            self.peers.send(peer.addr, &bytes).await;
+        }
+    }
+
+    /// Tells losses again, as a datagram may have been lost.
+    async fn send_losses(&self, audience: Audience, to: &[&Peer]) {
+        let Some(report) = quarantine::report(&self.desk, self.number, audience) else {
+            return;
+        };
+        for peer in to {
+            self.peers.send(peer.addr, &report).await;
+        }
+    }
+}
+
+/// What all boxes have together, by the data centre of the upstreams.
+struct Parts {
+    whole: Sum,
+    places: HashMap<UpstreamKey, Arc<str>>,
+}
+
+impl Parts {
+    fn new(desk: &Desk, own: Sum) -> Self {
+        let roster = desk.roster.borrow();
+        let places = roster.all().map(|e| &e.upstream);
+        let places = places.map(|u| (share::key(&u.id), u.place.clone()));
+        Parts {
+            whole: desk.shares.borrow().all(own),
+            places: places.collect(),
         }
     }
+
+    /// What is told to a box in a data centre.
+    fn of(&self, scope: Scope, place: &str) -> Sum {
+        let is_told = |key| {
+            let other = self.places.get(&key);
+            other.is_some_and(|other| hub::is_told(scope, key, **other == *place))
+        };
+        let mut part = self.whole.only(is_told);
+        if scope != Scope::Near {
+            part.suspects.clear();
+        }
+        part
+    }
 }
 
 /// What some boxes were told last, and when.
 #[derive(Default)]
 struct Told {
-    uses: Vec<(share::UpstreamKey, share::Use)>,
+    uses: Uses,
     at: Duration,
 }
 
 impl Told {
     /// Whether they are to be told again: after `time` if something changed.
-    fn is_due(
-        &self,
-        now: Duration,
-        time: Duration,
-        uses: &[(share::UpstreamKey, share::Use)],
-    ) -> bool {
+    fn is_due(&self, now: Duration, time: Duration, uses: &[(UpstreamKey, Use)]) -> bool {
         let age = now.saturating_sub(self.at);
         let news = self.uses != uses;
         age >= time.max(SILENT_MOST) || (news && age >= time)
     }
 
-    fn note(&mut self, now: Duration, uses: &[(share::UpstreamKey, share::Use)]) {
+    fn note(&mut self, now: Duration, uses: &[(UpstreamKey, Use)]) {
         self.uses = uses.to_vec();
         self.at = now;
     }
 }
 
-/// Upstreams that this box found to be lost.
-fn suspects(desk: &Desk) -> Vec<share::UpstreamKey> {
-    let (roster, now) = (desk.roster.borrow(), desk.now());
-    let suspects = roster.all().filter(|e| e.is_suspect(now));
-    suspects.map(|e| share::key(&e.upstream.id)).collect()
-}
-
 /// What this box has on the upstreams that it uses.
-fn uses(desk: &Desk) -> Vec<(share::UpstreamKey, share::Use)> {
+fn own_sum(desk: &Desk) -> Sum {
     let (roster, now) = (desk.roster.borrow(), desk.now());
-    let uses = roster
-        .all()
-        .map(|e| (share::key(&e.upstream.id), e.used(now)));
-    let mut uses: Vec<_> = uses
-        .filter(|(_, used)| *used != share::Use::default())
+    let uses = roster.all().map(|e| (e, e.used(now)));
+    let uses = uses.filter(|(_, used)| *used != Use::default());
+    let mut uses: Uses = uses
+        .map(|(e, used)| (share::key(&e.upstream.id), used))
         .collect();
     uses.sort_unstable_by_key(|(key, _)| *key);
-    uses
+    let suspects = roster.all().filter(|e| e.is_suspect(now));
+    Sum {
+        boxes: 1,
+        uses,
+        suspects: suspects.map(|e| share::key(&e.upstream.id)).collect(),
+    }
 }
