--- a/crates/ashgauged/src/relay/desk.rs
+++ b/crates/ashgauged/src/relay/desk.rs
@@ -13,14 +13,16 @@
 
 use ashgauge::admission::Line;
 use ashgauge::fresh::Freshness;
+use ashgauge::hub::{self, Role};
 use ashgauge::member::{BoxId, UpstreamId};
-use ashgauge::mirror::Mirror;
+use ashgauge::mirror::{Mirror, Revision};
 use ashgauge::pipes::Pipes;
 use ashgauge::quarantine::Quarantine;
+use ashgauge::reader::Readers;
 use ashgauge::retry::{Allowance, Window};
 use ashgauge::roster::Roster;
 use ashgauge::routing::{Routing, ServiceId};
-use ashgauge::share::Shares;
+use ashgauge::share::{self, Shares};
 use ashgauge::stay::Stay;
 use http::Client;
 use platform::{Fault, Store};
@@ -59,6 +61,17 @@
     pub near: bool,
     /// What its link carries, in Mbit/s; 0 if it did not say.
     pub link: u32,
+    /// Whether all boxes know it, so that it may read for them.
+    pub is_candidate: bool,
+}
+
+/// What another box asked last.
+#[derive(Clone, Copy, Debug)]
+pub struct Asked {
+    /// When.
+    pub at: Duration,
+    /// Revision up to which it knew everything.
+    pub known: Revision,
 }
 
 /// What the tasks of one box share.
@@ -80,8 +93,16 @@
     pub sure: Cell<bool>,
     /// Whether this box reads the store itself.
     pub reads: watch::Sender<bool>,
-    /// Whether the other boxes were looked for, so that who reads can be told.
-    pub searched: Cell<bool>,
+    /// When the other boxes had been looked for, so that who reads can be told.
+    pub searched: Cell<Option<Duration>>,
+    /// Whether all boxes know this one, so that it may read for them.
+    pub is_candidate: Cell<bool>,
+    /// Whether there are boxes that this one does not know.
+    pub is_partial: Cell<bool>,
+    /// The boxes that read for the others.
+    pub readers: RefCell<Rc<Readers>>,
+    /// When the store was last asked for a configuration that it did not have.
+    pub vacant_at: Cell<Option<Duration>>,
     /// Whether the last proof failed, so that calls to the store are in vain.
     pub store_away: Cell<bool>,
     /// Whether the list of upstreams was read.
@@ -108,6 +129,8 @@
     pub stays: RefCell<HashMap<ServiceId, Stay>>,
     /// What the other boxes have on the upstreams.
     pub shares: RefCell<Shares>,
+    /// Time between two words on what boxes elsewhere have.
+    pub lag: Cell<Duration>,
     /// Requests that end upstreams.
     pub quarantine: RefCell<Quarantine>,
     /// Upstreams that run requests under which others were lost, one for each.
@@ -118,6 +141,8 @@
     pub heard_at: Cell<Option<SocketAddr>>,
     /// The other boxes, by name.
     pub peers: RefCell<HashMap<BoxId, Peer>>,
+    /// Boxes that ask this one.
+    pub askers: RefCell<HashMap<BoxId, Asked>>,
     /// What goes between data centres.
     pub pipes: RefCell<Pipes>,
     /// This box's data centre.
@@ -143,7 +168,11 @@
             mirror: RefCell::default(),
             sure: Cell::new(true),
             reads: watch::Sender::new(false),
-            searched: Cell::new(false),
+            searched: Cell::new(None),
+            is_candidate: Cell::new(true),
+            is_partial: Cell::new(false),
+            readers: RefCell::default(),
+            vacant_at: Cell::new(None),
             store_away: Cell::new(false),
             listed: Cell::new(false),
             known: watch::Sender::new(false),
@@ -157,11 +186,13 @@
             lines: RefCell::default(),
             stays: RefCell::default(),
             shares: RefCell::default(),
+            lag: Cell::new(share::tell_times(0, 0).1),
             quarantine: RefCell::default(),
             trials: RefCell::default(),
             lost: Notify::new(),
             heard_at: Cell::new(None),
             peers: RefCell::default(),
+            askers: RefCell::default(),
             pipes: RefCell::default(),
             place: settings.data_centre.as_str().into(),
             budgets: RefCell::default(),
@@ -254,6 +285,44 @@
         log::line(Level::Info, "fleet", "boxes", json!({"boxes": boxes}));
     }
 
+    /// What this box is to the others.
+    pub fn role(&self) -> Role {
+        let known = self.peers.borrow().len() + 1;
+        let boxes = known.max(self.counted.get() as usize);
+        hub::role(boxes, &self.readers.borrow())
+    }
+
+    /// Boxes that this one tells what it has.
+    pub fn equals(&self) -> Vec<(BoxId, Peer)> {
+        let peers = self.peers.borrow();
+        let named = |id: &BoxId| Some((id.clone(), peers.get(id)?.clone()));
+        match self.role() {
+            Role::Peer => peers.keys().filter_map(named).collect(),
+            Role::Hub => self.readers.borrow().all.iter().filter_map(named).collect(),
+            Role::Leaf(hub) => named(&hub).into_iter().collect(),
+        }
+    }
+
+    /// Boxes that hear of the others by this one.
+    pub fn leaves(&self) -> Vec<(BoxId, Peer)> {
+        if self.role() != Role::Hub {
+            return Vec::new();
+        }
+        let (peers, shares) = (self.peers.borrow(), self.shares.borrow());
+        let hubs = &self.readers.borrow().all;
+        let below = shares.senders().filter(|id| !hubs.contains(id));
+        let named = below.filter_map(|id| Some((id.clone(), peers.get(id)?.clone())));
+        named.collect()
+    }
+
+    /// Believes the last count, as the others have had the time to start.
+    pub fn believe_count(&self) {
+        match self.counted.get() {
+            0 => {}
+            counted => self.set_boxes(counted),
+        }
+    }
+
     /// Counts a call to the store.
     pub fn count_call<T>(&self, call: &str, result: &Result<T, Fault>) {
         let result = match result {
