Leave an upstream out as its loss under a run is confirmed; comments without figures

A look after a broken connection proves more: it refuses a new one. Change: confirming the loss suspects the engine, one line. The test is unchanged. Ruled out: a shorter time for which being heard counts; engines that are only slow would be checked more often.

--- a/crates/ashgauge/src/choice.rs
+++ b/crates/ashgauge/src/choice.rs
@@ -25,8 +25,7 @@
 /// Chooses an upstream of a plain service, and not one that was `tried` if
 /// there is another.
 pub fn upstream(scene: &Scene, tried: &[UpstreamId], rng: &mut impl Rng) -> Option<UpstreamId> {
-    // An upstream that turns requests away does so again: one that had asked for 3 s
-    // of rest got 40 requests in 9 s, and turned all of them away.
+    // An upstream that wants rest turns away whatever comes meanwhile.
     let rested = |e: &&Entry| e.rest(scene.now).is_none();
     let all = || scene.roster.of(scene.service);
     let entries = || all().filter(rested);
@@ -176,8 +175,7 @@
     /// Whether an engine has the room, with all of its layers in the chain, and a
     /// slot if it would be the chain's first.
     ///
-    /// Past its slots an engine turns requests away: 3,496 arrivals, not 4,182, of
-    /// a day with 2.2 times the usual traffic and nine of 86 engines dark.
+    /// Past its slots an engine turns requests away.
     pub fn fits(&self, scene: &Scene, model: &Model, entry: &Entry) -> bool {
         let Some(held) = entry.upstream.layers else {
             return false;
--- a/crates/ashgauge/src/cost.rs
+++ b/crates/ashgauge/src/cost.rs
@@ -12,8 +12,7 @@
 
 /// Most of an engine's time that it is taken to read prompts: its cost is at most
 /// four times as high for it. What the others have there is known late in a large
-/// fleet, and at 0.8 (25 times) chains crossed data centres to get around engines:
-/// prices of a day of 300 boxes were 0.238 of its worth, not 0.160.
+/// fleet, and chains must not cross data centres to get around an old figure.
 const READING_MOST: f64 = 0.5;
 
 /// Passes of an engine that a token takes: it comes in the middle of one, and is
@@ -26,9 +25,7 @@
 const ENTRY_TOGETHER: f64 = 0.05;
 
 /// Share of an engine's memory past which requests do not go there if there is
-/// any other way; sizes vary, and a full engine throws requests out. Measured as
-/// mean worth of five days, 15 plays: 0.521 at 0.85, 0.539 at 0.95, 0.514 at
-/// 1.05 (docs/DECISIONS.md).
+/// any other way; sizes vary, and a full engine throws requests out.
 const FULL: f64 = 0.95;
 
 /// How late the cost of an engine rises as it fills, where the data centre holds
@@ -37,8 +34,7 @@
 const FILLING_SPARE: i32 = 3;
 
 /// Copies of the model in a data centre from which on others can stand in for an
-/// engine that is full. With fewer, room is saved from the first request on: 30
-/// plays of a fleet with 1.5 copies earned 0.637 so, 0.617 at the late rise.
+/// engine that is full. With fewer, room is saved from the first request on.
 const COPIES_SPARE: f64 = 2.0;
 
 /// Seconds that an engine past [`FULL`] counts for besides, more than two
@@ -50,10 +46,9 @@
 /// and a good deal more.
 const FAILING_SECONDS: f64 = 8.0;
 
-/// Seconds that an engine counts for besides which another box found to be lost.
-/// Each of 59 boxes had to find out by requests of its own, up to nine lost
-/// engines one after the other, and 900 of a day's requests were refused when the
-/// retries for that were used up.
+/// Seconds that an engine counts for besides which another box found to be lost:
+/// each box would find out by requests of its own otherwise, engine by engine, until
+/// the retries for that are used up.
 const RUMOUR_SECONDS: f64 = 8.0;
 
 /// Seconds that an engine in a chain counts for besides its work: each is one
@@ -66,13 +61,11 @@
 
 /// Least and most seconds that a chain in another data centre counts for. Only
 /// the request and its events cross; but boxes that know the load there late
-/// fill the same engines. Measured as the same mean: 0.478 at 0.3, 0.461 at 3
-/// with words each 0.1 s (docs/DECISIONS.md).
+/// fill the same engines.
 const ENTRY_RANGE: (f64, f64) = (0.3, 3.0);
 
-/// Seconds that it counts for each second between words from there: at words
-/// each 3 to 5 s a quiet day of 71 boxes served 0.885 of its worth at 0.3 s,
-/// 0.998 at words each second.
+/// Seconds that it counts for each second between words from there, as what is known
+/// of the load is so much older.
 const ENTRY_LAG: f64 = 3.0;
 
 /// Share of a pipe that may be used; past it what crosses waits for seconds.
@@ -152,13 +145,8 @@
 
     /// Factor on the cost of an engine that spends a part of its time on reading:
     /// its steps take longer by that part, for the request and for all others
-    /// that are there.
-    ///
-    /// Without it three engines led 0.84 of a quiet day's requests, one of them
-    /// 0.30 (by the boxes' lines), which by its figures took it 0.4 of its time to
-    /// read; the loss of one cut as much. With it 0.028 of what was owed on a day
-    /// with nine lost engines was late, not 0.038 (one play each, without processor
-    /// time).
+    /// that are there. Without it a few engines lead most of the requests, and the loss
+    /// of one cuts as many.
     fn reading_factor(&self, entry: &Entry, held: Span, requests: f64) -> f64 {
         let (scene, model) = (self.scene, self.model);
         let each = reading_seconds(scene, model, entry, held.len(), model.prompt);
@@ -170,11 +158,9 @@
     /// Seconds until a stream that goes on here brings its next event: what it
     /// waits for at the engine, and what each layer takes.
     ///
-    /// A pause past some 250 ms makes a stream late, however long the rest of it
-    /// takes. By the time of their whole answers nearly all of 157 streams of lost
-    /// first engines went to the five fastest, 48 to one of them, and paused for
-    /// 395 ms in the median and 757 ms at nine of ten; by this 346 and 566 ms, 33
-    /// at the busiest (the boxes' lines of one day).
+    /// A pause within a stream makes it late, however quick the rest of it is: by the
+    /// time of their whole answers the streams of a lost engine would all go to the few
+    /// fastest, and wait for each other there.
     ///
     /// What the other boxes lead here at the same moment is in no word of theirs:
     /// as many streams as boxes stand near, at the most.
--- a/crates/ashgauge/src/fresh.rs
+++ b/crates/ashgauge/src/fresh.rs
@@ -6,17 +6,16 @@
 /// Revisions kept while one before them is missing.
 const AHEAD_MOST: usize = 4096;
 
-/// Time since a box's start within which others inform it: 0.03 s in a fleet that
-/// goes on; where 295 boxes start together 0.29 s in the median, 0.88 s at the
-/// longest.
+/// Time since a box's start within which others inform it, also where all boxes of a
+/// large fleet start together.
 const INFORMED_TIME: Duration = Duration::from_millis(1500);
 
 /// How long a request waits for a box that started `uptime` ago and knows nothing
 /// yet.
 ///
-/// Callers whose first try was cut when all boxes were lost have one more: 292 of
-/// a day's requests were lost by a refusal after 0.3 s. A box that knows nothing
-/// after that time may never, and refuses at once.
+/// Callers whose first try was cut when all boxes were lost have one more, which a
+/// refusal would use up. A box that knows nothing after that time may never, and
+/// refuses at once.
 ///
 /// # Example
 ///
--- a/crates/ashgauge/src/placement.rs
+++ b/crates/ashgauge/src/placement.rs
@@ -18,8 +18,8 @@
 
 /// Least and largest share of an engine's memory that weights may take.
 ///
-/// What is left holds requests. Measured on the users' sites: at 0.9 too few
-/// requests fit, at 0.55 too few layers (docs/MEASUREMENTS.md).
+/// What is left holds requests: a larger share leaves room for too few of them, a
+/// smaller one for too few layers.
 const FILL_LEAST: f64 = 0.5;
 const FILL_MOST: f64 = 0.78;
 
@@ -37,7 +37,7 @@
 
 /// The same where the memory allows a second copy of every layer: the loss of
 /// any engine then leaves a chain in the data centre, and the loss of most
-/// pairs. Measured against the figure above: docs/MEASUREMENTS.md.
+/// pairs.
 const COPIES_SPARE: f64 = 2.4;
 
 /// Copies that the memory must allow for that.
@@ -309,9 +309,8 @@
     ///
     /// What it gives up takes nothing new from the order on, and the new range
     /// shows seconds later, when what passes has ended and the layers are loaded;
-    /// so does what others were ordered. While a release went on, moves that
-    /// counted on such ranges left a fleet of 39 engines without a whole chain for
-    /// eight seconds.
+    /// so does what others were ordered. Moves that count on such ranges leave a fleet
+    /// without a whole chain meanwhile.
     fn can_give_up(&self, at: usize, old: Span, new: Span) -> bool {
         let here = self.sites.get(&self.seats[at].place).map(|s| &s.shown[..]);
         let others = |shown: &[i32], l: Layer| shown[l as usize] - 1;
--- a/crates/ashgauge/src/share.rs
+++ b/crates/ashgauge/src/share.rs
@@ -28,17 +28,15 @@
 /// Words of a box that may be lost before it counts as silent.
 const LOST_MOST: u32 = 3;
 
-/// Least time between two words: a small part of a request's time, at 10 small
-/// datagrams a second for each other box.
+/// Least time between two words: a small part of a request's time.
 const TELL_LEAST: Duration = Duration::from_millis(100);
 
 /// Time between two words for each box of the own data centre: bounds what a
 /// box sends there to 250 datagrams a second in a fleet of any size.
 const TELL_NEAR: Duration = Duration::from_millis(4);
 
-/// The same for the fleet, as which boxes elsewhere are told: bytes between
-/// data centres are dear, and boxes there use these engines less. At 59 boxes
-/// 0.19 GB crossed in a day of 45 s at 4 ms, some 0.05 GB at this.
+/// The same for the fleet, as which boxes elsewhere are told: bytes between data
+/// centres are dear, and boxes there use these engines less.
 const TELL_FAR: Duration = Duration::from_millis(15);
 
 /// Longest time between two words that tell suspects: boxes find them out by
--- a/crates/ashgauged/src/relay/follow/mod.rs
+++ b/crates/ashgauged/src/relay/follow/mod.rs
@@ -305,10 +305,7 @@
 }
 
 /// Whether so many upstreams that came together get a line each; else one line
-/// says how many there were.
-///
-/// A fleet of 103 boxes before 1,000 engines wrote 308,000 such lines in 40 s, by
-/// their count, most as it started and as it came back after the loss of all.
+/// says how many there were. Where a fleet starts all of them come to each box.
 fn has_lines(count: usize) -> bool {
     if count > LINES_MOST {
         log::line(
--- a/crates/ashgauged/src/relay/loss.rs
+++ b/crates/ashgauged/src/relay/loss.rs
@@ -123,10 +123,12 @@
 }
 
 impl Suspicion {
-    /// Notes that the upstream is lost.
+    /// Notes that the upstream is lost. It is left out at once, as streams that heard it
+    /// a moment ago would have their next try there.
     fn confirm(self, desk: &Rc<Desk>) {
-        // Leaving lost engines out does not stop a request that ends them: it went on
-        // to the next one with each repeat, to 30 of 39 engines.
+        desk.suspect(&self.loss.upstream, "lost under a run");
+        // Leaving lost engines out does not stop a request that ends them: it goes on
+        // to the next one with each repeat.
         if let Some(start) = self.start {
             let digest = self.digest;
             quarantine::note(desk, Lost { digest, start });
--- a/crates/ashgauged/src/relay/pack.rs
+++ b/crates/ashgauged/src/relay/pack.rs
@@ -8,12 +8,11 @@
 use flate2::read::DeflateDecoder;
 use flate2::write::DeflateEncoder;
 
-/// Most bytes that an update may take unpacked: 30 times what 3,000 engines and
-/// 1,700 routes take.
+/// Most bytes that an update may take unpacked: many times what any fleet announces.
 const UNPACKED_MOST: u64 = 32 << 20;
 
-/// Packs an update: what 3,000 engines announce takes 0.25 MB as it is, more than
-/// a box of 20 Mbit/s can hand to thirty others within a second.
+/// Packs an update: what thousands of engines announce, as it is, is more than a box
+/// with a slow link can hand to thirty others within a second.
 ///
 /// # Errors
 ///
--- a/crates/ashgauged/src/relay/place.rs
+++ b/crates/ashgauged/src/relay/place.rs
@@ -291,8 +291,7 @@
     ///
     /// Without one nothing passes that could end well, yet engines that wait for
     /// what passes may wait until the deadlines of requests whose boxes lost
-    /// power: 20 s of a fleet's recovery in one case. A box that reaches less
-    /// than half of the engines may be cut off itself.
+    /// power. A box that reaches less than half of the engines may be cut off itself.
     fn has_chain(&self, service: &Service, model: &Model) -> bool {
         let now = self.desk.now();
         let roster = self.desk.roster.borrow();
--- a/crates/ashgauged/src/relay/select.rs
+++ b/crates/ashgauged/src/relay/select.rs
@@ -19,10 +19,8 @@
 
 /// Share of the memory near up to which those who come back late choose as streams
 /// of a lost engine do: they come back together, as they were cut together, and by
-/// the time of a whole answer all went to the same engines. On eight plays with
-/// seeds not used before 0.804 was earned so, 0.792 without (mean worth, without
-/// processor time). Where memory is scarce a chain must be quick as a whole, as it
-/// holds memory for as long.
+/// the time of a whole answer all would go to the same engines. Where memory is
+/// scarce a chain must be quick as a whole, as it holds memory for as long.
 const ROOM_TOGETHER: f64 = 0.4;
 
 /// What a chain is chosen for.
