Read alone within the bound on configurations, and again while that succeeds

Cause: a box whose readers the store turns away read the store past 0.6 of the bound on keys (2.7 s of 4.5), though configurations are to be in force in 2 s, and then not again for 2 to 8 s, whether it had succeeded or not. Change: past 0.6 of the smaller of both bounds; after a reading that succeeded what is known grows old and is read again at that age; pauses of 2 to 8 s remain for those that failed, so a store that is away for all gets no more calls but the first. Ruled out: passing over readers that have lost the store; where it is away for all each box would become a reader and call it.

--- a/crates/ashgauged/src/relay/follow/ask.rs
+++ b/crates/ashgauged/src/relay/follow/ask.rs
@@ -27,8 +27,9 @@
 /// started as well.
 const UNINFORMED_EVERY: Duration = Duration::from_millis(300);
 
-/// Share of the age at which no key is believed, past which a box that no other
-/// one could inform asks the store itself.
+/// Share of the operators' bounds on what a box knows, past which one that no other
+/// could inform asks the store itself. What is left is for the round of questions
+/// that shows it and for the reading.
 const ALONE_SHARE: f64 = 0.6;
 
 /// How long a box that knows nothing asks others only, and how long if some answer
@@ -39,8 +40,8 @@
 /// Time for which a choice of the readers holds: who is silent changes it.
 const CHOICE_TIME: Duration = Duration::from_millis(200);
 
-/// Times between two such calls, at random in between, so that boxes that lost
-/// their readers do not call the store together.
+/// Times from such a reading that brought nothing to the next, at random in between, so
+/// that boxes that lost their readers do not call the store together.
 const ALONE_EVERY: std::ops::Range<Duration> =
     Duration::from_millis(2000)..Duration::from_millis(8000);
 
@@ -203,7 +204,9 @@
     fn may_read_alone(&self, lack: Lack) -> bool {
         let desk = &self.desk;
         if let Some(age) = desk.fresh.borrow().age(desk.now()) {
-            return age >= desk.settings().key_age().mul_f64(ALONE_SHARE);
+            let settings = desk.settings();
+            let bound = settings.key_age().min(settings.apply_time());
+            return age >= bound.mul_f64(ALONE_SHARE);
         }
         let patience = match lack {
             Lack::Answer => ALONE_FIRST,
@@ -225,8 +228,11 @@
             "read alone",
             json!({"age_ms": age.map(|a| a.as_millis() as u64)}),
         );
-        if let Err(fault) = self.read_all().await {
-            self.lost("read alone", &fault);
+        match self.read_all().await {
+            // What is known grows old as before, and is read again then.
+            Ok(()) if desk.is_informed() => return desk.now(),
+            Ok(()) => {}
+            Err(fault) => self.lost("read alone", &fault),
         }
         desk.now() + self.random(ALONE_EVERY)
     }
