Look for boxes again only where those that were asked are silent

A look after each round in vain was made also where readers answered with old knowledge, as while the store is away, when looks are in vain and priced. A comment loses its figure.

--- a/crates/ashgauge/src/rate.rs
+++ b/crates/ashgauge/src/rate.rs
@@ -12,8 +12,7 @@
 const PASSES: f64 = 1.5;
 
 /// Requests that share an engine's passes while chains are compared. What is
-/// offered is the same whichever is built, so it is one figure for all; that of
-/// the users' engines on quiet days.
+/// offered is the same whichever is built, so it is one figure for all.
 const LOAD: f64 = 50.0;
 
 /// A part of a chain: a kind of accelerator with so many layers.
--- a/crates/ashgauged/src/relay/follow/ask.rs
+++ b/crates/ashgauged/src/relay/follow/ask.rs
@@ -95,7 +95,9 @@
                 now + pace.answer
             }
             Step::Failed(lack) => {
-                self.look_again(now);
+                if lack == Lack::Answer {
+                    self.look_again(now);
+                }
                 if !self.is_reader() && self.may_read_alone(lack) && now >= *alone_at {
                     *alone_at = self.read_alone().await;
                 }
@@ -136,8 +138,8 @@
         desk.readers.borrow().clone()
     }
 
-    /// Looks for other boxes, as those that were asked know too little: others may
-    /// read by now.
+    /// Looks for other boxes, as those that were asked are silent: others may read by
+    /// now.
     fn look_again(&self, now: Duration) {
         if now >= self.look_at.get() {
             self.look_at.set(now + self.random(ALONE_EVERY));
--- a/crates/ashgauged/src/relay/follow/mod.rs
+++ b/crates/ashgauged/src/relay/follow/mod.rs
@@ -50,7 +50,7 @@
     is_shared: Cell<bool>,
     /// When the readers were chosen last.
     chosen: Cell<Duration>,
-    /// When boxes may be looked for again as those that were asked know too little.
+    /// When boxes may be looked for again as those that were asked are silent.
     look_at: Cell<Duration>,
     /// When a call to the store last failed, while it is away.
     failed: Cell<Option<Duration>>,
