--- a/crates/ashgauge/src/choice.rs
+++ b/crates/ashgauge/src/choice.rs
@@ -204,7 +204,8 @@
         false => AWAY_FACTOR,
     };
     let failing = 1.0 / (1.0 - entry.failures(scene.now).min(0.95));
-    let avoided = entry.is_full(scene.now) || entry.is_rumoured(scene.now);
+    let now = scene.now;
+    let avoided = entry.is_full(now) || entry.is_rumoured(now) || entry.is_shut(now);
     let ahead = if avoided { ahead + FULL_AHEAD } else { ahead };
     seconds * (1.0 + ahead) * away * failing * failing
 }
--- a/crates/ashgauge/src/entry.rs
+++ b/crates/ashgauge/src/entry.rs
@@ -21,6 +21,10 @@
 /// entry is renewed within about a second.
 const STALE_TIME: Duration = Duration::from_millis(1000);
 
+/// How long an upstream that took no connection gets no new requests. It may only take
+/// none for the moment, and those that it works on go on.
+const SHUT_TIME: Duration = Duration::from_millis(1000);
+
 /// How long an upstream that had no room, and did not say for how long, is avoided.
 const FULL_TIME: Duration = Duration::from_millis(300);
 
@@ -71,6 +75,8 @@
     /// Until when another box's word that it is lost counts.
     rumour: Option<Duration>,
     full: Option<Duration>,
+    /// Until when it gets no new requests, as it took no connection.
+    shut: Option<Duration>,
     /// What it said in its answers.
     pub(crate) notice: Notice,
     slow: Option<(f64, Duration)>,
@@ -87,7 +93,7 @@
 
     /// Whether requests may go to it at `now`.
     pub fn takes_requests(&self, now: Duration) -> bool {
-        self.is_usable(now) && self.rest(now).is_none()
+        self.is_usable(now) && self.rest(now).is_none() && !self.is_shut(now)
     }
 
     /// Whether it is leaving, as its entry or its answers say.
@@ -105,6 +111,11 @@
         self.suspect.is_some_and(|until| now < until)
     }
 
+    /// Whether it took no connection a moment ago; it may still work on what it has.
+    pub fn is_shut(&self, now: Duration) -> bool {
+        self.shut.is_some_and(|until| now < until)
+    }
+
     /// Factor on the time of its work, as it told lately; 1 if it told nothing.
     pub fn slowness(&self, now: Duration) -> f64 {
         let told = self.slow.filter(|(_, until)| now < *until);
@@ -168,6 +179,7 @@
             suspect: None,
             rumour: None,
             full: None,
+            shut: None,
             notice,
             slow: None,
             missing: None,
@@ -240,6 +252,10 @@
         new
     }
 
+    pub(crate) fn note_shut(&mut self, now: Duration) {
+        self.shut = Some(now + SHUT_TIME);
+    }
+
     pub(crate) fn note_full(&mut self, now: Duration) {
         self.full = Some(now + FULL_TIME);
     }
--- a/crates/ashgauge/src/roster.rs
+++ b/crates/ashgauge/src/roster.rs
@@ -195,6 +195,12 @@
         self.change(id, |e| e.suspect(now)).unwrap_or(false)
     }
 
+    /// Notes that an upstream took no connection right after one to it broke: it gets
+    /// no new requests for a moment, and keeps those that it has.
+    pub fn note_shut(&mut self, now: Duration, id: &str) {
+        self.change(id, |e| e.note_shut(now));
+    }
+
     /// Notes that an upstream had no room for a request.
     pub fn note_full(&mut self, now: Duration, id: &str) {
         self.change(id, |e| e.note_full(now));
--- a/crates/ashgauge/tests/knowledge.rs
+++ b/crates/ashgauge/tests/knowledge.rs
@@ -367,3 +367,27 @@
     assert!(heard(&roster, SECOND + Duration::from_millis(50)));
     assert!(!heard(&roster, SECOND + Duration::from_millis(70)));
 }
+
+/// An engine whose connection breaks and that takes no other one got the next tries as
+/// well, where other streams had heard it a moment ago; those streams may go on.
+#[test]
+fn upstream_that_takes_no_connection_gets_nothing_new_and_keeps_what_it_has() {
+    let mut roster = Roster::default();
+    roster.put(upstream("e1", "a", "large", None, 1));
+    roster.hear(SECOND, "e1");
+    roster.note_shut(SECOND, "e1");
+    let entry = roster.get("e1").expect("an entry");
+    assert!(!entry.takes_requests(SECOND));
+    assert!(entry.is_usable(SECOND) && !entry.is_suspect(SECOND));
+    assert!(entry.takes_requests(SECOND * 2));
+    // A new start is another engine.
+    roster.note_shut(SECOND * 3, "e1");
+    let mut born = upstream("e1", "a", "large", None, 1);
+    born.born = Some(7);
+    roster.put(born);
+    assert!(
+        roster
+            .get("e1")
+            .is_some_and(|e| e.takes_requests(SECOND * 3))
+    );
+}
--- a/crates/ashgauged/src/relay/loss.rs
+++ b/crates/ashgauged/src/relay/loss.rs
@@ -123,10 +123,11 @@
 }
 
 impl Suspicion {
-    /// Notes that the upstream is lost. It is left out at once, as streams that heard it
-    /// a moment ago would have their next try there.
+    /// Notes that the upstream is lost. New tries go elsewhere at once, also if other
+    /// streams heard it a moment ago.
     fn confirm(self, desk: &Rc<Desk>) {
-        desk.suspect(&self.loss.upstream, "lost under a run");
+        let now = desk.now();
+        desk.roster.borrow_mut().note_shut(now, &self.loss.upstream);
         // Leaving lost engines out does not stop a request that ends them: it goes on
         // to the next one with each repeat.
         if let Some(start) = self.start {
