--- a/crates/ashgauged/src/relay/peers.rs
+++ b/crates/ashgauged/src/relay/peers.rs
@@ -279,9 +279,8 @@
             at: now,
             known: question.after,
         };
-        let mut askers = self.desk.askers.borrow_mut();
-        askers.insert(question.from.clone(), asked);
-        drop(askers);
+        let from = question.from.clone();
+        self.desk.askers.borrow_mut().insert(from, asked);
         if let Some(bytes) = self.encode_answer(&question) {
             self.send(addr, &bytes).await;
         }
