--- a/crates/ashgauged/src/relay/desk.rs
+++ b/crates/ashgauged/src/relay/desk.rs
@@ -293,7 +293,7 @@
     }
 
     /// Boxes that this one tells what it has.
-    pub fn equals(&self) -> Vec<(BoxId, Peer)> {
+    pub fn listeners(&self) -> Vec<(BoxId, Peer)> {
         let peers = self.peers.borrow();
         let named = |id: &BoxId| Some((id.clone(), peers.get(id)?.clone()));
         match self.role() {
--- a/crates/ashgauged/src/relay/quarantine.rs
+++ b/crates/ashgauged/src/relay/quarantine.rs
@@ -79,7 +79,7 @@
         desk.lost.notified().await;
         sleep(GATHER_TIME).await;
         let told = [
-            (Audience::All, desk.equals()),
+            (Audience::All, desk.listeners()),
             (Audience::Below, desk.leaves()),
         ];
         for (audience, boxes) in told {
--- a/crates/ashgauged/src/relay/tell.rs
+++ b/crates/ashgauged/src/relay/tell.rs
@@ -54,12 +54,12 @@
 impl Teller {
     async fn turn(&mut self) {
         let desk = self.desk.clone();
-        let (role, equals) = (desk.role(), desk.equals());
-        let here = equals.iter().filter(|(_, p)| p.near).count();
-        let (near_time, far_time) = role.times(here, equals.len());
+        let (role, listeners) = (desk.role(), desk.listeners());
+        let here = listeners.iter().filter(|(_, p)| p.near).count();
+        let (near_time, far_time) = role.times(here, listeners.len());
         sleep(near_time.min(far_time)).await;
         let now = desk.now();
-        let lag = role.lag(equals.len());
+        let lag = role.lag(listeners.len());
         desk.lag.set(lag);
         desk.shares.borrow_mut().expire(now, lag);
         let own = own_sum(&desk);
@@ -71,7 +71,7 @@
             }
             _ => own.clone(),
         };
-        self.tell_equals(now, &equals, (near_time, far_time), told)
+        self.tell_listeners(now, &listeners, (near_time, far_time), told)
             .await;
         if role == Role::Hub {
             self.tell_below(now, own).await;
@@ -79,10 +79,10 @@
     }
 
     /// Tells the boxes that are told the same, near ones more often.
-    async fn tell_equals(
+    async fn tell_listeners(
         &mut self,
         now: Duration,
-        equals: &[(Arc<str>, Peer)],
+        listeners: &[(Arc<str>, Peer)],
         (near_time, far_time): (Duration, Duration),
         sum: Sum,
     ) {
@@ -96,7 +96,7 @@
             if !share::tells_suspects(time) {
                 sum.suspects.clear();
             }
-            let to = equals.iter().filter(|(_, p)| p.near == near);
+            let to = listeners.iter().filter(|(_, p)| p.near == near);
             let to: Vec<&Peer> = to.map(|(_, p)| p).collect();
             self.send(Scope::Own, sum, &to).await;
             self.send_losses(Audience::All, &to).await;
