Say in the log who took a retry, out of how much and among how many boxes

Boxes sent requests again more often than the fleet allows, and no line told when a box took a retry, what it had earned and spent, or for how many boxes it counted. No decision is changed; the three places that asked the budget are one now.

--- a/crates/ashgauge/src/handoff.rs
+++ b/crates/ashgauge/src/handoff.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use crate::member::UpstreamId;
-use crate::retry::Window;
 
 /// Sends of one request at most, refused ones included.
 ///
@@ -107,11 +106,14 @@
     }
 
     /// Decides what follows after a send that brought no good answer.
-    pub fn after(&mut self, now: Duration, outcome: Outcome, budget: &mut Window) -> Next {
+    ///
+    /// `take` is called if the request itself may be sent again, and returns whether
+    /// the retry budget has one left for it.
+    pub fn after(&mut self, now: Duration, outcome: Outcome, take: impl FnOnce() -> bool) -> Next {
         if matches!(outcome, Outcome::NotSent | Outcome::NotRun) {
             self.runs = self.runs.saturating_sub(1);
         }
-        if self.may_again(now, outcome) && budget.take(now) {
+        if self.may_again(now, outcome) && take() {
             return Next::Again;
         }
         match outcome {
--- a/crates/ashgauge/src/retry.rs
+++ b/crates/ashgauge/src/retry.rs
@@ -56,6 +56,17 @@
     pub boxes: u32,
 }
 
+/// What a box has of the allowance in the present window.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Balance {
+    /// First tries.
+    pub firsts: f64,
+    /// Retries.
+    pub spent: f64,
+    /// Retries at most.
+    pub most: f64,
+}
+
 /// Counts first tries and retries of one box in a sliding window.
 ///
 /// Each box keeps within its own part of the fleet's [`Allowance`], so the
@@ -108,21 +119,26 @@
 
     /// Takes one retry out; returns false if none is left.
     pub fn take(&mut self, now: Duration) -> bool {
-        self.advance(now);
-        let firsts: f64 = self.parts.iter().map(|p| p.0).sum();
-        let spent: f64 = self.parts.iter().map(|p| p.1).sum();
-        let a = &self.allowance;
-        let most = a.ratio * firsts + a.extra / f64::from(a.boxes.max(1));
-        if spent + 1.0 > most * MARGIN {
+        let balance = self.balance(now);
+        if balance.spent + 1.0 > balance.most {
             return false;
         }
         self.advance(now).1 += 1.0;
         true
     }
 
-    /// Retries spent in the window.
-    pub fn spent(&self) -> f64 {
-        self.parts.iter().map(|p| p.1).sum()
+    /// What was earned and spent in the window that ends now.
+    pub fn balance(&mut self, now: Duration) -> Balance {
+        self.advance(now);
+        let firsts = self.parts.iter().map(|p| p.0).sum();
+        let spent = self.parts.iter().map(|p| p.1).sum();
+        let a = &self.allowance;
+        let most = a.ratio * firsts + a.extra / f64::from(a.boxes.max(1));
+        Balance {
+            firsts,
+            spent,
+            most: most * MARGIN,
+        }
     }
 
     /// Clears the parts that have left the window; returns the current one.
--- a/crates/ashgauge/tests/handoff.rs
+++ b/crates/ashgauge/tests/handoff.rs
@@ -46,7 +46,7 @@
             }
             prop_assert!(may_have_run <= attempts);
             prop_assert!(repeat || may_have_run <= 1);
-            match handoff.after(now, outcome, &mut budget) {
+            match handoff.after(now, outcome, || budget.take(now)) {
                 Next::Again => prop_assert!(now < Duration::from_secs(1)),
                 Next::PassOn => {
                     prop_assert_eq!(outcome, Outcome::Failed);
@@ -108,7 +108,9 @@
     });
     let mut handoff = Handoff::new(Duration::from_secs(1), 2, true);
     handoff.send("u1".into());
-    let next = handoff.after(Duration::ZERO, Outcome::NotRun, &mut budget);
+    let next = handoff.after(Duration::ZERO, Outcome::NotRun, || {
+        budget.take(Duration::ZERO)
+    });
     assert_eq!(next, Next::End(End::NotRun));
 }
 
@@ -116,6 +118,7 @@
 fn end_of_the_time_is_told() {
     let mut handoff = Handoff::new(Duration::from_secs(1), 2, true);
     handoff.send("u1".into());
-    let next = handoff.after(Duration::from_secs(1), Outcome::Lost, &mut plenty());
+    let late = Duration::from_secs(1);
+    let next = handoff.after(late, Outcome::Lost, || plenty().take(late));
     assert_eq!(next, Next::End(End::Late));
 }
--- a/crates/ashgauged/src/relay/desk.rs
+++ b/crates/ashgauged/src/relay/desk.rs
@@ -344,8 +344,11 @@
 
     /// Retries spent in the window, by service.
     pub fn retries(&self) -> Vec<(String, f64)> {
-        let budgets = self.budgets.borrow();
-        let spent = budgets.iter().map(|(s, b)| (s.to_string(), b.spent()));
+        let now = self.now();
+        let mut budgets = self.budgets.borrow_mut();
+        let spent = budgets
+            .iter_mut()
+            .map(|(s, b)| (s.to_string(), b.balance(now).spent));
         spent.collect()
     }
 
--- a/crates/ashgauged/src/relay/forward.rs
+++ b/crates/ashgauged/src/relay/forward.rs
@@ -30,6 +30,7 @@
     Admitted, BACK_FULL, BACK_UNSURE, Hold, Whole, finish, held_back, is_allowed, is_held, lost,
     note_outcome, own, refused, unsure_time, whole,
 };
+use super::retry;
 use super::serve::Body;
 use super::stream;
 
@@ -197,9 +198,7 @@
         if outcome == Outcome::Lost && loss::look(desk, &a, Loss::before_answer(&id, began)).await {
             handoff.lose();
         }
-        let now = desk.now();
-        let next = desk.budget(&a.service.name, |b| handoff.after(now, outcome, b));
-        match (next, answer) {
+        match (retry::next(desk, &a, handoff, outcome), answer) {
             (Next::Again, _) => {}
             (Next::PassOn, Some(answer)) => {
                 a.record.end("failed upstream");
--- a/crates/ashgauged/src/relay/metrics.rs
+++ b/crates/ashgauged/src/relay/metrics.rs
@@ -17,6 +17,8 @@
     pub ends: IntCounterVec,
     /// Sends to upstreams by outcome.
     pub sends: IntCounterVec,
+    /// Retries that were asked for, by whether the budget had one left.
+    pub retries: IntCounterVec,
     /// Repairs of streams by kind.
     pub repairs: IntCounterVec,
     /// Calls to the store by kind and result.
@@ -82,6 +84,7 @@
         Ok(Metrics {
             ends: counters("ashgauge_requests_total", "Requests by end", "end")?,
             sends: counters("ashgauge_sends_total", "Sends by outcome", "outcome")?,
+            retries: counters("ashgauge_retries_total", "Retries by result", "result")?,
             repairs: counters("ashgauge_repairs_total", "Repairs of streams", "kind")?,
             store: labelled(
                 "ashgauge_store_calls_total",
--- a/crates/ashgauged/src/relay/mod.rs
+++ b/crates/ashgauged/src/relay/mod.rs
@@ -27,6 +27,7 @@
 mod quarantine;
 mod record;
 mod request;
+mod retry;
 mod select;
 mod serve;
 mod settings;
--- a/crates/ashgauged/src/relay/pump/mend.rs
+++ b/crates/ashgauged/src/relay/pump/mend.rs
@@ -18,6 +18,7 @@
 use super::super::open::{Run, SILENT_MOST, begin, id_at, pick};
 use super::super::probe::{ask_engines, find_dead};
 use super::super::request::{Hold, note_outcome};
+use super::super::retry;
 use super::super::select::Wish;
 use super::{Go, Pump};
 
@@ -276,12 +277,7 @@
         let mut avoid = vec![self.run.stages[0].upstream.clone()];
         let mut outcome = Outcome::Lost;
         loop {
-            let now = self.desk.now();
-            let handoff = &mut self.handoff;
-            let service = &self.a.service.name;
-            let next = self
-                .desk
-                .budget(service, |b| handoff.after(now, outcome, b));
+            let next = retry::next(&self.desk, &self.a, &mut self.handoff, outcome);
             if next != Next::Again {
                 return false;
             }
--- a/crates/ashgauged/src/relay/stream.rs
+++ b/crates/ashgauged/src/relay/stream.rs
@@ -15,6 +15,7 @@
 use super::open::{NoWay, begin, head_of, pick};
 use super::pump;
 use super::request::{Admitted, finish, held_back, no_room, note_outcome, whole};
+use super::retry;
 use super::serve::Body;
 use super::turn::Turn;
 
@@ -59,8 +60,7 @@
                 handoff.lose();
             }
         }
-        let now = desk.now();
-        let next = desk.budget(&a.service.name, |b| handoff.after(now, failed.outcome, b));
+        let next = retry::next(&desk, &a, &mut handoff, failed.outcome);
         match (next, failed.answer) {
             (Next::Again, _) => {}
             (Next::PassOn, Some(answer)) => {
