Bound retries in every span, so that restarts grant none anew

Small fleets seldom show it, as their requests rarely use all that is earned.

Cause: each process kept a sliding window of its own, empty at its start, and had the box's whole part from the first moment on. What its predecessor had spent within the same window was forgotten.

Mend: in any span up to a window long a process spends half of what the span brings and half of what the window before it brought, as far as it has seen that. Over all processes these add up to the mean of two windows of the fleet, each of which the rule allows, whoever is killed and however often. A box that has not been counted with the others has no part of what is allowed besides; a page of a longer list is no count.

Retries are bounded in sum as before; a test that took some right after a start waits for them now.

--- a/crates/ashctl/src/relay.rs
+++ b/crates/ashctl/src/relay.rs
@@ -53,10 +53,10 @@
         "readers",
         "boxes_heard",
         "inflight",
-        "retries",
     ] {
         println!("{name:15} {}", status[name]);
     }
+    print_retries(status);
     print_informed(status);
     println!(
         "\n{:14} {:14} {:10} {:>9} {:>8} {:>9}  state",
@@ -80,6 +80,18 @@
     }
 }
 
+/// What the box has of the fleet's retries, by service.
+fn print_retries(status: &Value) {
+    for retries in status["retries"].as_array().into_iter().flatten() {
+        println!(
+            "retries         {}: {:.0} taken, {:.1} left",
+            retries["service"].as_str().unwrap_or_default(),
+            retries["spent"].as_f64().unwrap_or_default(),
+            retries["left"].as_f64().unwrap_or_default(),
+        );
+    }
+}
+
 /// Boxes that this one informs, by data centre.
 fn print_informed(status: &Value) {
     for place in status["informs"].as_array().into_iter().flatten() {
--- a/crates/ashgauge/src/retry.rs
+++ b/crates/ashgauge/src/retry.rs
@@ -1,5 +1,6 @@
 //! Budgets that keep retries a small share of first tries.
 
+use std::ops::Range;
 use std::time::Duration;
 
 /// Retries saved up at most.
@@ -39,10 +40,21 @@
 /// Parts that a window is counted in.
 const PARTS: usize = 10;
 
+/// Parts of the longest span that is bounded: a window that begins within a part.
+const SPAN_PARTS: usize = PARTS + 1;
+
+/// Parts that are kept: the longest span, and the window before it.
+const KEPT_PARTS: usize = SPAN_PARTS + PARTS;
+
 /// Share of the allowance that is used; the rest covers the grain of the
 /// parts and requests that cross the edge of a window on their way.
 const MARGIN: f64 = 0.9;
 
+/// Share of what a span brings that may be spent within it. What remains of the
+/// allowance is saved from the window before, so that engines that are lost after
+/// calm find retries.
+const FLOW: f64 = 0.5;
+
 /// What a fleet allows for one service in any window of time.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Allowance {
@@ -52,19 +64,19 @@
     pub ratio: f64,
     /// Retries besides, over all boxes.
     pub extra: f64,
-    /// Boxes that share `extra`.
-    pub boxes: u32,
+    /// Boxes that share `extra`; nothing of it may be spent before they are counted.
+    pub boxes: Option<u32>,
 }
 
 /// What a box has of the allowance in the present window.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Balance {
-    /// First tries.
-    pub firsts: f64,
-    /// Retries.
+    /// Retries that its first tries and its part of the rest brought.
+    pub earned: f64,
+    /// Retries that it took.
     pub spent: f64,
-    /// Retries at most.
-    pub most: f64,
+    /// Retries that it may still take.
+    pub left: f64,
 }
 
 /// Counts first tries and retries of one box in a sliding window.
@@ -72,6 +84,13 @@
 /// Each box keeps within its own part of the fleet's [`Allowance`], so the
 /// boxes need not speak to each other.
 ///
+/// A process that starts does not know what the one before it spent. So no process may
+/// spend all that one window brings within that window: in any span of time it spends
+/// a half of what the span brings, and a half of what the window before the span
+/// brought, of which one that has just started has seen nothing. Whichever processes
+/// are lost and started in a window, and however often, together they spend a half of
+/// what it brings and of what the one before it brought.
+///
 /// # Example
 ///
 /// ```
@@ -79,32 +98,44 @@
 /// use ashgauge::retry::{Allowance, Window};
 ///
 /// let window = Duration::from_secs(10);
-/// let allowance = Allowance { window, ratio: 0.0, extra: 20.0, boxes: 8 };
-/// let mut budget = Window::new(allowance);
-/// assert!(budget.take(Duration::ZERO) && budget.take(Duration::ZERO));
-/// assert!(!budget.take(window / 2));
-/// assert!(budget.take(window * 2));
+/// let allowance = Allowance { window, ratio: 0.0, extra: 20.0, boxes: Some(4) };
+/// let mut budget = Window::new(allowance, Duration::ZERO);
+/// assert!(!budget.take(Duration::ZERO));
+/// assert!(budget.take(window) && budget.take(window));
 /// ```
 #[derive(Clone, Debug)]
 pub struct Window {
     allowance: Allowance,
-    parts: [(f64, f64); PARTS + 1],
-    at: u64,
+    started: Duration,
+    /// The parts up to the present one, each in the place of its number.
+    parts: [Part; KEPT_PARTS],
+    /// Number of the present part.
+    part: u64,
+}
+
+/// What a part of the time brought.
+#[derive(Clone, Copy, Debug, Default)]
+struct Part {
+    firsts: f64,
+    retries: f64,
 }
 
 impl Window {
-    /// Makes an empty window.
-    pub fn new(allowance: Allowance) -> Self {
-        Window {
+    /// Makes the window of a process that started at `started`.
+    pub fn new(allowance: Allowance, started: Duration) -> Self {
+        let mut window = Window {
             allowance,
-            parts: [(0.0, 0.0); PARTS + 1],
-            at: 0,
-        }
+            started,
+            parts: [Part::default(); KEPT_PARTS],
+            part: 0,
+        };
+        window.part = window.number(started);
+        window
     }
 
     /// Changes the number of boxes that share the allowance.
-    pub fn share_with(&mut self, boxes: u32) {
-        self.allowance.boxes = boxes.max(1);
+    pub fn share_with(&mut self, boxes: Option<u32>) {
+        self.allowance.boxes = boxes;
     }
 
     /// Changes what the fleet allows; what was spent stays counted.
@@ -114,46 +145,87 @@
 
     /// Notes a first try.
     pub fn earn(&mut self, now: Duration) {
-        self.advance(now).0 += 1.0;
+        self.advance(now).firsts += 1.0;
     }
 
     /// Takes one retry out; returns false if none is left.
     pub fn take(&mut self, now: Duration) -> bool {
-        let balance = self.balance(now);
-        if balance.spent + 1.0 > balance.most {
+        if self.balance(now).left < 1.0 {
             return false;
         }
-        self.advance(now).1 += 1.0;
+        self.advance(now).retries += 1.0;
         true
     }
 
     /// What was earned and spent in the window that ends now.
     pub fn balance(&mut self, now: Duration) -> Balance {
         self.advance(now);
-        let firsts = self.parts.iter().map(|p| p.0).sum();
-        let spent = self.parts.iter().map(|p| p.1).sum();
-        let a = &self.allowance;
-        let most = a.ratio * firsts + a.extra / f64::from(a.boxes.max(1));
+        let left = (1..=SPAN_PARTS).map(|parts| self.left(now, parts));
         Balance {
-            firsts,
-            spent,
-            most: most * MARGIN,
+            earned: self.earned(now, 0..PARTS),
+            spent: self.sum(0..PARTS, |part| part.retries),
+            left: left.fold(f64::INFINITY, f64::min),
         }
     }
 
-    /// Clears the parts that have left the window; returns the current one.
-    fn advance(&mut self, now: Duration) -> &mut (f64, f64) {
-        let part = (self.allowance.window / PARTS as u32).max(Duration::from_millis(1));
-        let at = (now.as_nanos() / part.as_nanos()) as u64;
-        let steps = at.saturating_sub(self.at).min(PARTS as u64 + 1);
-        for step in 1..=steps {
-            let slot = (self.at + step) as usize % (PARTS + 1);
-            self.parts[slot] = (0.0, 0.0);
-        }
-        self.at = self.at.max(at);
-        if steps > PARTS as u64 {
-            self.parts = [(0.0, 0.0); PARTS + 1];
-        }
-        &mut self.parts[self.at as usize % (PARTS + 1)]
+    /// Retries that may still be taken in the span of so many parts that ends now.
+    fn left(&self, now: Duration, parts: usize) -> f64 {
+        let flow = self.earned(now, 0..parts);
+        let saved = self.earned(now, parts..parts + PARTS);
+        let most = FLOW * flow + (1.0 - FLOW) * saved;
+        most * MARGIN - self.sum(0..parts, |part| part.retries)
+    }
+
+    /// Retries that some of the last parts brought, the present one being the first.
+    fn earned(&self, now: Duration, parts: Range<usize>) -> f64 {
+        let firsts = self.sum(parts.clone(), |part| part.firsts);
+        let share = self
+            .allowance
+            .boxes
+            .map(|n| self.allowance.extra / f64::from(n.max(1)));
+        let time = self.lived(now, parts).as_secs_f64() / self.allowance.window.as_secs_f64();
+        self.allowance.ratio * firsts + share.unwrap_or(0.0) * time
+    }
+
+    /// Time of some of the last parts in which the process ran.
+    fn lived(&self, now: Duration, parts: Range<usize>) -> Duration {
+        let end = match parts.start {
+            0 => now,
+            back => self.start(back - 1),
+        };
+        end.saturating_sub(self.started.max(self.start(parts.end - 1)))
     }
+
+    /// When the part began that is so many parts back.
+    fn start(&self, back: usize) -> Duration {
+        let number = self.part.saturating_sub(back as u64);
+        Duration::from_nanos(number.saturating_mul(self.length().as_nanos() as u64))
+    }
+
+    fn sum(&self, parts: Range<usize>, of: impl Fn(&Part) -> f64) -> f64 {
+        let numbers = parts.map_while(|back| self.part.checked_sub(back as u64));
+        numbers.map(|number| of(&self.parts[place(number)])).sum()
+    }
+
+    /// Clears the parts that are new; returns the present one.
+    fn advance(&mut self, now: Duration) -> &mut Part {
+        let number = self.number(now).max(self.part);
+        let new = (self.part + 1..=number).rev().take(KEPT_PARTS);
+        new.for_each(|new| self.parts[place(new)] = Part::default());
+        self.part = number;
+        &mut self.parts[place(number)]
+    }
+
+    fn number(&self, at: Duration) -> u64 {
+        (at.as_nanos() / self.length().as_nanos()) as u64
+    }
+
+    fn length(&self) -> Duration {
+        (self.allowance.window / PARTS as u32).max(Duration::from_millis(1))
+    }
+}
+
+/// Where a part is kept.
+fn place(number: u64) -> usize {
+    (number % KEPT_PARTS as u64) as usize
 }
--- a/crates/ashgauge/tests/handoff.rs
+++ b/crates/ashgauge/tests/handoff.rs
@@ -8,15 +8,6 @@
 use ashgauge::retry::{Allowance, Window};
 use proptest::prelude::*;
 
-fn plenty() -> Window {
-    Window::new(Allowance {
-        window: Duration::from_secs(10),
-        ratio: 1.0,
-        extra: 1000.0,
-        boxes: 1,
-    })
-}
-
 fn outcomes() -> impl Strategy<Value = Vec<(Outcome, u64)>> {
     let outcome = prop::sample::select(vec![
         Outcome::NotSent,
@@ -34,7 +25,6 @@
     /// at most; no more upstreams run it than are allowed.
     #[test]
     fn promises_hold(outcomes in outcomes(), attempts in 1..4u32, repeat: bool) {
-        let mut budget = plenty();
         let mut handoff = Handoff::new(Duration::from_secs(1), attempts, repeat);
         let mut now = Duration::ZERO;
         let mut may_have_run = 0;
@@ -46,7 +36,7 @@
             }
             prop_assert!(may_have_run <= attempts);
             prop_assert!(repeat || may_have_run <= 1);
-            match handoff.after(now, outcome, || budget.take(now)) {
+            match handoff.after(now, outcome, || true) {
                 Next::Again => prop_assert!(now < Duration::from_secs(1)),
                 Next::PassOn => {
                     prop_assert_eq!(outcome, Outcome::Failed);
@@ -71,8 +61,8 @@
         events in prop::collection::vec((0..5usize, 0..300u64, any::<bool>()), 1..400),
     ) {
         let window = Duration::from_secs(10);
-        let allowance = Allowance { window, ratio: 0.2, extra: 40.0, boxes: 5 };
-        let mut boxes = vec![Window::new(allowance); 5];
+        let allowance = Allowance { window, ratio: 0.2, extra: 40.0, boxes: Some(5) };
+        let mut boxes = vec![Window::new(allowance, Duration::ZERO); 5];
         let mut now = Duration::ZERO;
         let mut firsts = Vec::new();
         let mut retries = Vec::new();
@@ -100,17 +90,9 @@
 
 #[test]
 fn exhausted_budget_ends_the_request() {
-    let mut budget = Window::new(Allowance {
-        window: Duration::from_secs(10),
-        ratio: 0.0,
-        extra: 0.0,
-        boxes: 1,
-    });
     let mut handoff = Handoff::new(Duration::from_secs(1), 2, true);
     handoff.send("u1".into());
-    let next = handoff.after(Duration::ZERO, Outcome::NotRun, || {
-        budget.take(Duration::ZERO)
-    });
+    let next = handoff.after(Duration::ZERO, Outcome::NotRun, || false);
     assert_eq!(next, Next::End(End::NotRun));
 }
 
@@ -119,6 +101,6 @@
     let mut handoff = Handoff::new(Duration::from_secs(1), 2, true);
     handoff.send("u1".into());
     let late = Duration::from_secs(1);
-    let next = handoff.after(late, Outcome::Lost, || plenty().take(late));
+    let next = handoff.after(late, Outcome::Lost, || true);
     assert_eq!(next, Next::End(End::Late));
 }
--- /dev/null
+++ b/crates/ashgauge/tests/retry.rs
@@ -0,0 +1,170 @@
+//! The fleet's retry allowance, over processes that are killed and started again.
+
+mod common;
+
+use std::time::Duration;
+
+use ashgauge::retry::{Allowance, Window};
+use proptest::prelude::*;
+
+/// Window of the allowance.
+const WINDOW: Duration = Duration::from_secs(10);
+
+/// Time between two steps of a fleet's life.
+const STEP: Duration = Duration::from_millis(100);
+
+/// Steps of a window.
+const STEPS: usize = 100;
+
+/// A fleet whose boxes share one allowance.
+struct Fleet {
+    allowance: Allowance,
+    boxes: Vec<Window>,
+    now: Duration,
+    /// First tries in each step so far.
+    firsts: Vec<f64>,
+    /// Retries in each step so far.
+    retries: Vec<f64>,
+}
+
+impl Fleet {
+    fn start(boxes: u32, extra: f64) -> Self {
+        let allowance = Allowance {
+            window: WINDOW,
+            ratio: 0.2,
+            extra,
+            boxes: Some(boxes),
+        };
+        Fleet {
+            allowance,
+            boxes: vec![Window::new(allowance, Duration::ZERO); boxes as usize],
+            now: Duration::ZERO,
+            firsts: Vec::new(),
+            retries: Vec::new(),
+        }
+    }
+
+    /// Kills a box and starts it again.
+    fn restart(&mut self, node: usize) {
+        self.boxes[node] = Window::new(self.allowance, self.now);
+    }
+
+    fn restart_all(&mut self) {
+        (0..self.boxes.len()).for_each(|node| self.restart(node));
+    }
+
+    /// Lets `requests` arrive at the boxes in turn; each of them that fails asks for
+    /// one retry.
+    fn step(&mut self, requests: usize, fails: bool) {
+        self.now += STEP;
+        let mut retries = 0;
+        for n in 0..requests {
+            let at = (self.firsts.len() + n * 7) % self.boxes.len();
+            let node = &mut self.boxes[at];
+            node.earn(self.now);
+            retries += usize::from(fails && node.take(self.now));
+        }
+        self.firsts.push(requests as f64);
+        self.retries.push(retries as f64);
+    }
+
+    /// Asserts that no window of any moment holds more retries than the fleet allows
+    /// for the first tries in it, in the one before or in the one half a window before.
+    fn assert_kept(&self) {
+        let sum = |steps: &[f64], end: usize| -> f64 {
+            steps[end.saturating_sub(STEPS)..end].iter().sum()
+        };
+        for end in 1..=self.retries.len() {
+            let before = [0, STEPS / 2, STEPS].map(|s| sum(&self.firsts, end.saturating_sub(s)));
+            let firsts = before.into_iter().fold(0.0, f64::max);
+            let most = self.allowance.ratio * firsts + self.allowance.extra;
+            let retries = sum(&self.retries, end);
+            assert!(
+                retries <= most,
+                "{retries} retries in step {end}, allowed {most}"
+            );
+        }
+    }
+}
+
+/// A window of calm, then all requests fail while all boxes are killed after these
+/// steps.
+fn fail_with_kills(boxes: u32, extra: f64, kills: &[usize]) -> Fleet {
+    let mut fleet = Fleet::start(boxes, extra);
+    let requests = boxes as usize / 2 + 10;
+    (0..2 * STEPS).for_each(|_| fleet.step(requests, false));
+    for step in 0..2 * STEPS {
+        if kills.contains(&step) {
+            fleet.restart_all();
+        }
+        fleet.step(requests, true);
+    }
+    fleet
+}
+
+#[test]
+fn one_loss_of_all_boxes_grants_nothing_anew() {
+    for boxes in [1, 7, 73, 985] {
+        fail_with_kills(boxes, 4.5 * f64::from(boxes), &[20]).assert_kept();
+    }
+}
+
+#[test]
+fn losses_in_series_grant_nothing_anew() {
+    for boxes in [1, 7, 73, 985] {
+        fail_with_kills(boxes, 4.5 * f64::from(boxes), &[10, 40, 70]).assert_kept();
+    }
+}
+
+/// What was saved before counts as spent, also where the fleet allows nothing besides.
+#[test]
+fn a_loss_grants_nothing_anew_for_requests() {
+    for boxes in [1, 7, 73, 985] {
+        fail_with_kills(boxes, 0.0, &[30]).assert_kept();
+    }
+}
+
+/// Boxes that nobody restarts use nearly all of what they may.
+#[test]
+fn what_is_allowed_can_be_used() {
+    let fleet = fail_with_kills(7, 350.0, &[]);
+    let calm = 2 * STEPS;
+    let spent: f64 = fleet.retries[calm..calm + STEPS].iter().sum();
+    let earned: f64 = fleet.firsts[calm..calm + STEPS].iter().sum();
+    let most = fleet.allowance.ratio * earned + fleet.allowance.extra;
+    assert!(spent >= 0.8 * most, "{spent} of {most}");
+    fleet.assert_kept();
+}
+
+/// After a loss of all boxes they do so again within two windows.
+#[test]
+fn what_is_allowed_can_be_used_again_after_a_loss() {
+    let mut fleet = fail_with_kills(7, 350.0, &[0]);
+    (0..STEPS).for_each(|_| fleet.step(13, true));
+    let last = &fleet.retries[fleet.retries.len() - STEPS..];
+    let most = fleet.allowance.ratio * 13.0 * STEPS as f64 + fleet.allowance.extra;
+    let spent: f64 = last.iter().sum();
+    assert!(spent >= 0.8 * most, "{spent} of {most}");
+    fleet.assert_kept();
+}
+
+proptest! {
+    #![proptest_config(common::seeded(256))]
+
+    /// Whichever boxes are killed and when, the fleet keeps its allowance.
+    #[test]
+    fn restarts_of_any_boxes_grant_nothing_anew(
+        steps in prop::collection::vec((0..40usize, any::<bool>(), any::<u8>()), 1..400),
+        extra in 0.0..100.0f64,
+    ) {
+        let mut fleet = Fleet::start(5, extra);
+        for (requests, fails, killed) in steps {
+            // One step in eight kills some of the boxes.
+            if killed < 32 {
+                (0..5).filter(|n| killed >> n & 1 == 1).for_each(|n| fleet.restart(n));
+            }
+            fleet.step(requests, fails);
+        }
+        fleet.assert_kept();
+    }
+}
--- a/crates/ashgauged/src/relay/census.rs
+++ b/crates/ashgauged/src/relay/census.rs
@@ -80,6 +80,10 @@
     if !fresh {
         desk.searched.set(Some(began));
     }
+    if found.is_some() {
+        desk.was_listed.set(true);
+        desk.believe_count();
+    }
     if found.as_ref() != Some(&own) {
         while let Err(fault) = announce(&desk, &own).await {
             note("announce", &fault);
@@ -201,7 +205,8 @@
     take(desk, head.objects, true, &mut seen);
     desk.is_candidate.set(is_whole || seen.own.is_some());
     desk.is_partial.set(!is_whole);
-    if !is_whole && *desk.reads.borrow() {
+    let reads_all = is_whole || *desk.reads.borrow();
+    if !is_whole && reads_all {
         let rest = desk.store.rest_stale::<Member>(KIND, head.next).await;
         desk.count_call("stale", &rest);
         take(desk, rest?, false, &mut seen);
@@ -209,7 +214,7 @@
     // An older state of the store may lack even this box. The same count again is
     // believed more than the first one at a start.
     let count = seen.revisions.len() as u32;
-    if count >= desk.counted_boxes() {
+    if reads_all && count >= desk.counted_boxes() {
         desk.set_boxes(count);
     }
     Ok(seen)
--- a/crates/ashgauged/src/relay/desk.rs
+++ b/crates/ashgauged/src/relay/desk.rs
@@ -19,7 +19,7 @@
 use ashgauge::pipes::Pipes;
 use ashgauge::quarantine::Quarantine;
 use ashgauge::reader::Readers;
-use ashgauge::retry::{Allowance, Window};
+use ashgauge::retry::{Allowance, Balance, Window};
 use ashgauge::roster::Roster;
 use ashgauge::routing::{Routing, ServiceId};
 use ashgauge::share::{self, Shares};
@@ -39,8 +39,7 @@
 use super::probe::Probes;
 use super::settings::Settings;
 
-/// Boxes assumed before their number is known; more than there are, so that
-/// the part of the retry budget is small.
+/// Boxes assumed by choices of upstreams before their number is known.
 const BOXES_ASSUMED: u32 = 16;
 
 /// Time since the start after which a small count of the boxes is believed.
@@ -97,6 +96,8 @@
     pub searched: Cell<Option<Duration>>,
     /// Whether all boxes know this one, so that it may read for them.
     pub is_candidate: Cell<bool>,
+    /// Whether the others knew this box before it started.
+    pub was_listed: Cell<bool>,
     /// Whether there are boxes that this one does not know.
     pub is_partial: Cell<bool>,
     /// The boxes that read for the others.
@@ -170,6 +171,7 @@
             reads: watch::Sender::new(false),
             searched: Cell::new(None),
             is_candidate: Cell::new(true),
+            was_listed: Cell::new(false),
             is_partial: Cell::new(false),
             readers: RefCell::default(),
             vacant_at: Cell::new(None),
@@ -268,21 +270,27 @@
         let _ = timeout(most, known.wait_for(|k| *k)).await;
     }
 
-    /// Notes how many boxes share the fleet's budgets.
+    /// Notes how many boxes there are.
     pub fn set_boxes(&self, boxes: u32) {
         self.counted.set(boxes);
-        // A small first count may be from before the others had started.
-        let boxes = match self.uptime() < TRUST_AFTER {
-            true => boxes.max(BOXES_ASSUMED),
-            false => boxes,
-        };
-        if self.boxes.replace(boxes) == boxes {
-            return;
-        }
+        let sharing = self.sharing();
         for budget in self.budgets.borrow_mut().values_mut() {
-            budget.share_with(boxes);
+            budget.share_with(sharing);
+        }
+        let boxes = sharing.unwrap_or(boxes.max(BOXES_ASSUMED));
+        if self.boxes.replace(boxes) != boxes {
+            let fields = json!({"boxes": boxes, "trusted": sharing.is_some()});
+            log::line(Level::Info, "fleet", "boxes", fields);
         }
-        log::line(Level::Info, "fleet", "boxes", json!({"boxes": boxes}));
+    }
+
+    /// Boxes that share the fleet's budgets, if they were counted.
+    ///
+    /// A first count may be from before the others had started, but not one in which
+    /// this box is listed from before its own start.
+    fn sharing(&self) -> Option<u32> {
+        let is_sure = self.was_listed.get() || self.uptime() >= TRUST_AFTER;
+        (is_sure && self.counted.get() > 0).then(|| self.counted.get())
     }
 
     /// What this box is to the others.
@@ -337,25 +345,23 @@
         self.counted.get()
     }
 
-    /// Boxes that share the fleet's budgets, as far as is known.
+    /// Boxes of the fleet, as far as is known.
     pub fn boxes(&self) -> u32 {
         self.boxes.get()
     }
 
-    /// Retries spent in the window, by service.
-    pub fn retries(&self) -> Vec<(String, f64)> {
+    /// What the box has of the fleet's retries, by service.
+    pub fn retries(&self) -> Vec<(ServiceId, Balance)> {
         let now = self.now();
         let mut budgets = self.budgets.borrow_mut();
-        let spent = budgets
-            .iter_mut()
-            .map(|(s, b)| (s.to_string(), b.balance(now).spent));
-        spent.collect()
+        let balances = budgets.iter_mut().map(|(s, b)| (s.clone(), b.balance(now)));
+        balances.collect()
     }
 
     /// Uses a service's retry budget.
     pub fn budget<T>(&self, service: &ServiceId, with: impl FnOnce(&mut Window) -> T) -> T {
         let mut budgets = self.budgets.borrow_mut();
-        let make = || Window::new(self.allowance(&self.settings()));
+        let make = || Window::new(self.allowance(&self.settings()), CLOCK_START);
         with(budgets.entry(service.clone()).or_insert_with(make))
     }
 
@@ -365,7 +371,7 @@
             window: settings.retry_window(),
             ratio: bounds.retry_share,
             extra: bounds.retry_extra,
-            boxes: self.boxes.get(),
+            boxes: self.sharing(),
         }
     }
 
--- a/crates/ashgauged/src/relay/retry.rs
+++ b/crates/ashgauged/src/relay/retry.rs
@@ -28,9 +28,9 @@
     let fields = json!({
         "result": result,
         "service": &*a.service.name,
-        "firsts": balance.firsts,
+        "earned": balance.earned,
         "spent": balance.spent,
-        "most": balance.most,
+        "left": balance.left,
         "boxes": desk.boxes(),
         "up_ms": desk.uptime().as_millis() as u64,
     });
--- a/crates/ashgauged/src/relay/status.rs
+++ b/crates/ashgauged/src/relay/status.rs
@@ -35,8 +35,8 @@
     /// Other boxes that told their loads a short while ago.
     boxes_heard: usize,
     inflight: usize,
-    /// Retries spent in the window, by service.
-    retries: Vec<(String, f64)>,
+    /// What the box has of the fleet's retries, by service.
+    retries: Vec<RetryStatus>,
     /// Digests of requests that are held back, with the seconds that are left.
     held: Vec<(String, u64)>,
     /// Requests under which upstreams were lost that are not held back.
@@ -44,6 +44,16 @@
     upstreams: Vec<UpstreamStatus>,
 }
 
+/// What the box has of the fleet's retries for one service in the present window.
+#[derive(Serialize)]
+struct RetryStatus {
+    service: String,
+    earned: f64,
+    spent: f64,
+    /// Those that it may still take.
+    left: f64,
+}
+
 /// Boxes of one data centre that ask this one.
 #[derive(Default, Serialize)]
 struct Informed {
@@ -86,6 +96,17 @@
     held.into_iter().map(text).collect()
 }
 
+fn retries(desk: &Desk) -> Vec<RetryStatus> {
+    let balances = desk.retries().into_iter();
+    let status = balances.map(|(service, balance)| RetryStatus {
+        service: service.to_string(),
+        earned: balance.earned,
+        spent: balance.spent,
+        left: balance.left,
+    });
+    status.collect()
+}
+
 fn informs(desk: &Desk) -> Vec<Informed> {
     let (now, covered) = (desk.now(), desk.mirror.borrow().covered());
     let (askers, peers) = (desk.askers.borrow(), desk.peers.borrow());
@@ -157,7 +178,7 @@
         informs: informs(desk),
         boxes_heard: shares.boxes(),
         inflight: desk.inflight.get(),
-        retries: desk.retries(),
+        retries: retries(desk),
         held: held(desk),
         suspects: desk.quarantine.borrow().suspects(),
         upstreams,
