Keep the retries of a box in one place, and count boxes by whole lists that name it

The desk held the windows, their allowance and the number of boxes in three members and five functions; they are one struct of the module that asks them. A page of a longer list, and a list so old that it lacks this box itself, are no counts: a box would go by a share of a fleet that is too small (by reading; the number of boxes from a reader's answer is unchanged). Settings that change keep the number of boxes.

--- a/crates/ashgauge/src/retry.rs
+++ b/crates/ashgauge/src/retry.rs
@@ -64,8 +64,6 @@
     pub ratio: f64,
     /// Retries besides, over all boxes.
     pub extra: f64,
-    /// Boxes that share `extra`; nothing of it may be spent before they are counted.
-    pub boxes: Option<u32>,
 }
 
 /// What a box has of the allowance in the present window.
@@ -98,14 +96,17 @@
 /// use ashgauge::retry::{Allowance, Window};
 ///
 /// let window = Duration::from_secs(10);
-/// let allowance = Allowance { window, ratio: 0.0, extra: 20.0, boxes: Some(4) };
+/// let allowance = Allowance { window, ratio: 0.0, extra: 20.0 };
 /// let mut budget = Window::new(allowance, Duration::ZERO);
+/// budget.share_with(4);
 /// assert!(!budget.take(Duration::ZERO));
 /// assert!(budget.take(window) && budget.take(window));
 /// ```
 #[derive(Clone, Debug)]
 pub struct Window {
     allowance: Allowance,
+    /// Boxes that share what is allowed besides, once they are counted.
+    boxes: Option<u32>,
     started: Duration,
     /// The parts up to the present one, each in the place of its number.
     parts: [Part; KEPT_PARTS],
@@ -125,6 +126,7 @@
     pub fn new(allowance: Allowance, started: Duration) -> Self {
         let mut window = Window {
             allowance,
+            boxes: None,
             started,
             parts: [Part::default(); KEPT_PARTS],
             part: 0,
@@ -133,9 +135,10 @@
         window
     }
 
-    /// Changes the number of boxes that share the allowance.
-    pub fn share_with(&mut self, boxes: Option<u32>) {
-        self.allowance.boxes = boxes;
+    /// Sets the number of boxes that share what is allowed besides. Before it is known,
+    /// none of that may be spent; afterwards it counts from the start on.
+    pub fn share_with(&mut self, boxes: u32) {
+        self.boxes = Some(boxes.max(1));
     }
 
     /// Changes what the fleet allows; what was spent stays counted.
@@ -179,12 +182,9 @@
     /// Retries that some of the last parts brought, the present one being the first.
     fn earned(&self, now: Duration, parts: Range<usize>) -> f64 {
         let firsts = self.sum(parts.clone(), |part| part.firsts);
-        let share = self
-            .allowance
-            .boxes
-            .map(|n| self.allowance.extra / f64::from(n.max(1)));
+        let extra = self.boxes.map(|n| self.allowance.extra / f64::from(n));
         let time = self.lived(now, parts).as_secs_f64() / self.allowance.window.as_secs_f64();
-        self.allowance.ratio * firsts + share.unwrap_or(0.0) * time
+        self.allowance.ratio * firsts + extra.unwrap_or(0.0) * time
     }
 
     /// Time of some of the last parts in which the process ran.
--- a/crates/ashgauge/tests/handoff.rs
+++ b/crates/ashgauge/tests/handoff.rs
@@ -61,8 +61,10 @@
         events in prop::collection::vec((0..5usize, 0..300u64, any::<bool>()), 1..400),
     ) {
         let window = Duration::from_secs(10);
-        let allowance = Allowance { window, ratio: 0.2, extra: 40.0, boxes: Some(5) };
-        let mut boxes = vec![Window::new(allowance, Duration::ZERO); 5];
+        let allowance = Allowance { window, ratio: 0.2, extra: 40.0 };
+        let mut node = Window::new(allowance, Duration::ZERO);
+        node.share_with(5);
+        let mut boxes = vec![node; 5];
         let mut now = Duration::ZERO;
         let mut firsts = Vec::new();
         let mut retries = Vec::new();
--- a/crates/ashgauge/tests/retry.rs
+++ b/crates/ashgauge/tests/retry.rs
@@ -16,6 +16,9 @@
 /// Steps of a window.
 const STEPS: usize = 100;
 
+/// Boxes of fleets, and what these may take besides.
+const SIZES: [(u32, f64); 4] = [(1, 20.0), (7, 200.0), (73, 330.0), (985, 774.0)];
+
 /// A fleet whose boxes share one allowance.
 struct Fleet {
     allowance: Allowance,
@@ -27,17 +30,23 @@
     retries: Vec<f64>,
 }
 
+/// Starts the process of a box, which has counted all.
+fn start(allowance: Allowance, boxes: u32, now: Duration) -> Window {
+    let mut window = Window::new(allowance, now);
+    window.share_with(boxes);
+    window
+}
+
 impl Fleet {
     fn start(boxes: u32, extra: f64) -> Self {
         let allowance = Allowance {
             window: WINDOW,
             ratio: 0.2,
             extra,
-            boxes: Some(boxes),
         };
         Fleet {
             allowance,
-            boxes: vec![Window::new(allowance, Duration::ZERO); boxes as usize],
+            boxes: vec![start(allowance, boxes, Duration::ZERO); boxes as usize],
             now: Duration::ZERO,
             firsts: Vec::new(),
             retries: Vec::new(),
@@ -46,7 +55,7 @@
 
     /// Kills a box and starts it again.
     fn restart(&mut self, node: usize) {
-        self.boxes[node] = Window::new(self.allowance, self.now);
+        self.boxes[node] = start(self.allowance, self.boxes.len() as u32, self.now);
     }
 
     fn restart_all(&mut self) {
@@ -104,22 +113,22 @@
 
 #[test]
 fn one_loss_of_all_boxes_grants_nothing_anew() {
-    for boxes in [1, 7, 73, 985] {
-        fail_with_kills(boxes, 4.5 * f64::from(boxes), &[20]).assert_kept();
+    for (boxes, extra) in SIZES {
+        fail_with_kills(boxes, extra, &[20]).assert_kept();
     }
 }
 
 #[test]
 fn losses_in_series_grant_nothing_anew() {
-    for boxes in [1, 7, 73, 985] {
-        fail_with_kills(boxes, 4.5 * f64::from(boxes), &[10, 40, 70]).assert_kept();
+    for (boxes, extra) in SIZES {
+        fail_with_kills(boxes, extra, &[10, 40, 70]).assert_kept();
     }
 }
 
 /// What was saved before counts as spent, also where the fleet allows nothing besides.
 #[test]
 fn a_loss_grants_nothing_anew_for_requests() {
-    for boxes in [1, 7, 73, 985] {
+    for (boxes, _) in SIZES {
         fail_with_kills(boxes, 0.0, &[30]).assert_kept();
     }
 }
@@ -148,6 +157,22 @@
     fleet.assert_kept();
 }
 
+/// A box that has not counted the others has no part of what is allowed besides, and
+/// all of it since its start once it has.
+#[test]
+fn a_box_that_has_not_counted_takes_nothing_besides() {
+    let allowance = Allowance {
+        window: WINDOW,
+        ratio: 0.0,
+        extra: 100.0,
+    };
+    let mut window = Window::new(allowance, Duration::ZERO);
+    assert!(!window.take(WINDOW));
+    window.share_with(10);
+    let taken = (0..10).filter(|_| window.take(WINDOW)).count();
+    assert_eq!(taken, 4);
+}
+
 proptest! {
     #![proptest_config(common::seeded(256))]
 
--- a/crates/ashgauged/src/relay/census.rs
+++ b/crates/ashgauged/src/relay/census.rs
@@ -211,10 +211,10 @@
         desk.count_call("stale", &rest);
         take(desk, rest?, false, &mut seen);
     }
-    // An older state of the store may lack even this box. The same count again is
-    // believed more than the first one at a start.
+    // An older state of the store may lack others as well if it lacks this box. The same
+    // count again is believed more than the first one at a start.
     let count = seen.revisions.len() as u32;
-    if reads_all && count >= desk.counted_boxes() {
+    if reads_all && seen.own.is_some() && count >= desk.counted_boxes() {
         desk.set_boxes(count);
     }
     Ok(seen)
--- a/crates/ashgauged/src/relay/desk.rs
+++ b/crates/ashgauged/src/relay/desk.rs
@@ -19,7 +19,6 @@
 use ashgauge::pipes::Pipes;
 use ashgauge::quarantine::Quarantine;
 use ashgauge::reader::Readers;
-use ashgauge::retry::{Allowance, Balance, Window};
 use ashgauge::roster::Roster;
 use ashgauge::routing::{Routing, ServiceId};
 use ashgauge::share::{self, Shares};
@@ -37,6 +36,7 @@
 use super::log;
 use super::metrics::Metrics;
 use super::probe::Probes;
+use super::retry::Budgets;
 use super::settings::Settings;
 
 /// Boxes assumed by choices of upstreams before their number is known.
@@ -148,7 +148,8 @@
     pub pipes: RefCell<Pipes>,
     /// This box's data centre.
     pub place: Arc<str>,
-    budgets: RefCell<HashMap<ServiceId, Window>>,
+    /// Retries that this box may take.
+    pub budgets: Budgets,
     boxes: Cell<u32>,
     counted: Cell<u32>,
     rng: RefCell<SmallRng>,
@@ -197,7 +198,7 @@
             askers: RefCell::default(),
             pipes: RefCell::default(),
             place: settings.data_centre.as_str().into(),
-            budgets: RefCell::default(),
+            budgets: Budgets::new(settings.allowance(), CLOCK_START),
             boxes: Cell::new(BOXES_ASSUMED),
             counted: Cell::new(0),
             rng: RefCell::new(SmallRng::from_os_rng()),
@@ -215,10 +216,7 @@
     /// log level hold from the next start on.
     pub fn reload(&self, settings: Settings) {
         self.fresh.borrow_mut().set_most(settings.key_age());
-        let allowance = self.allowance(&settings);
-        for budget in self.budgets.borrow_mut().values_mut() {
-            budget.set_allowance(allowance);
-        }
+        self.budgets.set_allowance(settings.allowance());
         *self.settings.borrow_mut() = Rc::new(settings);
     }
 
@@ -273,24 +271,24 @@
     /// Notes how many boxes there are.
     pub fn set_boxes(&self, boxes: u32) {
         self.counted.set(boxes);
-        let sharing = self.sharing();
-        for budget in self.budgets.borrow_mut().values_mut() {
-            budget.share_with(sharing);
+        let is_trusted = self.trusts_count();
+        if is_trusted {
+            self.budgets.share_with(boxes);
         }
-        let boxes = sharing.unwrap_or(boxes.max(BOXES_ASSUMED));
+        let boxes = match is_trusted {
+            true => boxes,
+            false => boxes.max(BOXES_ASSUMED),
+        };
         if self.boxes.replace(boxes) != boxes {
-            let fields = json!({"boxes": boxes, "trusted": sharing.is_some()});
+            let fields = json!({"boxes": boxes, "trusted": is_trusted});
             log::line(Level::Info, "fleet", "boxes", fields);
         }
     }
 
-    /// Boxes that share the fleet's budgets, if they were counted.
-    ///
-    /// A first count may be from before the others had started, but not one in which
-    /// this box is listed from before its own start.
-    fn sharing(&self) -> Option<u32> {
-        let is_sure = self.was_listed.get() || self.uptime() >= TRUST_AFTER;
-        (is_sure && self.counted.get() > 0).then(|| self.counted.get())
+    /// Whether a count of the boxes is believed: a first one may be from before the
+    /// others had started, but not where this box is listed from before its own start.
+    fn trusts_count(&self) -> bool {
+        self.was_listed.get() || self.uptime() >= TRUST_AFTER
     }
 
     /// What this box is to the others.
@@ -350,31 +348,6 @@
         self.boxes.get()
     }
 
-    /// What the box has of the fleet's retries, by service.
-    pub fn retries(&self) -> Vec<(ServiceId, Balance)> {
-        let now = self.now();
-        let mut budgets = self.budgets.borrow_mut();
-        let balances = budgets.iter_mut().map(|(s, b)| (s.clone(), b.balance(now)));
-        balances.collect()
-    }
-
-    /// Uses a service's retry budget.
-    pub fn budget<T>(&self, service: &ServiceId, with: impl FnOnce(&mut Window) -> T) -> T {
-        let mut budgets = self.budgets.borrow_mut();
-        let make = || Window::new(self.allowance(&self.settings()), CLOCK_START);
-        with(budgets.entry(service.clone()).or_insert_with(make))
-    }
-
-    fn allowance(&self, settings: &Settings) -> Allowance {
-        let bounds = &settings.bounds;
-        Allowance {
-            window: settings.retry_window(),
-            ratio: bounds.retry_share,
-            extra: bounds.retry_extra,
-            boxes: self.sharing(),
-        }
-    }
-
     /// Uses the line of requests that wait for a service.
     pub fn line<T>(&self, service: &ServiceId, with: impl FnOnce(&mut Line) -> T) -> T {
         with(self.lines.borrow_mut().entry(service.clone()).or_default())
--- a/crates/ashgauged/src/relay/forward.rs
+++ b/crates/ashgauged/src/relay/forward.rs
@@ -87,8 +87,7 @@
     if is_held(&desk, &admitted) {
         return held_back(&desk, admitted, false);
     }
-    let service = &admitted.service.name;
-    desk.budget(service, |b| b.earn(desk.now()));
+    desk.budgets.earn(desk.now(), &admitted.service.name);
     match admitted.route.stream {
         Some(rule) => stream::answer(desk, admitted, handoff, rule).await,
         None => send_plain(&desk, admitted, &mut handoff).await,
--- a/crates/ashgauged/src/relay/settings.rs
+++ b/crates/ashgauged/src/relay/settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use ashgauge::asker::Pace;
+use ashgauge::retry::Allowance;
 use eyre::{Result, WrapErr, bail, eyre};
 use serde::Deserialize;
 
@@ -242,9 +243,13 @@
         Duration::from_secs_f64(self.bounds.stop_s)
     }
 
-    /// Window in which retries are counted.
-    pub fn retry_window(&self) -> Duration {
-        Duration::from_secs_f64(self.bounds.retry_window_s)
+    /// Retries that the fleet allows.
+    pub fn allowance(&self) -> Allowance {
+        Allowance {
+            window: Duration::from_secs_f64(self.bounds.retry_window_s),
+            ratio: self.bounds.retry_share,
+            extra: self.bounds.retry_extra,
+        }
     }
 
     fn check(&self) -> Result<()> {
--- a/crates/ashgauged/src/relay/status.rs
+++ b/crates/ashgauged/src/relay/status.rs
@@ -97,7 +97,7 @@
 }
 
 fn retries(desk: &Desk) -> Vec<RetryStatus> {
-    let balances = desk.retries().into_iter();
+    let balances = desk.budgets.balances(desk.now()).into_iter();
     let status = balances.map(|(service, balance)| RetryStatus {
         service: service.to_string(),
         earned: balance.earned,
