Begin anew in a retry window of another length

Settings that change the length of the window made its parts' numbers jump: shorter windows cleared what was spent, longer ones stood still until the clock had caught up. A box now begins there as a process does that has just started.

--- a/crates/ashgauge/src/retry.rs
+++ b/crates/ashgauge/src/retry.rs
@@ -82,12 +82,11 @@
 /// Each box keeps within its own part of the fleet's [`Allowance`], so the
 /// boxes need not speak to each other.
 ///
-/// A process that starts does not know what the one before it spent. So no process may
-/// spend all that one window brings within that window: in any span of time it spends
-/// a half of what the span brings, and a half of what the window before the span
-/// brought, of which one that has just started has seen nothing. Whichever processes
-/// are lost and started in a window, and however often, together they spend a half of
-/// what it brings and of what the one before it brought.
+/// A process that starts does not know what the one before it spent. So in any span of
+/// time a process spends half of what the span brings, and half of what the window
+/// before the span brought; one that has just started has seen nothing of the latter.
+/// Whichever processes end and start in a window, together they spend the mean of what
+/// it brings and of what the window before it brought, each of which is allowed.
 ///
 /// # Example
 ///
@@ -141,9 +140,17 @@
         self.boxes = Some(boxes.max(1));
     }
 
-    /// Changes what the fleet allows; what was spent stays counted.
-    pub fn set_allowance(&mut self, allowance: Allowance) {
-        self.allowance = allowance;
+    /// Changes what the fleet allows. What was spent stays counted; in a window of
+    /// another length, the box begins as a process does that starts now.
+    pub fn set_allowance(&mut self, now: Duration, allowance: Allowance) {
+        if allowance.window == self.allowance.window {
+            self.allowance = allowance;
+            return;
+        }
+        *self = Window {
+            boxes: self.boxes,
+            ..Window::new(allowance, now)
+        };
     }
 
     /// Notes a first try.
--- a/crates/ashgauge/tests/retry.rs
+++ b/crates/ashgauge/tests/retry.rs
@@ -173,6 +173,23 @@
     assert_eq!(taken, 4);
 }
 
+/// Other settings do not bring back what was spent.
+#[test]
+fn a_window_of_another_length_grants_nothing_anew() {
+    let mut allowance = Allowance {
+        window: WINDOW,
+        ratio: 0.0,
+        extra: 20.0,
+    };
+    let mut window = start(allowance, 1, Duration::ZERO);
+    let now = 2 * WINDOW;
+    assert!((0..9).all(|_| window.take(now)));
+    allowance.window = WINDOW / 2;
+    window.set_allowance(now, allowance);
+    assert!(!window.take(now));
+    assert!(window.take(now + WINDOW));
+}
+
 proptest! {
     #![proptest_config(common::seeded(256))]
 
--- a/crates/ashgauged/src/relay/desk.rs
+++ b/crates/ashgauged/src/relay/desk.rs
@@ -216,7 +216,7 @@
     /// log level hold from the next start on.
     pub fn reload(&self, settings: Settings) {
         self.fresh.borrow_mut().set_most(settings.key_age());
-        self.budgets.set_allowance(settings.allowance());
+        self.budgets.set_allowance(self.now(), settings.allowance());
         *self.settings.borrow_mut() = Rc::new(settings);
     }
 
--- a/crates/ashgauged/src/relay/retry.rs
+++ b/crates/ashgauged/src/relay/retry.rs
@@ -34,10 +34,10 @@
     }
 
     /// Changes what the fleet allows.
-    pub fn set_allowance(&self, allowance: Allowance) {
+    pub fn set_allowance(&self, now: Duration, allowance: Allowance) {
         self.allowance.set(allowance);
         for window in self.windows.borrow_mut().values_mut() {
-            window.set_allowance(allowance);
+            window.set_allowance(now, allowance);
         }
     }
 
