Use parts of a retry in large fleets by rounding them at random

Errors add up to the root of half the boxes for two processes a box; where four times that is more than the margin parts are rounded down.

--- a/crates/ashgauge/src/retry.rs
+++ b/crates/ashgauge/src/retry.rs
@@ -55,6 +55,11 @@
 /// calm find retries.
 const FLOW: f64 = 0.5;
 
+/// Retries that the fleet must be allowed, for each square root of its boxes, for parts
+/// of a retry to be rounded at random: the sum of that over all boxes then keeps within
+/// what [`MARGIN`] leaves.
+const ROUNDING_LEAST: f64 = 28.0;
+
 /// What a fleet allows for one service in any window of time.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Allowance {
@@ -88,6 +93,9 @@
 /// Whichever processes end and start in a window, together they spend the mean of what
 /// it brings and of what the window before it brought, each of which is allowed.
 ///
+/// In a large fleet a box's part may be less than one retry. It is rounded up or down at
+/// random, once for each process, so that the fleet uses what it is allowed on average.
+///
 /// # Example
 ///
 /// ```
@@ -96,7 +104,7 @@
 ///
 /// let window = Duration::from_secs(10);
 /// let allowance = Allowance { window, ratio: 0.0, extra: 20.0 };
-/// let mut budget = Window::new(allowance, Duration::ZERO);
+/// let mut budget = Window::new(allowance, Duration::ZERO, 0.0);
 /// budget.share_with(4);
 /// assert!(!budget.take(Duration::ZERO));
 /// assert!(budget.take(window) && budget.take(window));
@@ -107,6 +115,8 @@
     /// Boxes that share what is allowed besides, once they are counted.
     boxes: Option<u32>,
     started: Duration,
+    /// Part of a retry that is added before it is rounded down.
+    rounding: f64,
     /// The parts up to the present one, each in the place of its number.
     parts: [Part; KEPT_PARTS],
     /// Number of the present part.
@@ -121,12 +131,14 @@
 }
 
 impl Window {
-    /// Makes the window of a process that started at `started`.
-    pub fn new(allowance: Allowance, started: Duration) -> Self {
+    /// Makes the window of a process that started at `started`. What it adds to its part
+    /// before that is rounded down, `rounding`, is drawn at random from 0 to 1.
+    pub fn new(allowance: Allowance, started: Duration, rounding: f64) -> Self {
         let mut window = Window {
             allowance,
             boxes: None,
             started,
+            rounding,
             parts: [Part::default(); KEPT_PARTS],
             part: 0,
         };
@@ -149,7 +161,7 @@
         }
         *self = Window {
             boxes: self.boxes,
-            ..Window::new(allowance, now)
+            ..Window::new(allowance, now, self.rounding)
         };
     }
 
@@ -174,7 +186,7 @@
         Balance {
             earned: self.earned(now, 0..PARTS),
             spent: self.sum(0..PARTS, |part| part.retries),
-            left: left.fold(f64::INFINITY, f64::min),
+            left: left.fold(f64::INFINITY, f64::min) + self.rounding(),
         }
     }
 
@@ -186,6 +198,16 @@
         most * MARGIN - self.sum(0..parts, |part| part.retries)
     }
 
+    /// What is added to a part of a retry: nothing where random errors of so many boxes
+    /// may be more than the margin.
+    fn rounding(&self) -> f64 {
+        let least = |boxes: u32| ROUNDING_LEAST * f64::from(boxes).sqrt();
+        match self.boxes {
+            Some(boxes) if self.allowance.extra >= least(boxes) => self.rounding,
+            _ => 0.0,
+        }
+    }
+
     /// Retries that some of the last parts brought, the present one being the first.
     fn earned(&self, now: Duration, parts: Range<usize>) -> f64 {
         let firsts = self.sum(parts.clone(), |part| part.firsts);
--- a/crates/ashgauged/src/relay/retry.rs
+++ b/crates/ashgauged/src/relay/retry.rs
@@ -68,7 +68,7 @@
     }
 
     fn make(&self) -> Window {
-        let mut window = Window::new(self.allowance.get(), self.started);
+        let mut window = Window::new(self.allowance.get(), self.started, rand::random());
         if let Some(boxes) = self.boxes.get() {
             window.share_with(boxes);
         }
