--- a/crates/ashgauge/src/retry.rs
+++ b/crates/ashgauge/src/retry.rs
@@ -50,10 +50,10 @@
 /// parts and requests that cross the edge of a window on their way.
 const MARGIN: f64 = 0.9;
 
-/// Share of what a span brings that may be spent within it. What remains of the
-/// allowance is saved from the window before, so that engines that are lost after
-/// calm find retries.
-const FLOW: f64 = 0.5;
+/// Share of what a span brings that may be spent within it; the rest comes from the
+/// window before. A larger one leaves more to a process that has just started, a
+/// smaller one more for engines that are lost after calm.
+const SPAN_SHARE: f64 = 0.5;
 
 /// Retries that the fleet must be allowed, for each square root of its boxes, for parts
 /// of a retry to be rounded at random: the sum of that over all boxes then keeps within
@@ -192,9 +192,9 @@
 
     /// Retries that may still be taken in the span of so many parts that ends now.
     fn left(&self, now: Duration, parts: usize) -> f64 {
-        let flow = self.earned(now, 0..parts);
-        let saved = self.earned(now, parts..parts + PARTS);
-        let most = FLOW * flow + (1.0 - FLOW) * saved;
+        let within = self.earned(now, 0..parts);
+        let before = self.earned(now, parts..parts + PARTS);
+        let most = SPAN_SHARE * within + (1.0 - SPAN_SHARE) * before;
         most * MARGIN - self.sum(0..parts, |part| part.retries)
     }
 
