Say which limits upstreams name

Now a line names each limit as it is first read, changes or ends; two figures count upstreams that name one and what is sent to them; the status and ashctl show it. What a box does is unchanged.

--- a/crates/ashctl/src/relay.rs
+++ b/crates/ashctl/src/relay.rs
@@ -116,6 +116,9 @@
     if slowness > 1.0 {
         words.push(format!("slow x{slowness:.1}"));
     }
+    if let Some(rate) = upstream["limit"].as_f64() {
+        words.push(format!("takes {rate:.1}/s"));
+    }
     if let Some(ms) = upstream["rest_ms"].as_f64() {
         words.push(format!("rests {:.1} s", ms / 1e3));
     }
--- a/crates/ashgauge/src/lib.rs
+++ b/crates/ashgauge/src/lib.rs
@@ -76,6 +76,7 @@
 pub mod notice;
 pub mod order;
 pub mod pending;
+pub mod permit;
 pub mod pipes;
 pub mod placement;
 pub mod policy;
--- a/crates/ashgauged/src/relay/desk.rs
+++ b/crates/ashgauged/src/relay/desk.rs
@@ -16,6 +16,7 @@
 use ashgauge::hub::{self, Role};
 use ashgauge::member::{BoxId, UpstreamId};
 use ashgauge::mirror::{Mirror, Revision};
+use ashgauge::permit::Limits;
 use ashgauge::pipes::Pipes;
 use ashgauge::quarantine::Quarantine;
 use ashgauge::reader::Readers;
@@ -84,6 +85,8 @@
     pub routing: RefCell<Arc<Routing>>,
     /// The upstreams.
     pub roster: RefCell<Roster>,
+    /// Limits that upstreams named.
+    pub limits: RefCell<Limits>,
     /// How sure the configuration is.
     pub fresh: RefCell<Freshness>,
     /// What was read of the store, to hand on to other boxes.
@@ -166,6 +169,7 @@
             client: Client::new(ms(settings.timing.connect_ms)),
             routing: RefCell::default(),
             roster: RefCell::default(),
+            limits: RefCell::default(),
             fresh: RefCell::new(Freshness::new(settings.key_age())),
             mirror: RefCell::default(),
             sure: Cell::new(true),
--- a/crates/ashgauged/src/relay/forward.rs
+++ b/crates/ashgauged/src/relay/forward.rs
@@ -272,9 +272,10 @@
     request: Request<Full<Bytes>>,
     id: &str,
 ) -> Result<Collected, Outcome> {
+    let sent = desk.now();
     let exchange = line.send(request).await.map_err(|e| lost(&e))?;
     let (parts, body) = exchange.response.into_parts();
-    notice::take(desk, upstream, &parts);
+    notice::take(desk, upstream, sent, &parts);
     let load = engine::load(&parts.headers);
     match engine::judge(&parts, id) {
         verdict @ (Verdict::Full(_) | Verdict::Stale(_)) => {
--- a/crates/ashgauged/src/relay/metrics.rs
+++ b/crates/ashgauged/src/relay/metrics.rs
@@ -33,6 +33,10 @@
     pub rests: IntCounter,
     /// Sends to upstreams within such times.
     pub rested: IntCounter,
+    /// Upstreams that name a limit.
+    pub limited: IntGauge,
+    /// Sends to such upstreams.
+    pub limited_sends: IntCounter,
     /// Upstreams that became suspect.
     pub suspects: IntCounter,
     /// Time to the first byte of an answer.
@@ -107,6 +111,11 @@
             dropped: gauge("ashgauge_log_dropped", "Lines of the log that were dropped")?,
             rests: counter("ashgauge_rests_total", "Rests that upstreams asked for")?,
             rested: counter("ashgauge_sends_at_rest_total", "Sends to upstreams at rest")?,
+            limited: gauge("ashgauge_limited_upstreams", "Upstreams that name a limit")?,
+            limited_sends: counter(
+                "ashgauge_limited_sends_total",
+                "Sends to upstreams that name a limit",
+            )?,
             suspects: counter("ashgauge_suspects_total", "Upstreams that became suspect")?,
             registry,
         })
--- a/crates/ashgauged/src/relay/notice.rs
+++ b/crates/ashgauged/src/relay/notice.rs
@@ -1,5 +1,8 @@
 //! What upstreams say of themselves in their answers.
 
+use std::time::Duration;
+
+use hyper::HeaderMap;
 use hyper::http::response;
 use platform::engine;
 use serde_json::json;
@@ -8,8 +11,10 @@
 use super::desk::Desk;
 use super::log;
 
-/// Takes in what the head of an upstream's answer says of it.
-pub fn take(desk: &Desk, upstream: &str, head: &response::Parts) {
+/// Takes in what the head of an upstream's answer says of it, to a request that went out
+/// at `sent`.
+pub fn take(desk: &Desk, upstream: &str, sent: Duration, head: &response::Parts) {
+    take_limit(desk, upstream, sent, &head.headers);
     if engine::is_leaving(&head.headers) {
         note_leaving(desk, upstream);
     }
@@ -39,6 +44,26 @@
     log::line(Level::Info, "roster", "asks for rest", fields);
 }
 
+/// Notes what an upstream takes from all boxes together.
+fn take_limit(desk: &Desk, upstream: &str, sent: Duration, headers: &HeaderMap) {
+    let (now, mut limits) = (desk.now(), desk.limits.borrow_mut());
+    let rate = match engine::limit(headers) {
+        Ok(rate) => rate,
+        Err(text) => {
+            if limits.may_complain(now) {
+                let fields = json!({"upstream": upstream, "text": text});
+                log::line(Level::Warn, "roster", "limit cannot be read", fields);
+            }
+            return;
+        }
+    };
+    if limits.note(now, upstream, sent, rate) {
+        let fields = json!({"upstream": upstream, "rate": rate});
+        log::line(Level::Info, "roster", "names its limit", fields);
+    }
+    desk.metrics.limited.set(limits.len() as i64);
+}
+
 /// Notes that an upstream's answer says that it leaves, so that nothing new goes there
 /// and streams are led away, also while the store is down or its entry comes late.
 pub fn note_leaving(desk: &Desk, upstream: &str) {
@@ -54,9 +79,12 @@
     desk.wake_streams();
 }
 
-/// Notes a send to an upstream that wants nothing from this box, as when it asked for
-/// that while the connection came up.
+/// Counts a send to an upstream that names a limit, and notes one that wants nothing from
+/// this box, as when it asked for that while the connection came up.
 pub fn check_send(desk: &Desk, upstream: &str, id: &str) {
+    if desk.limits.borrow().rate(upstream).is_some() {
+        desk.metrics.limited_sends.inc();
+    }
     let roster = desk.roster.borrow();
     let Some(left) = roster.get(upstream).and_then(|e| e.rest(desk.now())) else {
         return;
--- a/crates/ashgauged/src/relay/open.rs
+++ b/crates/ashgauged/src/relay/open.rs
@@ -154,11 +154,12 @@
     };
     notice::check_send(desk, &lead, &a.ask.id);
     let request = engine::request(&a.head, a.body.clone(), &target);
+    let sent = desk.now();
     let sending = line.send(request);
     let exchange = await_head(desk, a, &stages, sending, handoff, avoid).await;
     let exchange = exchange.map_err(failed)?;
     let parts = head_of(&exchange);
-    notice::take(desk, &lead, &parts);
+    notice::take(desk, &lead, sent, &parts);
     match engine::judge(&parts, &a.ask.id) {
         Verdict::Answer if parts.status.is_success() => {}
         Verdict::Answer => {
--- a/crates/ashgauged/src/relay/status.rs
+++ b/crates/ashgauged/src/relay/status.rs
@@ -77,6 +77,8 @@
     leaving: bool,
     /// How much longer it wants nothing from this box, in milliseconds.
     rest_ms: Option<u64>,
+    /// Requests a second that it takes from all boxes, if it names that.
+    limit: Option<f64>,
     suspect: bool,
     /// Factor on the time of its work.
     slowness: f64,
@@ -147,6 +149,7 @@
         layers: e.upstream.layers.map(|l| (l.first, l.end)),
         leaving: e.is_leaving(),
         rest_ms: e.rest(now).map(|r| r.as_millis() as u64),
+        limit: desk.limits.borrow().rate(&e.upstream.id),
         suspect: e.is_suspect(now),
         slowness: e.slowness(now),
         inflight: e.inflight,
