Give permits for upstreams that name a limit

Callers saw nothing; engines in need got three times what they take from all boxes. Cause: nothing read the limit, and nothing a box decides by could hold a figure that is for all boxes together. Now one box counts for each such upstream and gives permits for single requests; which one follows from the upstream's id and the boxes that all know. Limits go out with the words on loads.

Ruled out: equal parts (a quarter used where two of eight boxes send there; draws past the bound at 73 boxes), sums told with the loads (too old), few senders (too little traffic each).

--- a/crates/ashgauge/src/choice.rs
+++ b/crates/ashgauge/src/choice.rs
@@ -25,10 +25,9 @@
 /// Chooses an upstream of a plain service, and not one that was `tried` if
 /// there is another.
 pub fn upstream(scene: &Scene, tried: &[UpstreamId], rng: &mut impl Rng) -> Option<UpstreamId> {
-    // An upstream that wants rest turns away whatever comes meanwhile.
-    let rested = |e: &&Entry| e.rest(scene.now).is_none();
+    let open = |e: &&Entry| opens(scene, e).is_none();
     let all = || scene.roster.of(scene.service);
-    let entries = || all().filter(rested);
+    let entries = || all().filter(open);
     let usable = |e: &&Entry| e.is_usable(scene.now);
     let new = |e: &&Entry| !tried.contains(&e.upstream.id);
     let stays = |e: &&Entry| !e.is_leaving();
@@ -75,13 +74,16 @@
         if need.is_some_and(|n| !n.fits(scene, model, entry)) {
             continue;
         }
+        let leads = span.first == 0 && held.first == 0;
+        if leads && entry.closed(scene.now).is_some() {
+            continue;
+        }
         let name = &entry.upstream.place;
         let place = places.iter().position(|p| *p == name);
         let place = place.unwrap_or_else(|| {
             places.push(name);
             places.len() - 1
         });
-        let leads = span.first == 0 && held.first == 0;
         let (fixed, layer) = scale.weigh(entry, held, leads, rng);
         edges.push(Edge {
             upstream: entry.upstream.id.clone(),
@@ -100,15 +102,21 @@
     })
 }
 
+/// How long until something may be sent to an upstream: one that wants rest turns away
+/// whatever comes meanwhile, one that takes no more is to get nothing.
+fn opens(scene: &Scene, entry: &Entry) -> Option<Duration> {
+    entry.rest(scene.now).max(entry.closed(scene.now))
+}
+
 /// How long until there is an upstream, or a chain over the whole `model`, as those
-/// that it lacks want rest until then; `None` if rest is not what stands in the way.
+/// that it lacks want nothing until then; `None` if that is not what stands in the way.
 pub fn rest_left(scene: &Scene, model: Option<&Model>, rng: &mut impl Rng) -> Option<Duration> {
     let all = scene.roster.of(scene.service);
-    let mut rests: Vec<_> = all.filter_map(|e| e.rest(scene.now)).collect();
-    if rests.is_empty() {
+    let mut waits: Vec<_> = all.filter_map(|e| opens(scene, e)).collect();
+    if waits.is_empty() {
         return None;
     }
-    rests.sort_unstable();
+    waits.sort_unstable();
     let mut is_early = |left: &Duration| {
         let now = scene.now + *left;
         let scene = Scene { now, ..*scene };
@@ -121,8 +129,8 @@
     if !is_early(&Duration::ZERO) {
         return None;
     }
-    let first = rests.partition_point(is_early);
-    rests.get(first).copied()
+    let first = waits.partition_point(is_early);
+    waits.get(first).copied()
 }
 
 /// Share of an engine's memory for requests that all boxes' requests hold, as
--- a/crates/ashgauge/src/entry.rs
+++ b/crates/ashgauge/src/entry.rs
@@ -77,6 +77,8 @@
     full: Option<Duration>,
     /// Until when it gets no new requests, as it took no connection.
     shut: Option<Duration>,
+    /// Until when it gets no request of this box, as it takes no more from all of them.
+    closed: Option<Duration>,
     /// What it said in its answers.
     pub(crate) notice: Notice,
     slow: Option<(f64, Duration)>,
@@ -160,6 +162,13 @@
         self.notice.rest(now)
     }
 
+    /// How much longer nothing is to be sent to it, as it takes no more requests from all
+    /// boxes together. It may still be led to by other engines.
+    pub fn closed(&self, now: Duration) -> Option<Duration> {
+        let left = self.closed?.saturating_sub(now);
+        (!left.is_zero()).then_some(left)
+    }
+
     /// Whether it had no room a moment ago.
     pub fn is_full(&self, now: Duration) -> bool {
         self.full.is_some_and(|until| now < until)
@@ -180,6 +189,7 @@
             rumour: None,
             full: None,
             shut: None,
+            closed: None,
             notice,
             slow: None,
             missing: None,
@@ -256,6 +266,14 @@
         self.shut = Some(now + SHUT_TIME);
     }
 
+    pub(crate) fn close(&mut self, now: Duration, time: Duration) {
+        self.closed = Some(now.saturating_add(time));
+    }
+
+    pub(crate) fn open(&mut self) {
+        self.closed = None;
+    }
+
     pub(crate) fn note_full(&mut self, now: Duration) {
         self.full = Some(now + FULL_TIME);
     }
--- a/crates/ashgauge/src/hub.rs
+++ b/crates/ashgauge/src/hub.rs
@@ -62,6 +62,11 @@
     Leaf(BoxId),
 }
 
+/// Whether a fleet of so many boxes is small enough for each to tell every other one.
+pub fn is_small(boxes: usize) -> bool {
+    boxes <= DIRECT_MOST
+}
+
 /// The role of a box in a fleet of so many, that sees these readers.
 ///
 /// # Example
@@ -75,7 +80,7 @@
 /// assert_eq!(role(985, &readers), Role::Leaf("b1".into()));
 /// ```
 pub fn role(boxes: usize, readers: &Readers) -> Role {
-    if boxes <= DIRECT_MOST || readers.all.is_empty() {
+    if is_small(boxes) || readers.all.is_empty() {
         return Role::Peer;
     }
     match readers.sources.first() {
--- a/crates/ashgauge/src/permit/limits.rs
+++ b/crates/ashgauge/src/permit/limits.rs
@@ -1,6 +1,6 @@
 //! What is known of the limits that upstreams name.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -41,6 +41,9 @@
     pub age_ms: u32,
 }
 
+/// Requests a second that upstreams take; none of one that names no limit any more.
+pub type Rates = BTreeMap<UpstreamKey, Option<f64>>;
+
 /// What is known of one upstream.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Known {
@@ -118,15 +121,6 @@
         news
     }
 
-    /// Forgets what an upstream named before it started anew.
-    pub fn restarted(&mut self, now: Duration, id: &str) {
-        let key = share::key(id);
-        if self.known.contains_key(&key) {
-            let (rate, since, at) = (None, now, now);
-            self.learn(key, Known { rate, since, at });
-        }
-    }
-
     /// Forgets what is too old to matter.
     pub fn expire(&mut self, now: Duration) {
         self.known.retain(|_, k| {
@@ -165,6 +159,12 @@
         told
     }
 
+    /// What holds of each upstream, without its age.
+    pub fn rates(&self) -> Rates {
+        let rates = self.known.iter();
+        rates.map(|(key, known)| (*key, known.rate)).collect()
+    }
+
     /// Upstreams in need.
     pub fn len(&self) -> usize {
         self.known.values().filter(|k| k.rate.is_some()).count()
--- a/crates/ashgauge/src/permit/mod.rs
+++ b/crates/ashgauge/src/permit/mod.rs
@@ -1,5 +1,154 @@
 //! Upstreams in need name how many requests a second they take from all boxes together.
+//!
+//! For each such upstream one box counts: it gives a permit for a single request to
+//! whoever asks, itself as well, as fast as the upstream takes them. So whole requests
+//! are shared out however small the rate is and however many boxes there are, to those
+//! that have some to send. Which box it is follows from the upstream and the boxes that
+//! all know; while it does not answer, the next one gives a part.
 
+mod grants;
 mod limits;
+mod passed;
+mod returns;
 
-pub use limits::{Limits, Told};
+pub use grants::{Grants, Place};
+pub use limits::{Limits, Rates, Told};
+pub use passed::Passed;
+pub use returns::Returns;
+
+use std::cmp::Reverse;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::member::BoxId;
+use crate::share::UpstreamKey;
+
+/// Number of an ask, chosen at random.
+pub type AskId = u64;
+
+/// Asks for one permit.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Ask {
+    /// The box that asks.
+    pub from: BoxId,
+    /// Number of the ask.
+    pub id: AskId,
+    /// What it knows of the upstream's limit.
+    pub told: Told,
+}
+
+/// Answers an ask.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Reply {
+    /// The box that answers.
+    pub from: BoxId,
+    /// The ask that it answers.
+    pub id: AskId,
+    /// Whether the request may go out.
+    pub verdict: Verdict,
+    /// What the answering box knows of the upstream's limit.
+    pub told: Option<Told>,
+}
+
+/// Whether one request may go to an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Verdict {
+    /// It may.
+    Given,
+    /// The upstream names no limit any more.
+    Free,
+    /// Not before so many milliseconds.
+    Wait(u32),
+}
+
+/// Least and most time for which an upstream is left alone once no permit was given.
+const CLOSED_RANGE: (Duration, Duration) = (Duration::from_millis(10), Duration::from_secs(5));
+
+/// Who decides on a permit.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Giver {
+    /// The box that needs it.
+    Own(Place),
+    /// Another box, which is to be asked.
+    Other(BoxId),
+}
+
+/// Who decides on a permit that the box `own` needs at `now`, among so many `boxes`.
+///
+/// `order` is that of [`givers`], `silent` the box that has just not answered; `hears`
+/// tells whether another box is there.
+pub fn giver(
+    now: Duration,
+    own: &str,
+    boxes: u32,
+    order: &[BoxId],
+    passed: &Passed,
+    silent: Option<&BoxId>,
+    hears: impl Fn(&BoxId) -> bool,
+) -> Giver {
+    let is_asked = |id: &&BoxId| !passed.holds(now, id) && Some(*id) != silent;
+    match order.iter().find(is_asked) {
+        Some(id) if **id == *own => Giver::Own(place(own, order, hears)),
+        Some(id) => Giver::Other(id.clone()),
+        None => Giver::Own(Place::Alone(boxes)),
+    }
+}
+
+/// What the box `own` is among those that may give permits.
+pub fn place(own: &str, order: &[BoxId], hears: impl Fn(&BoxId) -> bool) -> Place {
+    let before = order.iter().take_while(|id| ***id != *own);
+    Place::behind(before.filter(|id| hears(id)).count())
+}
+
+/// How long an upstream is left alone after an ask, or after one that nobody answered;
+/// nothing if the request may go out.
+pub fn closed_time(verdict: Option<Verdict>) -> Option<Duration> {
+    let (least, most) = CLOSED_RANGE;
+    match verdict {
+        Some(Verdict::Given | Verdict::Free) => None,
+        Some(Verdict::Wait(ms)) => Some(Duration::from_millis(ms.into()).clamp(least, most)),
+        None => Some(least),
+    }
+}
+
+/// The order in which boxes give permits for an upstream.
+///
+/// # Example
+///
+/// ```
+/// use ashgauge::permit::givers;
+///
+/// let boxes = ["b1".into(), "b2".into(), "b3".into()];
+/// let all = givers(7, &boxes);
+/// assert_eq!(all.len(), 3);
+/// // Without the first one the others stay in order.
+/// let rest: Vec<_> = boxes.into_iter().filter(|b| *b != all[0]).collect();
+/// assert_eq!(givers(7, &rest), all[1..]);
+/// ```
+pub fn givers(key: UpstreamKey, boxes: &[BoxId]) -> Vec<BoxId> {
+    let mut ordered = boxes.to_vec();
+    let weight = |id: &BoxId| xxh3_64_with_seed(id.as_bytes(), key.into());
+    ordered.sort_by_cached_key(|id| Reverse(weight(id)));
+    ordered
+}
+
+impl Grants {
+    /// Answers an ask by what this box knows, of which it is told first.
+    pub fn decide(
+        &mut self,
+        now: Duration,
+        limits: &Limits,
+        key: UpstreamKey,
+        place: Place,
+    ) -> Verdict {
+        let (Some(told), Some(rate)) = (limits.told_of(now, key), limits.rate_of(key)) else {
+            return Verdict::Free;
+        };
+        match self.take(now, &told, rate, place) {
+            Ok(()) => Verdict::Given,
+            Err(wait) => Verdict::Wait(wait.as_millis().try_into().unwrap_or(u32::MAX)),
+        }
+    }
+}
--- a/crates/ashgauge/src/question.rs
+++ b/crates/ashgauge/src/question.rs
@@ -14,6 +14,7 @@
 
 use crate::member::BoxId;
 use crate::mirror::{Revision, Update};
+use crate::permit;
 use crate::quarantine::Report;
 use crate::share::Word;
 
@@ -33,6 +34,10 @@
     News(BoxId),
     /// What the box with this name knows of requests that end upstreams.
     Losses(BoxId, Report),
+    /// May a request go to an upstream that names a limit?
+    AskPermit(permit::Ask),
+    /// Whether it may.
+    Permit(permit::Reply),
 }
 
 /// Asks what another box knows.
@@ -109,6 +114,8 @@
             Datagram::Load(word) => &word.from,
             Datagram::Question(question) => &question.from,
             Datagram::Answer(answer) => &answer.from,
+            Datagram::AskPermit(ask) => &ask.from,
+            Datagram::Permit(reply) => &reply.from,
             Datagram::News(from) | Datagram::Losses(from, _) => from,
         }
     }
--- a/crates/ashgauge/src/roster.rs
+++ b/crates/ashgauge/src/roster.rs
@@ -206,6 +206,20 @@
         self.change(id, |e| e.note_full(now));
     }
 
+    /// Leaves an upstream that takes no more requests alone for so long.
+    pub fn close(&mut self, now: Duration, id: &str, time: Duration) {
+        self.change(id, |e| e.close(now, time));
+    }
+
+    /// Notes that an upstream names no limit any more.
+    pub fn open(&mut self, key: UpstreamKey) {
+        for (id, entry) in &mut self.entries {
+            if share::key(id) == key {
+                entry.open();
+            }
+        }
+    }
+
     /// Notes that an upstream wants nothing from this box for so long.
     pub fn note_rest(&mut self, now: Duration, id: &str, rest: Duration) {
         self.change_notice(now, id, |n| n.note_rest(now, rest));
--- a/crates/ashgauge/src/share.rs
+++ b/crates/ashgauge/src/share.rs
@@ -17,6 +17,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::member::BoxId;
+use crate::permit::Told;
 
 /// Least time that a box's last word counts. Its streams end with it if it
 /// died, and go on if it is only cut off from this one; words may be lost.
@@ -88,6 +89,8 @@
     pub uses: Uses,
     /// Upstreams that it found to be lost; only in words that are told often.
     pub suspects: Vec<UpstreamKey>,
+    /// Limits that upstreams named.
+    pub limits: Vec<Told>,
 }
 
 /// Uses of upstreams, ordered by their keys.
@@ -212,6 +215,11 @@
         own.map(|(from, _)| from)
     }
 
+    /// Whether a box told what it has a short while ago.
+    pub fn hears(&self, id: &BoxId) -> bool {
+        self.heard.contains_key(&(id.clone(), Scope::Own))
+    }
+
     /// What this box, with `own`, and those that tell it have together, without the
     /// boxes that are left out.
     pub fn below(&self, own: Sum, is_left_out: impl Fn(&str) -> bool) -> Sum {
--- a/crates/ashgauge/tests/choice.rs
+++ b/crates/ashgauge/tests/choice.rs
@@ -134,6 +134,7 @@
         boxes: 1,
         uses: vec![(share::key(id), used)],
         suspects: Vec::new(),
+        limits: Vec::new(),
     };
     assert!(shares.hear(Duration::from_secs(100), word));
     shares
@@ -187,6 +188,7 @@
         boxes: 1,
         uses: vec![(share::key("b2"), full)],
         suspects: Vec::new(),
+        limits: Vec::new(),
     };
     shares.hear(Duration::from_secs(100), word);
     assert_eq!(chosen(&shares), None);
--- a/crates/ashgauge/tests/hub.rs
+++ b/crates/ashgauge/tests/hub.rs
@@ -76,6 +76,7 @@
         boxes: sum.boxes,
         uses: sum.uses,
         suspects: sum.suspects,
+        limits: Vec::new(),
     }
 }
 
--- a/crates/ashgauge/tests/worst_load.rs
+++ b/crates/ashgauge/tests/worst_load.rs
@@ -33,6 +33,7 @@
             boxes: 1,
             uses: Vec::new(),
             suspects: Vec::new(),
+            limits: Vec::new(),
         };
         assert!(shares.hear(Duration::from_secs(100), word));
     }
--- a/crates/ashgauged/src/relay/desk.rs
+++ b/crates/ashgauged/src/relay/desk.rs
@@ -16,7 +16,6 @@
 use ashgauge::hub::{self, Role};
 use ashgauge::member::{BoxId, UpstreamId};
 use ashgauge::mirror::{Mirror, Revision};
-use ashgauge::permit::Limits;
 use ashgauge::pipes::Pipes;
 use ashgauge::quarantine::Quarantine;
 use ashgauge::reader::Readers;
@@ -36,6 +35,7 @@
 use super::clock::{Clock, boot_time};
 use super::log;
 use super::metrics::Metrics;
+use super::permit::Permits;
 use super::probe::Probes;
 use super::retry::Budgets;
 use super::settings::Settings;
@@ -85,8 +85,8 @@
     pub routing: RefCell<Arc<Routing>>,
     /// The upstreams.
     pub roster: RefCell<Roster>,
-    /// Limits that upstreams named.
-    pub limits: RefCell<Limits>,
+    /// Limits that upstreams name, and permits to send to those.
+    pub permits: Permits,
     /// How sure the configuration is.
     pub fresh: RefCell<Freshness>,
     /// What was read of the store, to hand on to other boxes.
@@ -169,7 +169,7 @@
             client: Client::new(ms(settings.timing.connect_ms)),
             routing: RefCell::default(),
             roster: RefCell::default(),
-            limits: RefCell::default(),
+            permits: Permits::default(),
             fresh: RefCell::new(Freshness::new(settings.key_age())),
             mirror: RefCell::default(),
             sure: Cell::new(true),
--- a/crates/ashgauged/src/relay/follow/ask.rs
+++ b/crates/ashgauged/src/relay/follow/ask.rs
@@ -4,11 +4,11 @@
 use std::time::Duration;
 
 use ashgauge::asker::{Lack, Pace, Step};
-use ashgauge::hub::Role;
+use ashgauge::hub::{self, Role};
 use ashgauge::member::BoxId;
 use ashgauge::mirror::What;
 use ashgauge::question::{Answer, Body, Question, Ticket, proved};
-use ashgauge::reader::{self, Fleet, Member, Readers};
+use ashgauge::reader::{self, Fleet, Member, Readers, Silences};
 use platform::config::Config;
 use rand::Rng;
 use serde_json::json;
@@ -133,6 +133,7 @@
             boxes: (peers.len() + 1).max(desk.counted_boxes() as usize),
             readers: settings.readers,
         };
+        *desk.permits.givers.borrow_mut() = Rc::new(givers(&me, &fleet, now));
         let readers = reader::choose(&me, &fleet, &self.asker.borrow().silences, now);
         *desk.readers.borrow_mut() = Rc::new(readers);
         desk.readers.borrow().clone()
@@ -358,3 +359,12 @@
         }
     }
 }
+
+/// Boxes that may give permits: in a small fleet all, else those that read when all are
+/// there, as they know every box and every box knows them.
+fn givers(me: &Member, fleet: &Fleet, now: Duration) -> Vec<BoxId> {
+    if hub::is_small(fleet.boxes) {
+        return fleet.candidates.iter().map(|m| m.id.clone()).collect();
+    }
+    reader::choose(me, fleet, &Silences::default(), now).all
+}
--- a/crates/ashgauged/src/relay/forward.rs
+++ b/crates/ashgauged/src/relay/forward.rs
@@ -25,6 +25,7 @@
 use super::log;
 use super::loss::{self, Loss};
 use super::notice;
+use super::permit;
 use super::record::Record;
 use super::request::{
     Admitted, BACK_FULL, BACK_UNSURE, Hold, Whole, finish, held_back, is_allowed, is_held, lost,
@@ -177,7 +178,7 @@
         if is_held(desk, &a) {
             return held_back(desk, a, handoff.may_have_run());
         }
-        let Some((id, addr)) = desk.choose(&a.service.name, handoff.tried()) else {
+        let Some((id, addr)) = choose(desk, &a, handoff).await else {
             let end = handoff.end(desk.now());
             return finish(desk, a, end);
         };
@@ -209,6 +210,19 @@
     }
 }
 
+/// Chooses an upstream that takes one more request.
+async fn choose(desk: &Desk, a: &Admitted, handoff: &Handoff) -> Option<(UpstreamId, String)> {
+    loop {
+        let (id, addr) = desk.choose(&a.service.name, handoff.tried())?;
+        if permit::take(desk, &id).await {
+            return Some((id, addr));
+        }
+        if handoff.left(desk.now()).is_zero() {
+            return None;
+        }
+    }
+}
+
 async fn try_plain(
     desk: &Rc<Desk>,
     a: &Admitted,
--- a/crates/ashgauged/src/relay/metrics.rs
+++ b/crates/ashgauged/src/relay/metrics.rs
@@ -33,6 +33,8 @@
     pub rests: IntCounter,
     /// Sends to upstreams within such times.
     pub rested: IntCounter,
+    /// Permits that were asked for, by what came of it.
+    pub permits: IntCounterVec,
     /// Upstreams that name a limit.
     pub limited: IntGauge,
     /// Sends to such upstreams.
@@ -111,6 +113,7 @@
             dropped: gauge("ashgauge_log_dropped", "Lines of the log that were dropped")?,
             rests: counter("ashgauge_rests_total", "Rests that upstreams asked for")?,
             rested: counter("ashgauge_sends_at_rest_total", "Sends to upstreams at rest")?,
+            permits: counters("ashgauge_permits_total", "Permits by result", "result")?,
             limited: gauge("ashgauge_limited_upstreams", "Upstreams that name a limit")?,
             limited_sends: counter(
                 "ashgauge_limited_sends_total",
--- a/crates/ashgauged/src/relay/mod.rs
+++ b/crates/ashgauged/src/relay/mod.rs
@@ -20,6 +20,7 @@
 mod open;
 mod pack;
 mod peers;
+mod permit;
 mod pieces;
 mod place;
 mod probe;
--- a/crates/ashgauged/src/relay/notice.rs
+++ b/crates/ashgauged/src/relay/notice.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use ashgauge::share;
 use hyper::HeaderMap;
 use hyper::http::response;
 use platform::engine;
@@ -9,7 +10,7 @@
 use spdlog::Level;
 
 use super::desk::Desk;
-use super::log;
+use super::{log, permit};
 
 /// Takes in what the head of an upstream's answer says of it, to a request that went out
 /// at `sent`.
@@ -46,7 +47,7 @@
 
 /// Notes what an upstream takes from all boxes together.
 fn take_limit(desk: &Desk, upstream: &str, sent: Duration, headers: &HeaderMap) {
-    let (now, mut limits) = (desk.now(), desk.limits.borrow_mut());
+    let (now, mut limits) = (desk.now(), desk.permits.limits.borrow_mut());
     let rate = match engine::limit(headers) {
         Ok(rate) => rate,
         Err(text) => {
@@ -60,8 +61,12 @@
     if limits.note(now, upstream, sent, rate) {
         let fields = json!({"upstream": upstream, "rate": rate});
         log::line(Level::Info, "roster", "names its limit", fields);
+        if rate.is_none() {
+            desk.roster.borrow_mut().open(share::key(upstream));
+        }
+        drop(limits);
+        permit::note_count(desk);
     }
-    desk.metrics.limited.set(limits.len() as i64);
 }
 
 /// Notes that an upstream's answer says that it leaves, so that nothing new goes there
@@ -82,7 +87,7 @@
 /// Counts a send to an upstream that names a limit, and notes one that wants nothing from
 /// this box, as when it asked for that while the connection came up.
 pub fn check_send(desk: &Desk, upstream: &str, id: &str) {
-    if desk.limits.borrow().rate(upstream).is_some() {
+    if desk.permits.limits.borrow().rate(upstream).is_some() {
         desk.metrics.limited_sends.inc();
     }
     let roster = desk.roster.borrow();
--- a/crates/ashgauged/src/relay/open.rs
+++ b/crates/ashgauged/src/relay/open.rs
@@ -15,19 +15,30 @@
 use hyper::Response;
 use hyper::http::response;
 use platform::engine::{self, Target, Verdict};
+use tokio::time::sleep;
 
 use super::desk::Desk;
 use super::dial::{self, Exchange};
 use super::loss::Trial;
-use super::notice;
 use super::probe::{ask_engines, find_dead};
 use super::request::{Admitted, Hold, is_allowed, is_held, lost, refused};
 use super::select::Wish;
+use super::{notice, permit};
 
 /// Silence after which a stream whose engines all answer goes on elsewhere;
 /// its caller leaves after two seconds.
 pub const SILENT_MOST: Duration = Duration::from_millis(1300);
 
+/// Chains that are looked at whose first engines turn out to take no more.
+const PICKS_MOST: u32 = 4;
+
+/// Longest wait of a request that may have run for an engine that takes one more; a caller
+/// that has a part of the answer leaves after two seconds.
+const LATE_MOST: Duration = Duration::from_millis(1000);
+
+/// Time between two looks of such a request.
+const LOOK_EVERY: Duration = Duration::from_millis(20);
+
 /// Longest answer with a failure that is passed on.
 const FAILURE_MOST: usize = 1 << 20;
 
@@ -59,6 +70,8 @@
     NoChain,
     /// No chain has room.
     Crowded,
+    /// Its engines take no more requests for so long.
+    Closed(Duration),
     /// The key no longer counts.
     Denied,
     /// The request ends the upstreams that run it.
@@ -82,11 +95,11 @@
     copy.into_parts().0
 }
 
-/// Chooses a chain for the request.
+/// Chooses a chain for the request, of which the first engine may need a permit.
 ///
 /// An answer that goes on elsewhere is not held up for want of room: its caller
 /// has a part of it already.
-pub fn pick(
+fn pick(
     desk: &Desk,
     a: &Admitted,
     handoff: &Handoff,
@@ -106,12 +119,49 @@
     if let Some(chosen) = choose(desk, a, handoff, avoid, need) {
         return Ok(chosen);
     }
-    match need.and_then(|_| choose(desk, a, handoff, avoid, None)) {
-        Some(_) => Err(NoWay::Crowded),
+    if need.is_some() && choose(desk, a, handoff, avoid, None).is_some() {
+        return Err(NoWay::Crowded);
+    }
+    match permit::time_left(desk, &a.service) {
+        Some(left) => Err(NoWay::Closed(left)),
         None => Err(NoWay::NoChain),
     }
 }
 
+/// Chooses a chain as [`pick`] does, whose first engine takes one more request.
+pub async fn pick_open(
+    desk: &Desk,
+    a: &Admitted,
+    handoff: &Handoff,
+    avoid: &[UpstreamId],
+    goes_on: bool,
+) -> Result<Chosen, NoWay> {
+    for _ in 0..PICKS_MOST {
+        let chosen = pick(desk, a, handoff, avoid, goes_on)?;
+        if permit::take(desk, &chosen.stages[0].upstream).await {
+            return Ok(chosen);
+        }
+    }
+    Err(NoWay::Closed(Duration::ZERO))
+}
+
+/// The same for a request that may have run: it cannot be refused, so it waits for engines
+/// that take no more for the moment.
+pub async fn pick_late(
+    desk: &Desk,
+    a: &Admitted,
+    handoff: &Handoff,
+    avoid: &[UpstreamId],
+) -> Result<Chosen, NoWay> {
+    let until = desk.now() + LATE_MOST.min(handoff.left(desk.now()));
+    loop {
+        match pick_open(desk, a, handoff, avoid, true).await {
+            Err(NoWay::Closed(_)) if desk.now() < until => sleep(LOOK_EVERY).await,
+            picked => return picked,
+        }
+    }
+}
+
 /// Sends the request over a chosen chain and waits for the head of the answer,
 /// which goes on after event `last`.
 pub async fn begin(
--- a/crates/ashgauged/src/relay/peers.rs
+++ b/crates/ashgauged/src/relay/peers.rs
@@ -31,7 +31,7 @@
 
 use super::desk::{Asked, Desk};
 use super::fetch::{self, ANSWER_PATH, Fetch};
-use super::{census, log, pack, quarantine};
+use super::{census, log, pack, permit, quarantine};
 
 /// Largest datagram that is read; a word on 860 engines takes 12 kB.
 const DATAGRAM_MOST: usize = 60_000;
@@ -80,7 +80,7 @@
 /// This box's way to the others.
 pub struct Peers {
     desk: Rc<Desk>,
-    socket: UdpSocket,
+    socket: Rc<UdpSocket>,
     heard: mpsc::Sender<Heard>,
     /// Until when each ticket is good.
     tickets: RefCell<HashMap<Ticket, Duration>>,
@@ -112,6 +112,9 @@
             return Ok(None);
         };
         let (socket, listener) = bind(&addr).await?;
+        let socket = Rc::new(socket);
+        // Boxes start to hear each other once.
+        let _ = desk.permits.socket.set(socket.clone());
         desk.heard_at.set(Some(socket.local_addr()?));
         let (heard, messages) = mpsc::channel(HEARD_MOST);
         let peers = Rc::new(Peers {
@@ -247,12 +250,21 @@
                 quarantine::hear(&self.desk, &from, &report);
                 Taken::Heard
             }
+            Datagram::AskPermit(ask) => {
+                permit::answer(&self.desk, ask, addr);
+                Taken::Question
+            }
+            Datagram::Permit(reply) => {
+                permit::take_reply(&self.desk, reply);
+                Taken::Heard
+            }
         }
     }
 
     fn take_load(&self, mut word: Word) -> Taken {
         let now = self.desk.now();
         let suspects = word.suspects.clone();
+        permit::hear(&self.desk, &word.from, &word.limits);
         if self.desk.role() != Role::Hub {
             word.suspects.clear();
         }
--- /dev/null
+++ b/crates/ashgauged/src/relay/permit/mod.rs
@@ -0,0 +1,228 @@
+//! Asks for permits to send to upstreams that name a limit, and gives them to other
+//! boxes.
+
+mod state;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ashgauge::member::{BoxId, UpstreamId};
+use ashgauge::permit::{self, Ask, Giver, Place, Reply, Told, Verdict};
+use ashgauge::question::Datagram;
+use ashgauge::routing::{Service, ServiceId};
+use ashgauge::share::{self, UpstreamKey};
+use rand::Rng;
+use serde_json::json;
+use spdlog::Level;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+use super::desk::Desk;
+use super::{log, peers};
+
+pub use state::Permits;
+
+/// For a box's answer. It takes a millisecond or two, and longer on a box that has used up
+/// its share of a processor.
+const REPLY_TIME: Duration = Duration::from_millis(40);
+
+/// Boxes that are asked for one permit.
+const ASKED_MOST: u32 = 2;
+
+/// Takes a permit if the upstream needs one; without one it is left alone for a while.
+pub async fn take(desk: &Desk, id: &UpstreamId) -> bool {
+    let key = share::key(id);
+    let told = desk.permits.limits.borrow().told_of(desk.now(), key);
+    let Some(told) = told.filter(|t| t.rate.is_some()) else {
+        return true;
+    };
+    let verdict = ask(desk, told).await;
+    let result = match verdict {
+        Some(Verdict::Given) => "given",
+        Some(Verdict::Free) => "free",
+        Some(Verdict::Wait(_)) => "refused",
+        None => "no answer",
+    };
+    desk.metrics.permits.with_label_values(&[result]).inc();
+    let Some(time) = permit::closed_time(verdict) else {
+        return true;
+    };
+    desk.roster.borrow_mut().close(desk.now(), id, time);
+    false
+}
+
+/// Asks the box that gives permits for an upstream, which may be this one, and the next
+/// one if it does not answer; nothing if that doesn't either.
+async fn ask(desk: &Desk, told: Told) -> Option<Verdict> {
+    let mut silent = None;
+    for _ in 0..ASKED_MOST {
+        match giver(desk, told.key, silent.as_ref()) {
+            Giver::Own(place) => return Some(decide(desk, told.key, place)),
+            Giver::Other(id) => match ask_box(desk, &id, told).await {
+                Some(verdict) => return Some(verdict),
+                None => silent = Some(id),
+            },
+        }
+    }
+    None
+}
+
+fn giver(desk: &Desk, key: UpstreamKey, silent: Option<&BoxId>) -> Giver {
+    let (passed, shares) = (desk.permits.passed.borrow(), desk.shares.borrow());
+    let (own, order) = (desk.settings().id.clone(), order(desk, key));
+    let hears = |id: &BoxId| shares.hears(id);
+    permit::giver(
+        desk.now(),
+        &own,
+        desk.boxes(),
+        &order,
+        &passed,
+        silent,
+        hears,
+    )
+}
+
+/// Boxes that give permits for an upstream, the first first.
+fn order(desk: &Desk, key: UpstreamKey) -> Vec<BoxId> {
+    permit::givers(key, &desk.permits.givers.borrow())
+}
+
+async fn ask_box(desk: &Desk, to: &BoxId, told: Told) -> Option<Verdict> {
+    let id = desk.rng().random();
+    let addr = desk.peers.borrow().get(to).map(|p| p.addr)?;
+    let (sender, answer) = oneshot::channel();
+    desk.permits.open.borrow_mut().insert(id, sender);
+    send(
+        desk,
+        addr,
+        &Datagram::AskPermit(Ask {
+            from: desk.settings().id.as_str().into(),
+            id,
+            told,
+        }),
+    );
+    let verdict = timeout(REPLY_TIME, answer).await;
+    desk.permits.open.borrow_mut().remove(&id);
+    let mut passed = desk.permits.passed.borrow_mut();
+    match verdict {
+        Ok(Ok(verdict)) => {
+            passed.clear(to);
+            Some(verdict)
+        }
+        // The sender is dropped by the answer only.
+        Ok(Err(_)) | Err(_) => {
+            passed.miss(desk.now(), to);
+            None
+        }
+    }
+}
+
+/// Answers another box that asks for a permit.
+pub fn answer(desk: &Desk, ask: Ask, addr: SocketAddr) {
+    hear(desk, &ask.from, &[ask.told]);
+    let key = ask.told.key;
+    let reply = Reply {
+        from: desk.settings().id.as_str().into(),
+        id: ask.id,
+        verdict: decide(desk, key, place(desk, key)),
+        told: desk.permits.limits.borrow().told_of(desk.now(), key),
+    };
+    send(desk, addr, &Datagram::Permit(reply));
+}
+
+/// Takes another box's answer.
+pub fn take_reply(desk: &Desk, reply: Reply) {
+    if let Some(told) = reply.told {
+        hear(desk, &reply.from, &[told]);
+    }
+    if let Some(waiting) = desk.permits.open.borrow_mut().remove(&reply.id) {
+        // Whoever asked may have gone on without it.
+        let _ = waiting.send(reply.verdict);
+    }
+}
+
+/// Takes what another box told of limits.
+pub fn hear(desk: &Desk, from: &BoxId, told: &[Told]) {
+    let news = desk.permits.limits.borrow_mut().hear(desk.now(), told);
+    for key in &news {
+        let rate = desk.permits.limits.borrow().rate_of(*key);
+        let id = id_of(desk, *key);
+        let fields = json!({"upstream": id.as_deref(), "rate": rate, "from": &**from});
+        log::line(Level::Info, "roster", "limit told", fields);
+        if rate.is_none() {
+            desk.roster.borrow_mut().open(*key);
+        }
+    }
+    if !news.is_empty() {
+        note_count(desk);
+    }
+}
+
+/// Keeps the figure of upstreams in need.
+pub fn note_count(desk: &Desk) {
+    let count = desk.permits.limits.borrow().len();
+    desk.metrics.limited.set(count as i64);
+}
+
+/// Forgets what is too old to matter.
+pub fn expire(desk: &Desk) {
+    let now = desk.now();
+    desk.permits.limits.borrow_mut().expire(now);
+    desk.permits.grants.borrow_mut().expire(now);
+}
+
+/// When a caller is to come back whom a service's upstreams in need cannot serve, if they
+/// are what stands in the way.
+pub fn back_after(desk: &Desk, service: &Service) -> Option<Duration> {
+    let wait = time_left(desk, service)?;
+    let rate = rate_left(desk, &service.name)?;
+    let now = desk.now();
+    let mut returns = desk.permits.returns.borrow_mut();
+    let each = rate / f64::from(desk.boxes().max(1));
+    Some(returns.next(now, &service.name, wait, each))
+}
+
+/// How long until a service's upstreams take one more request, if that is what stands in
+/// the way.
+pub fn time_left(desk: &Desk, service: &Service) -> Option<Duration> {
+    rate_left(desk, &service.name)?;
+    desk.rest_left(service)
+}
+
+/// Requests a second that the upstreams of a service take that are left alone for now.
+fn rate_left(desk: &Desk, service: &ServiceId) -> Option<f64> {
+    let (roster, limits) = (desk.roster.borrow(), desk.permits.limits.borrow());
+    let closed = roster.of(service);
+    let closed = closed.filter(|e| e.closed(desk.now()).is_some());
+    let rates = closed.filter_map(|e| limits.rate(&e.upstream.id));
+    Some(rates.sum()).filter(|rate| *rate > 0.0)
+}
+
+fn decide(desk: &Desk, key: UpstreamKey, place: Place) -> Verdict {
+    let permits = &desk.permits;
+    let mut grants = permits.grants.borrow_mut();
+    grants.decide(desk.now(), &permits.limits.borrow(), key, place)
+}
+
+/// What this box is among those that may give permits for an upstream.
+fn place(desk: &Desk, key: UpstreamKey) -> Place {
+    let shares = desk.shares.borrow();
+    let hears = |id: &BoxId| shares.hears(id);
+    permit::place(&desk.settings().id, &order(desk, key), hears)
+}
+
+fn id_of(desk: &Desk, key: UpstreamKey) -> Option<UpstreamId> {
+    let roster = desk.roster.borrow();
+    let mut all = roster.all().map(|e| &e.upstream.id);
+    all.find(|id| share::key(id) == key).cloned()
+}
+
+/// Sends one datagram; one that does not get out is taken for lost on its way.
+fn send(desk: &Desk, to: SocketAddr, datagram: &Datagram) {
+    let Some(bytes) = peers::encode(datagram) else {
+        return;
+    };
+    if let Some(socket) = desk.permits.socket.get() {
+        let _ = socket.try_send_to(&bytes, to);
+    }
+}
--- /dev/null
+++ b/crates/ashgauged/src/relay/permit/state.rs
@@ -0,0 +1,30 @@
+//! What a box knows of limits that upstreams name, and of the permits for them.
+
+use std::cell::{OnceCell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use ashgauge::member::BoxId;
+use ashgauge::permit::{AskId, Grants, Limits, Passed, Returns, Verdict};
+use tokio::net::UdpSocket;
+use tokio::sync::oneshot;
+
+/// Limits and permits of one box.
+#[derive(Default)]
+pub struct Permits {
+    /// Limits that upstreams named.
+    pub limits: RefCell<Limits>,
+    /// What this box gave.
+    pub grants: RefCell<Grants>,
+    /// When refused callers come back.
+    pub returns: RefCell<Returns>,
+    /// Boxes that did not answer.
+    pub passed: RefCell<Passed>,
+    /// Boxes that may give permits, as all boxes know them; none if this one hears no
+    /// others.
+    pub givers: RefCell<Rc<Vec<BoxId>>>,
+    /// Asks that were not answered yet.
+    pub open: RefCell<HashMap<AskId, oneshot::Sender<Verdict>>>,
+    /// The socket by which the boxes hear each other.
+    pub socket: OnceCell<Rc<UdpSocket>>,
+}
--- a/crates/ashgauged/src/relay/pump/mend.rs
+++ b/crates/ashgauged/src/relay/pump/mend.rs
@@ -15,7 +15,7 @@
 use serde_json::json;
 
 use super::super::loss::{self, Loss};
-use super::super::open::{Run, SILENT_MOST, begin, id_at, pick};
+use super::super::open::{Run, SILENT_MOST, begin, id_at, pick_late};
 use super::super::probe::{ask_engines, find_dead};
 use super::super::request::{Hold, note_outcome};
 use super::super::retry;
@@ -283,7 +283,7 @@
             }
             let (desk, a) = (&self.desk, &mut self.a);
             let began = desk.now();
-            let Ok(chosen) = pick(desk, a, &self.handoff, &avoid, true) else {
+            let Ok(chosen) = pick_late(desk, a, &self.handoff, &avoid).await else {
                 return false;
             };
             match begin(desk, a, &mut self.handoff, &mut avoid, self.last, chosen).await {
--- a/crates/ashgauged/src/relay/request.rs
+++ b/crates/ashgauged/src/relay/request.rs
@@ -25,6 +25,7 @@
 
 use super::desk::Desk;
 use super::log;
+use super::permit;
 use super::probe;
 use super::record::Record;
 use super::serve::Body;
@@ -177,7 +178,9 @@
     let (what, status, after) = match end {
         End::NotRun if sure => {
             // Whoever comes back earlier is refused once more.
-            let after = desk.rest_left(&a.service).unwrap_or(BACK_FULL);
+            let after = permit::back_after(desk, &a.service);
+            let after = after.or_else(|| desk.rest_left(&a.service));
+            let after = after.unwrap_or(BACK_FULL);
             ("not run", StatusCode::SERVICE_UNAVAILABLE, Some(after))
         }
         End::NotRun => (
@@ -195,7 +198,8 @@
 /// Ends a request for which the engines have no room, and says when they may
 /// have some.
 pub fn no_room(desk: &Desk, mut a: Admitted) -> Response<Body> {
-    let after = desk.rng().random_range(BACK_ROOM);
+    let after = permit::back_after(desk, &a.service);
+    let after = after.unwrap_or_else(|| desk.rng().random_range(BACK_ROOM));
     a.record.end("no room");
     own(StatusCode::SERVICE_UNAVAILABLE, Some(&a.ask), Some(after))
 }
--- a/crates/ashgauged/src/relay/status.rs
+++ b/crates/ashgauged/src/relay/status.rs
@@ -5,6 +5,9 @@
 
 use ashgauge::digest;
 use ashgauge::hub::Role;
+use ashgauge::member::BoxId;
+use ashgauge::permit::givers;
+use ashgauge::share;
 use serde::Serialize;
 
 use super::desk::Desk;
@@ -41,9 +44,22 @@
     held: Vec<(String, u64)>,
     /// Requests under which upstreams were lost that are not held back.
     suspects: usize,
+    /// Upstreams that name a limit.
+    limits: Vec<LimitStatus>,
     upstreams: Vec<UpstreamStatus>,
 }
 
+/// An upstream that names how many requests a second it takes from all boxes.
+#[derive(Serialize)]
+struct LimitStatus {
+    upstream: String,
+    rate: f64,
+    /// Boxes that give permits for it, the first first.
+    givers: Vec<String>,
+    /// Permits that this box gave.
+    given: u64,
+}
+
 /// What the box has of the fleet's retries for one service in the present window.
 #[derive(Serialize)]
 struct RetryStatus {
@@ -109,6 +125,25 @@
     status.collect()
 }
 
+fn limits(desk: &Desk) -> Vec<LimitStatus> {
+    let (roster, permits) = (desk.roster.borrow(), &desk.permits);
+    let (limits, grants) = (permits.limits.borrow(), permits.grants.borrow());
+    let named = roster.all().filter_map(|e| {
+        let (id, key) = (&e.upstream.id, share::key(&e.upstream.id));
+        Some(LimitStatus {
+            upstream: id.to_string(),
+            rate: limits.rate_of(key)?,
+            givers: texts(&givers(key, &permits.givers.borrow())),
+            given: grants.given(key),
+        })
+    });
+    named.collect()
+}
+
+fn texts(boxes: &[BoxId]) -> Vec<String> {
+    boxes.iter().map(|id| id.to_string()).collect()
+}
+
 fn informs(desk: &Desk) -> Vec<Informed> {
     let (now, covered) = (desk.now(), desk.mirror.borrow().covered());
     let (askers, peers) = (desk.askers.borrow(), desk.peers.borrow());
@@ -149,7 +184,7 @@
         layers: e.upstream.layers.map(|l| (l.first, l.end)),
         leaving: e.is_leaving(),
         rest_ms: e.rest(now).map(|r| r.as_millis() as u64),
-        limit: desk.limits.borrow().rate(&e.upstream.id),
+        limit: desk.permits.limits.borrow().rate(&e.upstream.id),
         suspect: e.is_suspect(now),
         slowness: e.slowness(now),
         inflight: e.inflight,
@@ -171,19 +206,14 @@
         revision: desk.mirror.borrow().covered(),
         boxes: desk.boxes(),
         role: role(desk),
-        readers: desk
-            .readers
-            .borrow()
-            .all
-            .iter()
-            .map(|id| id.to_string())
-            .collect(),
+        readers: texts(&desk.readers.borrow().all),
         informs: informs(desk),
         boxes_heard: shares.boxes(),
         inflight: desk.inflight.get(),
         retries: retries(desk),
         held: held(desk),
         suspects: desk.quarantine.borrow().suspects(),
+        limits: limits(desk),
         upstreams,
     };
     match serde_json::to_string(&status) {
--- a/crates/ashgauged/src/relay/stream.rs
+++ b/crates/ashgauged/src/relay/stream.rs
@@ -12,7 +12,7 @@
 
 use super::desk::Desk;
 use super::loss::{self, Loss};
-use super::open::{NoWay, begin, head_of, pick};
+use super::open::{NoWay, begin, head_of, pick_late, pick_open};
 use super::pump;
 use super::request::{Admitted, finish, held_back, no_room, note_outcome, whole};
 use super::retry;
@@ -34,9 +34,18 @@
         if !may_have_run && !turn.wait(&a).await {
             return no_room(&desk, a);
         }
-        let chosen = match pick(&desk, &a, &handoff, &avoid, may_have_run) {
+        let chosen = match may_have_run {
+            true => pick_late(&desk, &a, &handoff, &avoid).await,
+            false => pick_open(&desk, &a, &handoff, &avoid, false).await,
+        };
+        let chosen = match chosen {
             Ok(chosen) => chosen,
-            Err(NoWay::Crowded) => {
+            Err(NoWay::Closed(_)) if may_have_run => {
+                let end = handoff.end(desk.now());
+                return finish(&desk, a, end);
+            }
+            Err(NoWay::Closed(wait)) if !turn.has_time(wait) => return no_room(&desk, a),
+            Err(NoWay::Crowded | NoWay::Closed(_)) => {
                 turn.join(&a);
                 continue;
             }
--- a/crates/ashgauged/src/relay/tell.rs
+++ b/crates/ashgauged/src/relay/tell.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use ashgauge::hub::{self, Role};
+use ashgauge::permit::Rates;
 use ashgauge::quarantine::Audience;
 use ashgauge::question::Datagram;
 use ashgauge::share::{self, Scope, Sum, UpstreamKey, Use, Uses, Word};
@@ -15,7 +16,7 @@
 
 use super::desk::{Desk, Peer};
 use super::peers::{self, Peers};
-use super::quarantine;
+use super::{permit, quarantine};
 
 /// Longest time without a word, so that the others know that this box is there.
 const SILENT_MOST: Duration = Duration::from_millis(500);
@@ -62,6 +63,7 @@
         let lag = role.lag(listeners.len());
         desk.lag.set(lag);
         desk.shares.borrow_mut().expire(now, lag);
+        permit::expire(&desk);
         let own = own_sum(&desk);
         let told = match role {
             Role::Hub => {
@@ -86,8 +88,9 @@
         (near_time, far_time): (Duration, Duration),
         sum: Sum,
     ) {
-        let to_near = self.near.is_due(now, near_time, &sum.uses);
-        let to_far = self.far.is_due(now, far_time, &sum.uses);
+        let limits = self.desk.permits.limits.borrow().rates();
+        let to_near = self.near.is_due(now, near_time, &sum.uses, &limits);
+        let to_far = self.far.is_due(now, far_time, &sum.uses, &limits);
         for (near, due, time) in [(true, to_near, near_time), (false, to_far, far_time)] {
             if !due {
                 continue;
@@ -102,10 +105,10 @@
             self.send_losses(Audience::All, &to).await;
         }
         if to_near {
-            self.near.note(now, &sum.uses);
+            self.near.note(now, &sum.uses, &limits);
         }
         if to_far {
-            self.far.note(now, &sum.uses);
+            self.far.note(now, &sum.uses, &limits);
         }
     }
 
@@ -137,6 +140,7 @@
 
     async fn send(&mut self, scope: Scope, sum: Sum, to: &[&Peer]) {
         self.number += 1;
+        let now = self.desk.now();
         let word = Word {
             from: Arc::from(self.desk.settings().id.as_str()),
             boot: self.boot,
@@ -145,6 +149,10 @@
             boxes: sum.boxes,
             uses: sum.uses,
             suspects: sum.suspects,
+            limits: match scope {
+                Scope::Far(_) => Vec::new(),
+                Scope::Own | Scope::Near => self.desk.permits.limits.borrow().tell(now),
+            },
         };
         let Some(bytes) = peers::encode(&Datagram::Load(word)) else {
             return;
@@ -200,19 +208,27 @@
 #[derive(Default)]
 struct Told {
     uses: Uses,
+    limits: Rates,
     at: Duration,
 }
 
 impl Told {
     /// Whether they are to be told again: after `time` if something changed.
-    fn is_due(&self, now: Duration, time: Duration, uses: &[(UpstreamKey, Use)]) -> bool {
+    fn is_due(
+        &self,
+        now: Duration,
+        time: Duration,
+        uses: &[(UpstreamKey, Use)],
+        limits: &Rates,
+    ) -> bool {
         let age = now.saturating_sub(self.at);
-        let news = self.uses != uses;
+        let news = self.uses != uses || self.limits != *limits;
         age >= time.max(SILENT_MOST) || (news && age >= time)
     }
 
-    fn note(&mut self, now: Duration, uses: &[(UpstreamKey, Use)]) {
+    fn note(&mut self, now: Duration, uses: &[(UpstreamKey, Use)], limits: &Rates) {
         self.uses = uses.to_vec();
+        self.limits = limits.clone();
         self.at = now;
     }
 }
--- a/crates/ashgauged/src/relay/turn.rs
+++ b/crates/ashgauged/src/relay/turn.rs
@@ -102,6 +102,11 @@
         }
     }
 
+    /// Whether the request may wait for so long.
+    pub fn has_time(&self, wait: Duration) -> bool {
+        self.desk.now() + wait <= self.until
+    }
+
     /// Whether a request with so many ahead is better refused now.
     fn takes_too_long(&self, ahead: usize) -> bool {
         let wait = self.desk.line(&self.service, |l| l.wait(ahead));
