Give nothing before a limit is known for a whole window

Cause: 11 requests reached the upstream in the second before any box was told, and what was given 3 s after that fell into the same window of 4 s: 12 of 11.7. Now nothing is given for 4 s.

--- a/crates/ashgauge/src/permit/grants.rs
+++ b/crates/ashgauge/src/permit/grants.rs
@@ -8,7 +8,7 @@
 
 /// Time since an upstream first named a limit before which nothing is given: what was sent
 /// before it was heard of counts against it, and is often more than it takes.
-const HOLD_TIME: Duration = Duration::from_secs(3);
+const HOLD_TIME: Duration = Duration::from_secs(4);
 
 /// What the box that gives may have saved up: some requests, and those of some seconds.
 /// With what the next box may give while the first is thought to be lost, it stays below
