Say that the store came back, and who asks by a later revision

Nothing told that the store's count of changes had gone back, nor by which revision a box asked another. What a box does is unchanged.

--- a/crates/ashgauged/src/relay/follow/mod.rs
+++ b/crates/ashgauged/src/relay/follow/mod.rs
@@ -90,6 +90,7 @@
         tokio::task::spawn_local(follower.clone().follow_servers());
         tokio::task::spawn_local(census::count(follower.desk.clone()));
         tokio::task::spawn_local(follower.clone().follow_clock());
+        tokio::task::spawn_local(follower.clone().follow_returns());
         match heard.filter(|_| follower.desk.settings().shares_reading()) {
             Some(heard) => drop(tokio::task::spawn_local(follower.ask(heard))),
             None => {
@@ -110,6 +111,20 @@
         }
     }
 
+    /// Notes that the store came back from a copy.
+    async fn follow_returns(self: Rc<Self>) {
+        let mut eras = self.desk.store.eras();
+        let mut before = *eras.borrow_and_update();
+        // The store's client lives as long as the desk.
+        while eras.changed().await.is_ok() {
+            let era = *eras.borrow_and_update();
+            self.desk.metrics.era.set(era as i64);
+            let fields = json!({"era": era, "before": before});
+            log::line(Level::Warn, "store", "era", fields);
+            before = era;
+        }
+    }
+
     /// Waits until this box reads the store itself.
     async fn until_reader(&self) {
         let mut reads = self.desk.reads.subscribe();
--- a/crates/ashgauged/src/relay/metrics.rs
+++ b/crates/ashgauged/src/relay/metrics.rs
@@ -49,6 +49,8 @@
     pub gap: Histogram,
     /// Version of the configuration in force.
     pub version: IntGauge,
+    /// How often the store has come back from a copy.
+    pub era: IntGauge,
     /// Requests that are held back, as they end upstreams.
     pub held: IntGauge,
     /// Requests under way.
@@ -108,6 +110,7 @@
             whole: histogram("ashgauge_whole_seconds", "Time to the end")?,
             gap: histogram("ashgauge_repair_gap_seconds", "Pause of a repaired stream")?,
             version: gauge("ashgauge_config_version", "Configuration in force")?,
+            era: gauge("ashgauge_store_era", "Returns of the store from a copy")?,
             held: gauge("ashgauge_held_requests", "Requests that are held back")?,
             inflight: gauge("ashgauge_inflight", "Requests under way")?,
             dropped: gauge("ashgauge_log_dropped", "Lines of the log that were dropped")?,
--- a/crates/ashgauged/src/relay/peers.rs
+++ b/crates/ashgauged/src/relay/peers.rs
@@ -5,7 +5,7 @@
 //! cannot be read, or comes from an address that no box has announced, is
 //! dropped and counted.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -46,6 +46,9 @@
 /// Least time between two looks at the boxes because of a stranger's datagram.
 const RECOUNT_EVERY: Duration = Duration::from_secs(1);
 
+/// Least time between two lines on boxes that ask by a later revision.
+const LATER_EVERY: Duration = Duration::from_secs(1);
+
 /// How long a box that asked is told of news: some rounds of questions.
 const ASKER_TIME: Duration = Duration::from_secs(4);
 
@@ -86,6 +89,8 @@
     tickets: RefCell<HashMap<Ticket, Duration>>,
     /// What was packed last, the latest last.
     packed: RefCell<VecDeque<Packed>>,
+    /// When it was last told that a box asks by a later revision.
+    later: Cell<Duration>,
 }
 
 /// A packed update, and what it was made for.
@@ -123,6 +128,7 @@
             heard,
             tickets: RefCell::default(),
             packed: RefCell::default(),
+            later: Cell::default(),
         });
         tokio::task::spawn_local(peers.clone().hear());
         let (fetches, asked) = mpsc::channel(HEARD_MOST);
@@ -292,12 +298,24 @@
             known: question.after,
         };
         let from = question.from.clone();
+        self.note_later(&question);
         self.desk.askers.borrow_mut().insert(from, asked);
         if let Some(bytes) = self.encode_answer(&question) {
             self.send(addr, &bytes).await;
         }
     }
 
+    /// Writes a line if a box knows more than this one, once a second at most.
+    fn note_later(&self, question: &Question) {
+        let (now, covered) = (self.desk.now(), self.desk.mirror.borrow().covered());
+        if question.after <= covered || now < self.later.get() + LATER_EVERY {
+            return;
+        }
+        self.later.set(now);
+        let fields = json!({"from": &*question.from, "after": question.after, "known": covered});
+        log::line(Level::Info, "fleet", "asked by a later revision", fields);
+    }
+
     /// The datagram that answers a question: what this box knows, or how to fetch it.
     fn encode_answer(&self, question: &Question) -> Option<Vec<u8>> {
         if self.last_packed(question.after).is_none() {
