Tell changes of a store that came back from a copy from those before

Callers got answers by a configuration that was no longer in force, and from an upstream that had said it leaves. Cause: the store's count of changes was taken for an order that holds for ever. Boxes that ask others go by the revision up to which they know everything, and after a return that was past all that was new, so they were told nothing, and that this was up to date. Now a revision holds the store's era in its upper bits, so a change of a later era is later; the older state between the return and the second writing takes nothing back. Ruled out before: lost words, slow readers, hanging watches (readers were in time).

--- a/crates/ashctl/src/relay.rs
+++ b/crates/ashctl/src/relay.rs
@@ -47,6 +47,7 @@
         "config_age_ms",
         "store_away",
         "reads",
+        "era",
         "revision",
         "boxes",
         "role",
--- a/crates/ashgauge/src/lib.rs
+++ b/crates/ashgauge/src/lib.rs
@@ -88,6 +88,7 @@
 pub mod reader;
 pub mod record;
 pub mod retry;
+pub mod revision;
 pub mod roster;
 pub mod routing;
 pub mod scene;
--- a/crates/ashgauge/src/mirror.rs
+++ b/crates/ashgauge/src/mirror.rs
@@ -4,6 +4,11 @@
 //! everything up to some revision needs only what changed behind it. Objects
 //! that are gone are remembered for a while; past that, only the whole copy
 //! tells what is no longer there.
+//!
+//! A store that has come back from a copy holds an earlier state until what it lost is
+//! written again. Nothing goes back to that: an upstream that leaves goes on leaving, and
+//! an entry that was removed stays so until it is written again, or until
+//! [`Mirror::settle`] believes the store.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 
@@ -11,14 +16,14 @@
 
 use crate::fresh::Ledger;
 use crate::member::UpstreamId;
+use crate::revision;
 use crate::upstream::Upstream;
 
 /// Removals that are remembered. A box that missed more of them is handed the
 /// whole copy.
 const GONE_MOST: usize = 1024;
 
-/// Counter of the store's changes.
-pub type Revision = u64;
+pub use crate::revision::Revision;
 
 /// What became of one object.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -82,6 +87,8 @@
     floor: Revision,
     /// Counts changes of the copy.
     edition: u64,
+    /// Whether entries of the store were passed over, as they had been removed.
+    doubted: bool,
 }
 
 impl Mirror {
@@ -124,6 +131,16 @@
         is_new
     }
 
+    /// Puts the configuration back that the store's copy has an older one of.
+    pub fn keep_config(&mut self, config: Vec<u8>) {
+        if let Some((_, known)) = &mut self.config
+            && *known != config
+        {
+            *known = config;
+            self.edition += 1;
+        }
+    }
+
     /// Takes an upstream's entry; returns whether it is newer than what is
     /// known of it.
     pub fn put(&mut self, revision: Revision, upstream: Upstream) -> bool {
@@ -131,13 +148,29 @@
         if !self.is_newer(&upstream.id, revision) {
             return false;
         }
-        self.forget_removal(&upstream.id);
-        let id = upstream.id.clone();
-        self.upstreams.insert(id, (revision, upstream));
+        self.insert(revision, upstream);
         self.edition += 1;
         true
     }
 
+    /// The entry of an upstream.
+    pub fn upstream(&self, id: &str) -> Option<&Upstream> {
+        self.upstreams.get(id).map(|(_, upstream)| upstream)
+    }
+
+    /// Believes the store from now on that entries are there which had been removed;
+    /// returns whether it holds some.
+    pub fn settle(&mut self) -> bool {
+        let era = revision::era(self.covered());
+        let old = |r: &Revision| revision::era(*r) < era;
+        let forgotten: Vec<UpstreamId> = {
+            let gone = self.gone_at.iter().filter(|(_, at)| old(at));
+            gone.map(|(id, _)| id.clone()).collect()
+        };
+        forgotten.iter().for_each(|id| self.forget_removal(id));
+        std::mem::take(&mut self.doubted)
+    }
+
     /// Takes the removal of an entry; returns whether it is newer than what is
     /// known of it.
     pub fn remove(&mut self, revision: Revision, id: &UpstreamId) -> bool {
@@ -154,10 +187,9 @@
     pub fn replace(&mut self, at: Revision, list: Vec<(Revision, Upstream)>) {
         self.drop_lacking(at, list.iter().map(|(_, upstream)| &upstream.id));
         for (revision, upstream) in list {
-            if self.is_newer(&upstream.id, revision) {
-                self.forget_removal(&upstream.id);
-                let id = upstream.id.clone();
-                self.upstreams.insert(id, (revision, upstream));
+            if !self.doubts(&upstream.id, revision) && self.is_newer(&upstream.id, revision) {
+                let upstream = self.renewed(revision, upstream);
+                self.insert(revision, upstream);
             }
         }
         self.edition += 1;
@@ -218,11 +250,18 @@
             let gone = gone.map(What::Gone);
             news.extend(gone.map(|what| Change { revision, what }));
         }
-        for change in update.changes {
-            let is_news = match &change.what {
-                What::Config(bytes) => self.set_config(change.revision, bytes.clone()),
-                What::Put(upstream) => self.put(change.revision, upstream.clone()),
-                What::Gone(id) => self.remove(change.revision, id),
+        for mut change in update.changes {
+            let revision = change.revision;
+            let is_news = match &mut change.what {
+                What::Config(bytes) => self.set_config(revision, bytes.clone()),
+                What::Put(upstream) if update.whole && self.doubts(&upstream.id, revision) => false,
+                What::Put(upstream) => {
+                    if update.whole {
+                        *upstream = self.renewed(revision, upstream.clone());
+                    }
+                    self.put(revision, upstream.clone())
+                }
+                What::Gone(id) => self.remove(revision, id),
             };
             if is_news {
                 news.push(change);
@@ -253,6 +292,31 @@
         lacking
     }
 
+    /// Whether an entry that a list holds had been removed before the store came back. A
+    /// list may be of the copy's state.
+    fn doubts(&mut self, id: &UpstreamId, revision: Revision) -> bool {
+        let gone = self.gone_at.get(id);
+        let doubts = gone.is_some_and(|at| revision::era(*at) < revision::era(revision));
+        self.doubted |= doubts;
+        doubts
+    }
+
+    fn insert(&mut self, revision: Revision, upstream: Upstream) {
+        self.forget_removal(&upstream.id);
+        let id = upstream.id.clone();
+        self.upstreams.insert(id, (revision, upstream));
+    }
+
+    /// What an upstream announces, without what the store's copy takes back.
+    fn renewed(&self, revision: Revision, upstream: Upstream) -> Upstream {
+        match self.upstreams.get(&upstream.id) {
+            Some((at, known)) if revision::era(*at) < revision::era(revision) => {
+                upstream.after(known)
+            }
+            _ => upstream,
+        }
+    }
+
     fn is_newer(&self, id: &UpstreamId, revision: Revision) -> bool {
         let present = self.upstreams.get(id).map(|(r, _)| *r);
         let gone = self.gone_at.get(id).copied();
--- a/crates/ashgauge/src/upstream.rs
+++ b/crates/ashgauge/src/upstream.rs
@@ -41,6 +41,21 @@
     pub end: Layer,
 }
 
+impl Upstream {
+    /// What holds of an upstream that announced `before`, and now this by an entry that may
+    /// be older. Within one start none stops to leave, or gives up all of its layers.
+    pub fn after(self, before: &Upstream) -> Self {
+        if self.born != before.born {
+            return self;
+        }
+        Upstream {
+            leaving: self.leaving || before.leaving,
+            layers: self.layers.or(before.layers),
+            ..self
+        }
+    }
+}
+
 impl Span {
     /// Number of layers.
     pub fn len(&self) -> Layer {
--- a/crates/ashgauged/src/relay/follow/ask.rs
+++ b/crates/ashgauged/src/relay/follow/ask.rs
@@ -9,6 +9,7 @@
 use ashgauge::mirror::What;
 use ashgauge::question::{Answer, Body, Question, Ticket, proved};
 use ashgauge::reader::{self, Fleet, Member, Readers, Silences};
+use ashgauge::revision;
 use platform::config::Config;
 use rand::Rng;
 use serde_json::json;
@@ -18,7 +19,7 @@
 
 use super::super::peers::{Heard, Peers};
 use super::super::{census, log, quarantine};
-use super::Follower;
+use super::{Follower, skipped};
 
 /// Time between two looks before the other boxes are known.
 const SEARCH_EVERY: Duration = Duration::from_millis(20);
@@ -27,6 +28,10 @@
 /// started as well.
 const UNINFORMED_EVERY: Duration = Duration::from_millis(300);
 
+/// Time since its start in which a box that reads the store asks the others as well, who
+/// answer once they have found it in the list.
+const MEET_TIME: Duration = Duration::from_secs(5);
+
 /// Share of the operators' bounds on what a box knows, past which one that no other
 /// could inform asks the store itself. What is left is for the round of questions
 /// that shows it and for the reading.
@@ -80,7 +85,7 @@
         let pace = self.pace();
         let age = self.desk.fresh.borrow().age(now);
         let is_fresh = age.is_some_and(|age| age <= pace.stale);
-        if readers.is_own && is_fresh {
+        if readers.is_own && is_fresh && self.has_met() {
             return now + pace.every;
         }
         let step = {
@@ -107,6 +112,24 @@
         }
     }
 
+    /// Has the whole copy handed on once more, as one that was handed on while the store's
+    /// word was in doubt may lack entries.
+    fn note_doubts(&self, whole: bool, sure: bool) {
+        if whole {
+            self.lacks.set(false);
+            self.doubtful.set(!sure);
+        } else if sure && self.doubtful.take() {
+            self.lacks.set(true);
+        }
+    }
+
+    /// Whether the other boxes know nothing that the store has lost, as far as this one
+    /// could ask them.
+    fn has_met(&self) -> bool {
+        let has_returned = *self.desk.store.eras().borrow() > 0;
+        self.met.get() || !has_returned || self.desk.uptime() >= MEET_TIME
+    }
+
     /// Who reads for the others, as far as this box knows.
     fn readers(&self, now: Duration) -> Rc<Readers> {
         let desk = &self.desk;
@@ -198,7 +221,10 @@
         Question {
             from: self.desk.settings().id.as_str().into(),
             id,
-            after: if informed { covered } else { 0 },
+            after: match informed && self.has_met() && !self.lacks.get() {
+                true => covered,
+                false => 0,
+            },
             ticket,
         }
     }
@@ -332,11 +358,23 @@
             }
         };
         let (sure, whole) = (update.sure, update.whole);
+        let era = revision::era(update.upto);
+        if era < revision::era(desk.mirror.borrow().covered()) {
+            // It knows the store as it was before it came back.
+            return;
+        }
+        desk.store.note_era(era);
+        self.met.set(true);
         let before = desk.is_informed();
         let news = desk.mirror.borrow_mut().take(update);
         let is_news = !news.is_empty();
-        if let Some(config) = config {
-            self.put_in_force(config);
+        if let Some(config) = config
+            && let Err(fault) = self.put_in_force(config)
+        {
+            skipped("config", &fault);
+        }
+        if era > 0 {
+            self.note_doubts(whole, sure);
         }
         self.apply(news, sure);
         desk.sure.set(sure);
--- a/crates/ashgauged/src/relay/follow/mod.rs
+++ b/crates/ashgauged/src/relay/follow/mod.rs
@@ -15,11 +15,13 @@
 use ashgauge::asker::Asker;
 use ashgauge::member::UpstreamId;
 use ashgauge::mirror::{Change, Revision, What};
+use ashgauge::revision::{self, Era};
 use ashgauge::upstream::Upstream;
 use platform::{Fault, config, servers};
 use serde_json::json;
 use spdlog::Level;
 use tokio::sync::{Notify, mpsc};
+use tokio::time::sleep;
 
 use super::desk::Desk;
 use super::peers::{Heard, Peers};
@@ -29,6 +31,14 @@
 /// upstreams live; the users' figure.
 const RETURN_TIME: Duration = Duration::from_secs(2);
 
+/// How long after the store's return from a copy entries are not believed that had been
+/// removed before: what upstreams wrote is written again within [`RETURN_TIME`], and the
+/// platform drops those of silent ones after three heartbeats of some 1.2 s.
+const SETTLE_TIME: Duration = Duration::from_secs(5);
+
+/// How old the store's cheap reads may be.
+const STALE_TIME: Duration = Duration::from_secs(15);
+
 /// Upstreams that come together with a line each.
 const LINES_MOST: usize = 64;
 
@@ -44,6 +54,8 @@
     config_at: Cell<Option<Revision>>,
     /// The same for the list of upstreams.
     servers_at: Cell<Option<Revision>>,
+    /// The configuration in force, as other boxes are handed it.
+    in_force: RefCell<Option<Vec<u8>>>,
     /// Whether the first proof was left to the watches' first reading.
     begun: Cell<bool>,
     /// Whether other boxes learn from this one.
@@ -54,6 +66,16 @@
     look_at: Cell<Duration>,
     /// When a call to the store last failed, while it is away.
     failed: Cell<Option<Duration>>,
+    /// When a later era of the store was first heard of.
+    era_at: Cell<Duration>,
+    /// Whether another box has informed this one; the store may hold less than others know.
+    met: Cell<bool>,
+    /// Whether the copy that this box was handed may lack entries.
+    doubtful: Cell<bool>,
+    /// Whether the whole copy is to be handed to it once more.
+    lacks: Cell<bool>,
+    /// Whether entries are passed over that had been removed before the store came back.
+    settling: Cell<bool>,
     /// When the store last came back.
     returned: Cell<Option<Duration>>,
     /// Ends the watches, which may hang on dead connections, and begins them
@@ -75,11 +97,17 @@
             asker: RefCell::default(),
             config_at: Cell::new(None),
             servers_at: Cell::new(None),
+            in_force: RefCell::default(),
             begun: Cell::new(false),
             is_shared: Cell::new(false),
             chosen: Cell::new(Duration::ZERO),
             look_at: Cell::new(Duration::ZERO),
             failed: Cell::new(None),
+            era_at: Cell::new(Duration::ZERO),
+            met: Cell::new(false),
+            doubtful: Cell::new(false),
+            lacks: Cell::new(false),
+            settling: Cell::new(false),
             returned: Cell::new(None),
             restart: Notify::new(),
             check: Notify::new(),
@@ -111,7 +139,8 @@
         }
     }
 
-    /// Notes that the store came back from a copy.
+    /// Acts on returns of the store from a copy: what it lost may be missing for a moment,
+    /// and its old watches bring nothing.
     async fn follow_returns(self: Rc<Self>) {
         let mut eras = self.desk.store.eras();
         let mut before = *eras.borrow_and_update();
@@ -122,9 +151,44 @@
             let fields = json!({"era": era, "before": before});
             log::line(Level::Warn, "store", "era", fields);
             before = era;
+            self.era_at.set(self.desk.now());
+            if !self.desk.is_informed() {
+                continue;
+            }
+            self.returned.set(Some(self.desk.now()));
+            self.settling.set(true);
+            self.note_sure();
+            self.restart.notify_waiters();
+            self.check.notify_one();
+            tokio::task::spawn_local(self.clone().settle(era));
         }
     }
 
+    /// Believes what the store holds once everybody has had the time to write again.
+    async fn settle(self: Rc<Self>, era: Era) {
+        sleep(SETTLE_TIME).await;
+        let is_latest = *self.desk.store.eras().borrow() == era;
+        if is_latest {
+            self.settling.set(false);
+        }
+        let passed_over = is_latest && self.desk.mirror.borrow_mut().settle();
+        if passed_over
+            && *self.desk.reads.borrow()
+            && let Err(fault) = self.read_servers().await
+        {
+            self.lost("settle", &fault);
+        }
+        self.note_sure();
+        self.spread_news().await;
+    }
+
+    /// Whether the store came back so short a while ago that cheap reads may be of the
+    /// time before.
+    fn is_young(&self) -> bool {
+        let at = self.era_at.get();
+        !at.is_zero() && self.desk.now() < at + STALE_TIME
+    }
+
     /// Waits until this box reads the store itself.
     async fn until_reader(&self) {
         let mut reads = self.desk.reads.subscribe();
@@ -153,15 +217,23 @@
     fn adopt(&self, config: config::Config, revision: Revision) -> Result<(), Fault> {
         let bytes = config.to_bytes()?;
         self.desk.mirror.borrow_mut().set_config(revision, bytes);
-        self.put_in_force(config);
-        Ok(())
+        self.put_in_force(config)
     }
 
-    fn put_in_force(&self, config: config::Config) {
+    /// Puts a configuration in force; one that is older than that in force goes to no other
+    /// box either.
+    fn put_in_force(&self, config: config::Config) -> Result<(), Fault> {
         let desk = &self.desk;
         let old = desk.routing.borrow().version;
-        if config.version() <= old {
-            return;
+        let is_newer = config.version() > old;
+        if is_newer {
+            *self.in_force.borrow_mut() = Some(config.to_bytes()?);
+        }
+        if let Some(bytes) = &*self.in_force.borrow() {
+            desk.mirror.borrow_mut().keep_config(bytes.clone());
+        }
+        if !is_newer {
+            return Ok(());
         }
         let routing = config::decode(config);
         let version = routing.version;
@@ -169,6 +241,7 @@
         *desk.routing.borrow_mut() = Arc::new(routing);
         let fields = json!({"version": version, "before": old});
         log::line(Level::Info, "config", "in force", fields);
+        Ok(())
     }
 
     /// Reads all entries; returns whether they held something that no watch had
@@ -188,7 +261,7 @@
         let gives_up = list.iter().any(|u| self.gives_up(u));
         let (now, sure) = (self.desk.now(), !self.is_unsure());
         self.desk.roster.borrow_mut().replace(now, list, sure);
-        let fields = json!({"upstreams": count, "at": at, "sure": sure});
+        let fields = json!({"upstreams": count, "at": revision::count(at), "sure": sure});
         log::line(Level::Info, "roster", "listed", fields);
         if gives_up {
             self.desk.wake_streams();
@@ -245,7 +318,8 @@
     }
 
     fn remove(&self, id: &UpstreamId, revision: Revision, sure: bool) {
-        let fields = json!({"upstream": &**id, "revision": revision, "sure": sure});
+        let fields =
+            json!({"upstream": &**id, "revision": revision::count(revision), "sure": sure});
         log::line(Level::Info, "roster", "gone", fields);
         let now = self.desk.now();
         let mut roster = self.desk.roster.borrow_mut();
@@ -272,11 +346,13 @@
         }
     }
 
-    /// Whether entries may be missing only because the store was away.
+    /// Whether entries may be missing only because the store was away, or passed over as
+    /// they had been removed before it came back.
     fn is_unsure(&self) -> bool {
         let now = self.desk.now();
-        let returned = self.returned.get();
-        self.failed.get().is_some() || returned.is_some_and(|t| now < t + RETURN_TIME)
+        let is_away = self.failed.get().is_some();
+        let has_returned = self.returned.get().is_some_and(|t| now < t + RETURN_TIME);
+        is_away || has_returned || self.settling.get()
     }
 
     /// Keeps what other boxes are told of it up to date.
@@ -339,7 +415,7 @@
         "addr": upstream.addr,
         "leaving": upstream.leaving,
         "layers": upstream.layers,
-        "revision": revision,
+        "revision": revision::count(revision),
     });
     log::line(Level::Info, "roster", "announced", fields);
 }
--- a/crates/ashgauged/src/relay/follow/prove.rs
+++ b/crates/ashgauged/src/relay/follow/prove.rs
@@ -136,6 +136,9 @@
     }
 
     async fn covers_own(&self, at: Revision) -> bool {
+        if self.is_young() {
+            return false;
+        }
         self.add_known(place::written_rounds(&self.desk).await);
         if self.desk.mirror.borrow().covers(at) {
             return true;
--- a/crates/ashgauged/src/relay/peers.rs
+++ b/crates/ashgauged/src/relay/peers.rs
@@ -16,6 +16,7 @@
 use ashgauge::mirror::Revision;
 use ashgauge::question::{Answer, Body, Datagram, Question, Ticket};
 use ashgauge::reader::BOXES_MOST;
+use ashgauge::revision;
 use ashgauge::share::Word;
 use bytes::Bytes;
 use eyre::{Result, WrapErr, eyre};
@@ -312,7 +313,11 @@
             return;
         }
         self.later.set(now);
-        let fields = json!({"from": &*question.from, "after": question.after, "known": covered});
+        let fields = json!({
+            "from": &*question.from,
+            "after": [revision::era(question.after), revision::count(question.after)],
+            "known": [revision::era(covered), revision::count(covered)],
+        });
         log::line(Level::Info, "fleet", "asked by a later revision", fields);
     }
 
--- a/crates/ashgauged/src/relay/status.rs
+++ b/crates/ashgauged/src/relay/status.rs
@@ -7,6 +7,7 @@
 use ashgauge::hub::Role;
 use ashgauge::member::BoxId;
 use ashgauge::permit::givers;
+use ashgauge::revision;
 use ashgauge::share;
 use serde::Serialize;
 
@@ -25,7 +26,9 @@
     store_away: bool,
     /// Whether this box reads the store itself.
     reads: bool,
-    /// Revision of the store up to which everything is known.
+    /// How often the store has come back from a copy.
+    era: u64,
+    /// What it counts the last of the changes as up to which everything is known.
     revision: u64,
     boxes: u32,
     /// Whom it tells its loads: every box, as a hub the other hubs and its boxes, or
@@ -203,7 +206,8 @@
         config_age_ms: desk.fresh.borrow().age(now).map(|a| a.as_millis() as u64),
         store_away: desk.store_away.get(),
         reads: *desk.reads.borrow(),
-        revision: desk.mirror.borrow().covered(),
+        era: revision::era(desk.mirror.borrow().covered()),
+        revision: revision::count(desk.mirror.borrow().covered()),
         boxes: desk.boxes(),
         role: role(desk),
         readers: texts(&desk.readers.borrow().all),
