Announce a box again when the store came back from a copy

What callers would see: a box that announced itself within the seconds that the store lost is not listed, so no other box answers it and it reads the store alone, and budgets are shared among too few. Cause: a box announces itself once, at its start. Now it does so at each return, spread over 3 s; one that is listed costs two calls.

--- a/crates/ashgauged/src/relay/census.rs
+++ b/crates/ashgauged/src/relay/census.rs
@@ -28,6 +28,10 @@
 /// while the store is away do not call it together.
 const RETRY_PAUSE: Duration = Duration::from_millis(800);
 
+/// Time over which boxes announce themselves again, at random, so that those of a large
+/// fleet stay within the store's rate.
+const RENEW_SPREAD: Duration = Duration::from_millis(3000);
+
 /// Times from the first look to further ones, so that boxes that start together see
 /// each other; the cheap read is some seconds old. The first look, at once, serves
 /// a box that joins a fleet or was restarted.
@@ -111,6 +115,22 @@
     }
 }
 
+/// Announces this box again each time the store came back from a copy, which may be from
+/// before it was announced.
+pub async fn renew(desk: Rc<Desk>) {
+    let mut eras = desk.store.eras();
+    // The store's client lives as long as the desk.
+    while eras.changed().await.is_ok() {
+        let spread = desk.rng().random_range(Duration::ZERO..RENEW_SPREAD);
+        sleep(spread).await;
+        let own = Member::of(&desk);
+        while let Err(fault) = announce(&desk, &own).await {
+            note("announce", &fault);
+            pause(&desk).await;
+        }
+    }
+}
+
 /// Whether this box is to know all others: it reads for them, or they are few.
 fn knows_all(desk: &Desk) -> bool {
     *desk.reads.borrow() || !desk.is_partial.get()
