Keep held requests again when the store came back from a copy

What callers would see: a request that ends engines is held back by boxes that remember it, but after the loss of all boxes it ends three more, as the store has lost it. Cause: it is put into the store once. Now boxes that read put what they hold there again at each return. The test waited in vain for it in the store before.

--- a/crates/ashgauged/src/relay/follow/mod.rs
+++ b/crates/ashgauged/src/relay/follow/mod.rs
@@ -118,6 +118,7 @@
         tokio::task::spawn_local(follower.clone().follow_servers());
         tokio::task::spawn_local(census::count(follower.desk.clone()));
         tokio::task::spawn_local(census::renew(follower.desk.clone()));
+        tokio::task::spawn_local(quarantine::renew(follower.desk.clone()));
         tokio::task::spawn_local(follower.clone().follow_clock());
         tokio::task::spawn_local(follower.clone().follow_returns());
         match heard.filter(|_| follower.desk.settings().shares_reading()) {
--- a/crates/ashgauged/src/relay/quarantine.rs
+++ b/crates/ashgauged/src/relay/quarantine.rs
@@ -153,6 +153,22 @@
     }
 }
 
+/// Keeps what is held back again each time the store came back from a copy, which may not
+/// hold it. One of the boxes that read the store is enough; the others find it there.
+pub async fn renew(desk: Rc<Desk>) {
+    let mut eras = desk.store.eras();
+    // The store's client lives as long as the desk.
+    while eras.changed().await.is_ok() {
+        if !*desk.reads.borrow() {
+            continue;
+        }
+        let held = desk.quarantine.borrow().held(desk.now());
+        for (digest, _) in held {
+            keep(desk.clone(), digest).await;
+        }
+    }
+}
+
 /// Puts a held request into the store, for boxes that start later; tries until that
 /// is done or it is held back no longer.
 async fn keep(desk: Rc<Desk>, digest: Digest) {
