Tell rounds of orders of different eras apart

What could happen, by reading: after a return from a copy numbers of rounds are given out again. A box that knew of round 5 took no notice of the next rounds up to 5, and placed the same engines itself; and one whose own older round stood there with a number that it did not know gave those orders again, to engines that had been placed elsewhere since. Now a round goes by its era and number, and a box orders an own round again only within the era that it knows. Tested by the doc example of the type; no process test of its own.

--- a/crates/ashgauge/src/pending.rs
+++ b/crates/ashgauge/src/pending.rs
@@ -7,6 +7,8 @@
 
 use crate::member::UpstreamId;
 use crate::placement::Assignment;
+use crate::revision::Era;
+use crate::routing::ServiceId;
 use crate::upstream::Span;
 
 /// A range that does not show yet, as one box tells it to others.
@@ -91,3 +93,47 @@
         self.0.get(id).map(|(span, _)| *span)
     }
 }
+
+/// Rounds of orders that a box has heard of, by service.
+///
+/// A store that came back from a copy gives numbers of rounds out again. Those that it
+/// holds then were ordered long before, and those that it lost are known to the engines.
+///
+/// # Example
+///
+/// ```
+/// use ashgauge::pending::Rounds;
+///
+/// let mut rounds = Rounds::default();
+/// assert!(rounds.lacks(&"model".into(), 0, 5));
+/// rounds.note("model".into(), 0, 5);
+/// assert!(!rounds.lacks(&"model".into(), 0, 5));
+/// // Round 3 of the next era is news, but no order that was not given.
+/// assert!(rounds.lacks(&"model".into(), 1, 3));
+/// assert!(!rounds.lacks_orders(&"model".into(), 1, 3));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Rounds(HashMap<ServiceId, (Era, u64)>);
+
+impl Rounds {
+    /// Whether a stored round is later than the last one heard of.
+    pub fn lacks(&self, service: &ServiceId, era: Era, round: u64) -> bool {
+        self.last(service) < (era, round)
+    }
+
+    /// Whether a box's own stored round may not have been ordered: its writing was not
+    /// answered, or the process ended before the orders.
+    pub fn lacks_orders(&self, service: &ServiceId, era: Era, round: u64) -> bool {
+        let is_same = self.0.get(service).is_none_or(|(known, _)| *known == era);
+        is_same && self.lacks(service, era, round)
+    }
+
+    /// Notes a round.
+    pub fn note(&mut self, service: ServiceId, era: Era, round: u64) {
+        self.0.insert(service, (era, round));
+    }
+
+    fn last(&self, service: &ServiceId) -> (Era, u64) {
+        self.0.get(service).copied().unwrap_or_default()
+    }
+}
--- a/crates/ashgauged/src/relay/place.rs
+++ b/crates/ashgauged/src/relay/place.rs
@@ -5,13 +5,13 @@
 //! write is the lease: it names who gives these orders, and it lapses by
 //! itself when the engines do not show the layers in time.
 
-use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use ashgauge::entry::Entry;
-use ashgauge::pending::{Pending, Unshown};
+use ashgauge::pending::{Pending, Rounds, Unshown};
 use ashgauge::placement::{self, Assignment, Seat};
+use ashgauge::revision::{self, Era};
 use ashgauge::routing::{Model, Service};
 use ashgauge::upstream::Span;
 use platform::Fault;
@@ -119,7 +119,7 @@
     /// Ranges ordered by some box that do not show yet.
     pending: Pending,
     /// Round of each service that was taken into `pending`.
-    rounds: HashMap<String, u64>,
+    rounds: Rounds,
     edition: u64,
     /// When engines last came, went or changed.
     changed: Duration,
@@ -136,7 +136,7 @@
             desk,
             orders: Rc::new(Semaphore::new(ORDERS_MOST)),
             pending: Pending::default(),
-            rounds: HashMap::new(),
+            rounds: Rounds::default(),
             edition: 0,
             changed: Duration::ZERO,
             rest_until: Duration::ZERO,
@@ -204,11 +204,12 @@
             Err(Fault::Missing) => (Stored::default(), None),
             Err(fault) => return Err(fault),
         };
-        if self.is_unheard(service, &stored) {
-            self.give(service, model, stored);
+        let era = revision.map_or_else(|| *self.desk.store.eras().borrow(), revision::era);
+        if self.is_unheard(service, era, &stored) {
+            self.give(service, model, era, stored);
             return Ok(());
         }
-        self.take_in(service, model, &stored);
+        self.take_in(service, model, era, &stored);
         let ranges = self.wanted(service, model);
         if ranges.is_empty() {
             return Ok(());
@@ -228,7 +229,7 @@
         };
         self.desk.count_call("write", &written);
         match written {
-            Ok(()) => self.give(service, model, next),
+            Ok(()) => self.give(service, model, era, next),
             // Another box was first; its ranges are taken in at the next look.
             Err(Fault::Conflict) => {}
             Err(fault) => return Err(fault),
@@ -239,18 +240,17 @@
     /// Whether this box wrote the round without hearing of it: the answer was
     /// lost, or the process ended before the orders. Giving them again is safe,
     /// as each names the count of orders before it.
-    fn is_unheard(&self, service: &Service, stored: &Stored) -> bool {
-        let known = self.rounds.get(&*service.name).copied().unwrap_or(0);
-        stored.round > known && stored.by == self.desk.settings().id
+    fn is_unheard(&self, service: &Service, era: Era, stored: &Stored) -> bool {
+        let is_own = stored.by == self.desk.settings().id;
+        is_own && self.rounds.lacks_orders(&service.name, era, stored.round)
     }
 
     /// Takes a stored round into account, once.
-    fn take_in(&mut self, service: &Service, model: &Model, stored: &Stored) {
-        let known = self.rounds.get(&*service.name).copied().unwrap_or(0);
-        if stored.round <= known {
+    fn take_in(&mut self, service: &Service, model: &Model, era: Era, stored: &Stored) {
+        if !self.rounds.lacks(&service.name, era, stored.round) {
             return;
         }
-        self.rounds.insert(service.name.to_string(), stored.round);
+        self.rounds.note(service.name.clone(), era, stored.round);
         self.note(model, &stored.ranges);
         self.pending.hear(self.desk.now(), &stored.earlier);
     }
@@ -314,7 +314,7 @@
     }
 
     /// Gives the orders of a round that this box has written.
-    fn give(&mut self, service: &Service, model: &Model, stored: Stored) {
+    fn give(&mut self, service: &Service, model: &Model, era: Era, stored: Stored) {
         let fields = json!({
             "service": &*service.name,
             "round": stored.round,
@@ -322,7 +322,7 @@
             "cut": stored.cut,
         });
         log::line(Level::Info, "placement", "ordering", fields);
-        self.rounds.insert(service.name.to_string(), stored.round);
+        self.rounds.note(service.name.clone(), era, stored.round);
         self.note(model, &stored.ranges);
         let time = load_time(model, &stored.ranges) + SHOW_TIME;
         let giving = if stored.cut {
