Give what the desk holds a room that does not know the desk

How it reads: 23 modules of the relay stood in one circle by their imports, as the desk held budgets, the clock and probes whose modules used the desk again. Their state, and that of permits, is now in state/, which imports none of those; the tasks that use it stay above. The choice of a chain is apart from the beginning of a stream (pick, open), returns of the store from the rest of following it. No behaviour changed.

--- a/crates/ashgauged/src/relay/desk.rs
+++ b/crates/ashgauged/src/relay/desk.rs
@@ -32,13 +32,10 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::timeout;
 
-use super::clock::{Clock, boot_time};
 use super::log;
 use super::metrics::Metrics;
-use super::permit::Permits;
-use super::probe::Probes;
-use super::retry::Budgets;
 use super::settings::Settings;
+use super::state::{Budgets, Clock, Permits, Probes, boot_time};
 
 /// Boxes assumed by choices of upstreams before their number is known.
 const BOXES_ASSUMED: u32 = 16;
--- a/crates/ashgauged/src/relay/fetch.rs
+++ b/crates/ashgauged/src/relay/fetch.rs
@@ -7,7 +7,8 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
 
-use super::peers::{self, TICKET_TIME};
+use super::pack;
+use super::peers::TICKET_TIME;
 
 /// Longest question, in bytes.
 const QUESTION_MOST: usize = 1024;
@@ -61,6 +62,6 @@
     let sent = fetches.send(Fetch { question, reply }).await;
     sent.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
     let answer = answer.await.ok().flatten().ok_or(StatusCode::FORBIDDEN)?;
-    let bytes = peers::encode(&answer).ok_or(StatusCode::INTERNAL_SERVER_ERROR)?;
+    let bytes = pack::encode(&answer).ok_or(StatusCode::INTERNAL_SERVER_ERROR)?;
     Ok(Response::new(http::full(bytes)))
 }
--- a/crates/ashgauged/src/relay/follow/ask.rs
+++ b/crates/ashgauged/src/relay/follow/ask.rs
@@ -28,10 +28,6 @@
 /// started as well.
 const UNINFORMED_EVERY: Duration = Duration::from_millis(300);
 
-/// Time since its start in which a box that reads the store asks the others as well, who
-/// answer once they have found it in the list.
-const MEET_TIME: Duration = Duration::from_secs(5);
-
 /// Share of the operators' bounds on what a box knows, past which one that no other
 /// could inform asks the store itself. What is left is for the round of questions
 /// that shows it and for the reading.
@@ -112,24 +108,6 @@
         }
     }
 
-    /// Has the whole copy handed on once more, as one that was handed on while the store's
-    /// word was in doubt may lack entries.
-    fn note_doubts(&self, whole: bool, sure: bool) {
-        if whole {
-            self.lacks.set(false);
-            self.doubtful.set(!sure);
-        } else if sure && self.doubtful.take() {
-            self.lacks.set(true);
-        }
-    }
-
-    /// Whether the other boxes know nothing that the store has lost, as far as this one
-    /// could ask them.
-    fn has_met(&self) -> bool {
-        let has_returned = *self.desk.store.eras().borrow() > 0;
-        self.met.get() || !has_returned || self.desk.uptime() >= MEET_TIME
-    }
-
     /// Who reads for the others, as far as this box knows.
     fn readers(&self, now: Duration) -> Rc<Readers> {
         let desk = &self.desk;
@@ -221,7 +199,7 @@
         Question {
             from: self.desk.settings().id.as_str().into(),
             id,
-            after: match informed && self.has_met() && !self.lacks.get() {
+            after: match informed && self.has_met() && !self.doubts.lacks.get() {
                 true => covered,
                 false => 0,
             },
@@ -364,7 +342,7 @@
             return;
         }
         desk.store.note_era(era);
-        self.met.set(true);
+        self.doubts.met.set(true);
         let before = desk.is_informed();
         let news = desk.mirror.borrow_mut().take(update);
         let is_news = !news.is_empty();
--- a/crates/ashgauged/src/relay/follow/mod.rs
+++ b/crates/ashgauged/src/relay/follow/mod.rs
@@ -1,10 +1,12 @@
 //! Follows the store: what is in force, who is there, and how sure that is.
 //!
 //! A few boxes read the store ([`watch`], [`prove`]); the others ask them
-//! ([`ask`]). Either way what is learned comes in here.
+//! ([`ask`]). Either way what is learned comes in here. The store may come back from a
+//! copy of an earlier state ([`returns`]).
 
 mod ask;
 mod prove;
+mod returns;
 mod watch;
 
 use std::cell::{Cell, RefCell};
@@ -15,13 +17,12 @@
 use ashgauge::asker::Asker;
 use ashgauge::member::UpstreamId;
 use ashgauge::mirror::{Change, Revision, What};
-use ashgauge::revision::{self, Era};
+use ashgauge::revision;
 use ashgauge::upstream::Upstream;
 use platform::{Fault, config, servers};
 use serde_json::json;
 use spdlog::Level;
 use tokio::sync::{Notify, mpsc};
-use tokio::time::sleep;
 
 use super::desk::Desk;
 use super::peers::{Heard, Peers};
@@ -31,14 +32,6 @@
 /// upstreams live; the users' figure.
 const RETURN_TIME: Duration = Duration::from_secs(2);
 
-/// How long after the store's return from a copy entries are not believed that had been
-/// removed before: what upstreams wrote is written again within [`RETURN_TIME`], and the
-/// platform drops those of silent ones after three heartbeats of some 1.2 s.
-const SETTLE_TIME: Duration = Duration::from_secs(5);
-
-/// How old the store's cheap reads may be.
-const STALE_TIME: Duration = Duration::from_secs(15);
-
 /// Upstreams that come together with a line each.
 const LINES_MOST: usize = 64;
 
@@ -66,16 +59,8 @@
     look_at: Cell<Duration>,
     /// When a call to the store last failed, while it is away.
     failed: Cell<Option<Duration>>,
-    /// When a later era of the store was first heard of.
-    era_at: Cell<Duration>,
-    /// Whether another box has informed this one; the store may hold less than others know.
-    met: Cell<bool>,
-    /// Whether the copy that this box was handed may lack entries.
-    doubtful: Cell<bool>,
-    /// Whether the whole copy is to be handed to it once more.
-    lacks: Cell<bool>,
-    /// Whether entries are passed over that had been removed before the store came back.
-    settling: Cell<bool>,
+    /// What is not sure since the store came back from a copy.
+    doubts: returns::Doubts,
     /// When the store last came back.
     returned: Cell<Option<Duration>>,
     /// Ends the watches, which may hang on dead connections, and begins them
@@ -103,11 +88,7 @@
             chosen: Cell::new(Duration::ZERO),
             look_at: Cell::new(Duration::ZERO),
             failed: Cell::new(None),
-            era_at: Cell::new(Duration::ZERO),
-            met: Cell::new(false),
-            doubtful: Cell::new(false),
-            lacks: Cell::new(false),
-            settling: Cell::new(false),
+            doubts: returns::Doubts::default(),
             returned: Cell::new(None),
             restart: Notify::new(),
             check: Notify::new(),
@@ -141,56 +122,6 @@
         }
     }
 
-    /// Acts on returns of the store from a copy: what it lost may be missing for a moment,
-    /// and its old watches bring nothing.
-    async fn follow_returns(self: Rc<Self>) {
-        let mut eras = self.desk.store.eras();
-        let mut before = *eras.borrow_and_update();
-        // The store's client lives as long as the desk.
-        while eras.changed().await.is_ok() {
-            let era = *eras.borrow_and_update();
-            self.desk.metrics.era.set(era as i64);
-            let fields = json!({"era": era, "before": before});
-            log::line(Level::Warn, "store", "era", fields);
-            before = era;
-            self.era_at.set(self.desk.now());
-            if !self.desk.is_informed() {
-                continue;
-            }
-            self.returned.set(Some(self.desk.now()));
-            self.settling.set(true);
-            self.note_sure();
-            self.restart.notify_waiters();
-            self.check.notify_one();
-            tokio::task::spawn_local(self.clone().settle(era));
-        }
-    }
-
-    /// Believes what the store holds once everybody has had the time to write again.
-    async fn settle(self: Rc<Self>, era: Era) {
-        sleep(SETTLE_TIME).await;
-        let is_latest = *self.desk.store.eras().borrow() == era;
-        if is_latest {
-            self.settling.set(false);
-        }
-        let passed_over = is_latest && self.desk.mirror.borrow_mut().settle();
-        if passed_over
-            && *self.desk.reads.borrow()
-            && let Err(fault) = self.read_servers().await
-        {
-            self.lost("settle", &fault);
-        }
-        self.note_sure();
-        self.spread_news().await;
-    }
-
-    /// Whether the store came back so short a while ago that cheap reads may be of the
-    /// time before.
-    fn is_young(&self) -> bool {
-        let at = self.era_at.get();
-        !at.is_zero() && self.desk.now() < at + STALE_TIME
-    }
-
     /// Waits until this box reads the store itself.
     async fn until_reader(&self) {
         let mut reads = self.desk.reads.subscribe();
@@ -354,7 +285,7 @@
         let now = self.desk.now();
         let is_away = self.failed.get().is_some();
         let has_returned = self.returned.get().is_some_and(|t| now < t + RETURN_TIME);
-        is_away || has_returned || self.settling.get()
+        is_away || has_returned || self.doubts.settling.get()
     }
 
     /// Keeps what other boxes are told of it up to date.
--- a/crates/ashgauged/src/relay/pack.rs
+++ b/crates/ashgauged/src/relay/pack.rs
@@ -1,4 +1,4 @@
-//! What a box knows, in few bytes for the way to other boxes.
+//! What boxes send each other, as bytes.
 
 use std::io::{Read, Write};
 
@@ -7,6 +7,11 @@
 use flate2::Compression;
 use flate2::read::DeflateDecoder;
 use flate2::write::DeflateEncoder;
+use serde::Serialize;
+use serde_json::json;
+use spdlog::Level;
+
+use super::log;
 
 /// Most bytes that an update may take unpacked: many times what any fleet announces.
 const UNPACKED_MOST: u64 = 32 << 20;
@@ -40,3 +45,15 @@
     }
     Ok(postcard::from_bytes(&plain)?)
 }
+
+/// Writes a datagram; one that cannot be written is logged.
+pub fn encode(datagram: &impl Serialize) -> Option<Vec<u8>> {
+    match postcard::to_allocvec(datagram) {
+        Ok(bytes) => Some(bytes),
+        Err(e) => {
+            let fields = json!({"cause": e.to_string()});
+            log::line(Level::Warn, "fleet", "not told", fields);
+            None
+        }
+    }
+}
--- a/crates/ashgauged/src/relay/peers.rs
+++ b/crates/ashgauged/src/relay/peers.rs
@@ -23,7 +23,6 @@
 use http::Full;
 use hyper::{Method, Request, StatusCode};
 use rand::Rng;
-use serde::Serialize;
 use serde_json::json;
 use spdlog::Level;
 use tokio::net::{TcpListener, UdpSocket};
@@ -147,7 +146,7 @@
     /// Asks a box.
     pub async fn ask(&self, to: &BoxId, question: Question) {
         let addr = self.desk.peers.borrow().get(to).map(|p| p.addr);
-        let bytes = encode(&Datagram::Question(question));
+        let bytes = pack::encode(&Datagram::Question(question));
         if let (Some(addr), Some(bytes)) = (addr, bytes) {
             self.send(addr, &bytes).await;
         }
@@ -196,7 +195,7 @@
     pub async fn spread_news(&self) {
         let now = self.desk.now();
         let own: BoxId = self.desk.settings().id.as_str().into();
-        let Some(bytes) = encode(&Datagram::News(own)) else {
+        let Some(bytes) = pack::encode(&Datagram::News(own)) else {
             return;
         };
         let to: Vec<SocketAddr> = {
@@ -324,14 +323,14 @@
     /// The datagram that answers a question: what this box knows, or how to fetch it.
     fn encode_answer(&self, question: &Question) -> Option<Vec<u8>> {
         if self.last_packed(question.after).is_none() {
-            let bytes = encode(&Datagram::Answer(self.answer_to(question)))?;
+            let bytes = pack::encode(&Datagram::Answer(self.answer_to(question)))?;
             if bytes.len() <= ANSWER_MOST {
                 return Some(bytes);
             }
         }
         let packed = self.pack(question.after)?;
         let large = self.ticket_for(question, packed.len() as u64);
-        encode(&Datagram::Answer(large))
+        pack::encode(&Datagram::Answer(large))
     }
 
     /// What a box that knows everything up to `after` lacks, if it was packed and
@@ -471,18 +470,6 @@
     }
 }
 
-/// Writes a datagram; one that cannot be written is logged.
-pub fn encode(datagram: &impl Serialize) -> Option<Vec<u8>> {
-    match postcard::to_allocvec(datagram) {
-        Ok(bytes) => Some(bytes),
-        Err(e) => {
-            let fields = json!({"cause": e.to_string()});
-            log::line(Level::Warn, "fleet", "not told", fields);
-            None
-        }
-    }
-}
-
 /// Binds the same port for datagrams and connections. If the system is to choose
 /// it, one that is free for datagrams may be taken for connections.
 async fn bind(addr: &str) -> Result<(UdpSocket, TcpListener)> {
--- a/crates/ashgauged/src/relay/permit/mod.rs
+++ b/crates/ashgauged/src/relay/permit.rs
@@ -1,8 +1,6 @@
 //! Asks for permits to send to upstreams that name a limit, and gives them to other
 //! boxes.
 
-mod state;
-
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -18,9 +16,7 @@
 use tokio::time::timeout;
 
 use super::desk::Desk;
-use super::{log, peers};
-
-pub use state::Permits;
+use super::{log, pack};
 
 /// For a box's answer. It takes a millisecond or two, and longer on a box that has used up
 /// its share of a processor.
@@ -219,7 +215,7 @@
 
 /// Sends one datagram; one that does not get out is taken for lost on its way.
 fn send(desk: &Desk, to: SocketAddr, datagram: &Datagram) {
-    let Some(bytes) = peers::encode(datagram) else {
+    let Some(bytes) = pack::encode(datagram) else {
         return;
     };
     if let Some(socket) = desk.permits.socket.get() {
--- a/crates/ashgauged/src/relay/probe.rs
+++ b/crates/ashgauged/src/relay/probe.rs
@@ -5,8 +5,6 @@
 //! a silent chain is lost; the engines' own reports lag some hundred. An engine
 //! that had a part in another stream's last event needs no connection for that.
 
-use std::cell::RefCell;
-use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -17,11 +15,11 @@
 use serde_json::json;
 use spdlog::Level;
 use tokio::net::TcpStream;
-use tokio::sync::OnceCell;
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
 use super::desk::Desk;
+use super::state::probes::cell;
 use super::{log, notice};
 
 /// For a connection to come up; a healthy one takes under 2 ms. A machine without
@@ -37,9 +35,6 @@
 /// nothing, and streams that break together share one look.
 const LOST_SHARED: Duration = Duration::from_millis(20);
 
-/// Results kept before old ones are cleared.
-const KEPT_MOST: usize = 256;
-
 /// For an engine's report of its state.
 const REPORT_TIME: Duration = Duration::from_millis(100);
 
@@ -50,15 +45,6 @@
 /// Factor from which on an engine counts as slow.
 const SLOW_LEAST: f64 = 1.5;
 
-type Cached<T> = RefCell<HashMap<String, (Duration, Rc<OnceCell<T>>)>>;
-
-/// Probes of the last moments, shared by all streams of the box.
-#[derive(Default)]
-pub struct Probes {
-    alive: Cached<bool>,
-    reports: Cached<Option<Rc<Report>>>,
-}
-
 /// Finds the engines of a chain that take no connection.
 pub async fn find_dead(desk: &Rc<Desk>, stages: &[Stage]) -> Vec<UpstreamId> {
     let mut probes = JoinSet::new();
@@ -169,20 +155,3 @@
     let roster = desk.roster.borrow();
     roster.get(id).map(|e| e.upstream.addr.clone())
 }
-
-/// The question to an address that is under way or was just answered, else a
-/// new one.
-fn cell<T>(cached: &Cached<T>, now: Duration, addr: &str, shared: Duration) -> Rc<OnceCell<T>> {
-    let mut recent = cached.borrow_mut();
-    if recent.len() > KEPT_MOST {
-        recent.retain(|_, (at, _)| now < *at + shared);
-    }
-    match recent.get(addr) {
-        Some((at, cell)) if now < *at + shared => cell.clone(),
-        _ => {
-            let cell = Rc::new(OnceCell::new());
-            recent.insert(addr.into(), (now, cell.clone()));
-            cell
-        }
-    }
-}
--- a/crates/ashgauged/src/relay/pump/mend.rs
+++ b/crates/ashgauged/src/relay/pump/mend.rs
@@ -15,7 +15,8 @@
 use serde_json::json;
 
 use super::super::loss::{self, Loss};
-use super::super::open::{Run, SILENT_MOST, begin, id_at, pick_late};
+use super::super::open::{Run, SILENT_MOST, begin, id_at};
+use super::super::pick::pick_late;
 use super::super::probe::{ask_engines, find_dead};
 use super::super::request::{Hold, note_outcome};
 use super::super::retry;
--- a/crates/ashgauged/src/relay/quarantine.rs
+++ b/crates/ashgauged/src/relay/quarantine.rs
@@ -18,7 +18,8 @@
 use super::desk::Desk;
 use super::follow::skipped;
 use super::log;
-use super::peers::{self, Peers};
+use super::pack;
+use super::peers::Peers;
 
 /// Kind of the objects that keep held requests, by digest.
 const KIND: &str = "ashgauge-quarantine";
@@ -100,7 +101,7 @@
         return None;
     }
     let from = desk.settings().id.as_str().into();
-    peers::encode(&Datagram::Losses(from, report))
+    pack::encode(&Datagram::Losses(from, report))
 }
 
 /// Reads the held requests from the store, until that succeeds.
--- /dev/null
+++ b/crates/ashgauged/src/relay/state/mod.rs
@@ -0,0 +1,11 @@
+//! What the desk holds and the tasks use. Nothing here knows the desk.
+
+mod budgets;
+mod clock;
+mod permits;
+pub mod probes;
+
+pub use budgets::Budgets;
+pub use clock::{Clock, boot_time};
+pub use permits::Permits;
+pub use probes::Probes;
--- a/crates/ashgauged/src/relay/stream.rs
+++ b/crates/ashgauged/src/relay/stream.rs
@@ -12,7 +12,8 @@
 
 use super::desk::Desk;
 use super::loss::{self, Loss};
-use super::open::{NoWay, begin, head_of, pick_late, pick_open};
+use super::open::{begin, head_of};
+use super::pick::{NoWay, pick_late, pick_open};
 use super::pump;
 use super::request::{Admitted, finish, held_back, no_room, note_outcome, whole};
 use super::retry;
--- a/crates/ashgauged/src/relay/tell.rs
+++ b/crates/ashgauged/src/relay/tell.rs
@@ -15,7 +15,8 @@
 use tokio::time::sleep;
 
 use super::desk::{Desk, Peer};
-use super::peers::{self, Peers};
+use super::pack;
+use super::peers::Peers;
 use super::{permit, quarantine};
 
 /// Longest time without a word, so that the others know that this box is there.
@@ -154,7 +155,7 @@
                 Scope::Own | Scope::Near => self.desk.permits.limits.borrow().tell(now),
             },
         };
-        let Some(bytes) = peers::encode(&Datagram::Load(word)) else {
+        let Some(bytes) = pack::encode(&Datagram::Load(word)) else {
             return;
         };
         for peer in to {
