--- a/crates/ashgauge/tests/choice.rs
+++ b/crates/ashgauge/tests/choice.rs
@@ -443,6 +443,36 @@
     }
 }
 
+/// An engine that takes no more requests leads no chain, and goes on to be led to; where
+/// nothing else leads, it is told when it takes the next one.
+#[test]
+fn closed_engine_leads_no_chain() {
+    let (pipes, shares, place) = (Pipes::default(), Shares::default(), Arc::from("a"));
+    let mut roster = placed();
+    let now = scene(&roster, &pipes, &shares, &place).now;
+    let (span, second) = (choice::whole(80), Duration::from_secs(1));
+    let mut rng = SmallRng::seed_from_u64(1);
+    let leads = |e: &ashgauge::entry::Entry| e.upstream.layers.is_some_and(|l| l.first == 0);
+    let all: Vec<_> = roster.all().cloned().collect();
+    let behind = all
+        .iter()
+        .filter(|e| e.upstream.layers.is_some() && !leads(e));
+    behind.for_each(|e| roster.close(now, &e.upstream.id, second * 9));
+    let mut led = 0;
+    loop {
+        let scene = scene(&roster, &pipes, &shares, &place);
+        let Some(stages) = choice::chain(&scene, &model(), span, &[], None, &mut rng) else {
+            break;
+        };
+        led += 1;
+        roster.close(now, &stages[0].upstream, second * (10 - led));
+    }
+    assert!(led >= 2, "{led}");
+    let scene = scene(&roster, &pipes, &shares, &place);
+    let left = choice::rest_left(&scene, Some(&model()), &mut rng);
+    assert_eq!(left, Some(second * (10 - led)));
+}
+
 /// The time to come back is told only if rest is what stands in the way.
 #[test]
 fn rest_is_not_told_while_there_is_a_way() {
