Count anew where an upstream names a limit once more

What callers would see: an upstream in need a second time within a minute got 45 requests in 4 s where 42.8 are allowed. Cause: the box that counts went on with what it had saved up from the first time, as if nothing had been sent in between, and did not wait. Now a count from before the limit was named is begun anew. The test was red before, green after. Asks whose requests have left are forgotten as well (by reading).

--- a/crates/ashgauge/src/permit/grants.rs
+++ b/crates/ashgauge/src/permit/grants.rs
@@ -112,6 +112,10 @@
         rate: f64,
         place: Place,
     ) -> Result<(), Duration> {
+        let named = now.saturating_sub(told.known_for());
+        // One from before the limit was named knows nothing of what was sent since.
+        self.buckets
+            .retain(|key, b| *key != told.key || b.at >= named);
         let new = || Bucket::new(now, told, rate);
         let bucket = self.buckets.entry(told.key).or_insert_with(new);
         bucket.advance(now, place);
@@ -132,8 +136,7 @@
 
 impl Bucket {
     fn new(now: Duration, told: &Told, rate: f64) -> Self {
-        let known = Duration::from_millis(told.since_ms.into());
-        let hold = HOLD_TIME.saturating_sub(known).as_secs_f64();
+        let hold = HOLD_TIME.saturating_sub(told.known_for()).as_secs_f64();
         Bucket {
             rate,
             level: 1.0 - rate * hold,
--- a/crates/ashgauge/src/permit/limits.rs
+++ b/crates/ashgauge/src/permit/limits.rs
@@ -41,6 +41,13 @@
     pub age_ms: u32,
 }
 
+impl Told {
+    /// Time for which the upstream has named a limit.
+    pub fn known_for(&self) -> Duration {
+        Duration::from_millis(self.since_ms.into())
+    }
+}
+
 /// Requests a second that upstreams take; none of one that names no limit any more.
 pub type Rates = BTreeMap<UpstreamKey, Option<f64>>;
 
--- a/crates/ashgauge/tests/permit.rs
+++ b/crates/ashgauge/tests/permit.rs
@@ -559,3 +559,14 @@
         prop_assert_eq!(world.broken(), None);
     }
 }
+
+/// What was sent while no limit was named counts against the next one.
+#[test]
+fn limit_that_is_named_again_is_kept_from_then_on() {
+    for seed in 0..20 {
+        let mut run = calm(8, 6.3, 1.0, seed);
+        run.rates.extend([(12.0, None), (18.0, Some(6.3))]);
+        let world = World::new(&run).play();
+        assert_eq!(world.broken(), None, "seed {seed}");
+    }
+}
--- a/crates/ashgauged/src/relay/permit.rs
+++ b/crates/ashgauged/src/relay/permit.rs
@@ -87,16 +87,13 @@
     let id = desk.rng().random();
     let addr = desk.peers.borrow().get(to).map(|p| p.addr)?;
     let (sender, answer) = oneshot::channel();
-    desk.permits.open.borrow_mut().insert(id, sender);
-    send(
-        desk,
-        addr,
-        &Datagram::AskPermit(Ask {
-            from: desk.settings().id.as_str().into(),
-            id,
-            told,
-        }),
-    );
+    let ask = Ask {
+        from: desk.settings().id.as_str().into(),
+        id,
+        told,
+    };
+    desk.permits.await_answer(id, sender);
+    send(desk, addr, &Datagram::AskPermit(ask));
     let verdict = timeout(REPLY_TIME, answer).await;
     desk.permits.open.borrow_mut().remove(&id);
     let mut passed = desk.permits.passed.borrow_mut();
--- a/crates/ashgauged/src/relay/state/permits.rs
+++ b/crates/ashgauged/src/relay/state/permits.rs
@@ -28,3 +28,12 @@
     /// The socket by which the boxes hear each other.
     pub socket: OnceCell<Rc<UdpSocket>>,
 }
+
+impl Permits {
+    /// Keeps who waits for the answer to an ask; those who have left wait no more.
+    pub fn await_answer(&self, id: AskId, answer: oneshot::Sender<Verdict>) {
+        let mut open = self.open.borrow_mut();
+        open.retain(|_, waiting| !waiting.is_closed());
+        open.insert(id, answer);
+    }
+}
