--- a/crates/ashgauged/src/relay/notice.rs
+++ b/crates/ashgauged/src/relay/notice.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use ashgauge::share;
-use hyper::HeaderMap;
 use hyper::http::response;
 use platform::engine;
 use serde_json::json;
@@ -15,7 +14,7 @@
 /// Takes in what the head of an upstream's answer says of it, to a request that went out
 /// at `sent`.
 pub fn take(desk: &Desk, upstream: &str, sent: Duration, head: &response::Parts) {
-    take_limit(desk, upstream, sent, &head.headers);
+    take_limit(desk, upstream, sent, head);
     if engine::is_leaving(&head.headers) {
         note_leaving(desk, upstream);
     }
@@ -45,10 +44,12 @@
     log::line(Level::Info, "roster", "asks for rest", fields);
 }
 
-/// Notes what an upstream takes from all boxes together.
-fn take_limit(desk: &Desk, upstream: &str, sent: Duration, headers: &HeaderMap) {
+/// Notes what an upstream takes from all boxes together. A refusal or a failure that names
+/// nothing says nothing of that.
+fn take_limit(desk: &Desk, upstream: &str, sent: Duration, head: &response::Parts) {
     let (now, mut limits) = (desk.now(), desk.permits.limits.borrow_mut());
-    let rate = match engine::limit(headers) {
+    let rate = match engine::limit(&head.headers) {
+        Ok(None) if !head.status.is_success() => return,
         Ok(rate) => rate,
         Err(text) => {
             if limits.may_complain(now) {
