Hand the whole copy on again until it is taken, and say sure only when it is

What callers would see: after a return of the store from a copy an upstream whose entry had been removed before, and which the copy holds, got no requests from the boxes of some readers. Causes, by reading: a whole copy that is older than what a box knows is not taken, and yet ended its wish for one; a box that reads said that it was sure before it had read again; and it took another reader's word for being sure.

--- a/crates/ashgauged/src/relay/follow/ask.rs
+++ b/crates/ashgauged/src/relay/follow/ask.rs
@@ -337,7 +337,10 @@
         };
         let (sure, whole) = (update.sure, update.whole);
         let era = revision::era(update.upto);
-        if era < revision::era(desk.mirror.borrow().covered()) {
+        let covered = desk.mirror.borrow().covered();
+        // A whole copy that is older than what is known here is not taken.
+        let replaced = whole && update.upto >= covered;
+        if era < revision::era(covered) {
             // It knows the store as it was before it came back.
             return;
         }
@@ -352,10 +355,11 @@
             skipped("config", &fault);
         }
         if era > 0 {
-            self.note_doubts(whole, sure);
+            self.note_doubts(replaced, sure);
         }
         self.apply(news, sure);
-        desk.sure.set(sure);
+        // Its own copy may lack what the other box believes by now.
+        desk.sure.set(sure && !self.doubts.settling.get());
         desk.listed.set(true);
         if let Some(at) = proved(asked, age) {
             desk.fresh.borrow_mut().confirm(at);
--- a/crates/ashgauged/src/relay/follow/returns.rs
+++ b/crates/ashgauged/src/relay/follow/returns.rs
@@ -68,21 +68,30 @@
     /// Believes what the store holds once everybody has had the time to write again.
     async fn settle(self: Rc<Self>, era: Era) {
         sleep(SETTLE_TIME).await;
-        let is_latest = *self.desk.store.eras().borrow() == era;
-        if is_latest {
-            self.doubts.settling.set(false);
+        if *self.desk.store.eras().borrow() != era {
+            return;
         }
-        let passed_over = is_latest && self.desk.mirror.borrow_mut().settle();
-        if passed_over
-            && *self.desk.reads.borrow()
-            && let Err(fault) = self.read_servers().await
-        {
-            self.lost("settle", &fault);
+        let passed_over = self.desk.mirror.borrow_mut().settle();
+        if passed_over {
+            self.take_again().await;
         }
+        // Boxes that ask take a copy that is sure for the last one.
+        self.doubts.settling.set(false);
         self.note_sure();
         self.spread_news().await;
     }
 
+    /// Reads the entries again, or has the whole copy handed on once more.
+    async fn take_again(&self) {
+        if !*self.desk.reads.borrow() {
+            self.doubts.lacks.set(true);
+            return;
+        }
+        if let Err(fault) = self.read_servers().await {
+            self.lost("settle", &fault);
+        }
+    }
+
     /// Whether the store came back so short a while ago that cheap reads may be of the
     /// time before.
     pub(super) fn is_young(&self) -> bool {
@@ -92,8 +101,8 @@
 
     /// Has the whole copy handed on once more, as one that was handed on while the store's
     /// word was in doubt may lack entries.
-    pub(super) fn note_doubts(&self, whole: bool, sure: bool) {
-        if whole {
+    pub(super) fn note_doubts(&self, replaced: bool, sure: bool) {
+        if replaced {
             self.doubts.lacks.set(false);
             self.doubts.doubtful.set(!sure);
         } else if sure && self.doubts.doubtful.take() {
