Name the times to come back a schedule; the tutorial names permits and revisions

How it reads: the module of the times that refused callers are told was called returns, as the store's returns from a copy are; a constant stood amid the types, and what grants decide apart from them. Names and places only; no behaviour changed.

--- a/crates/ashgauge/src/lib.rs
+++ b/crates/ashgauge/src/lib.rs
@@ -45,8 +45,9 @@
 //!   [`placement`], [`rate`], [`pending`],
 //!   [`handoff`], [`digest`], [`quarantine`], [`events`], [`fresh`], [`suspension`]: what a box decides where engines pass activations on among
 //!   themselves and a request is handed on whole.
-//! - [`mirror`], [`reader`], [`question`], [`asker`]: a store that few boxes read and all
-//!   know.
+//! - [`permit`]: limits that upstreams name for all boxes together, and who may send.
+//! - [`mirror`], [`revision`], [`reader`], [`question`], [`asker`]: a store that few boxes
+//!   read and all know, also where it comes back from a copy.
 
 #![warn(missing_docs)]
 #![forbid(unsafe_code)]
--- a/crates/ashgauge/src/permit/grants.rs
+++ b/crates/ashgauge/src/permit/grants.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::Told;
+use super::{Limits, Told, Verdict};
 use crate::share::UpstreamKey;
 
 /// Time since an upstream first named a limit before which nothing is given: what was sent
@@ -100,6 +100,23 @@
 }
 
 impl Grants {
+    /// Answers an ask by what this box knows, of which it is told first.
+    pub fn decide(
+        &mut self,
+        now: Duration,
+        limits: &Limits,
+        key: UpstreamKey,
+        place: Place,
+    ) -> Verdict {
+        let (Some(told), Some(rate)) = (limits.told_of(now, key), limits.rate_of(key)) else {
+            return Verdict::Free;
+        };
+        match self.take(now, &told, rate, place) {
+            Ok(()) => Verdict::Given,
+            Err(wait) => Verdict::Wait(wait.as_millis().try_into().unwrap_or(u32::MAX)),
+        }
+    }
+
     /// Takes one permit for an upstream of this rate.
     ///
     /// # Errors
--- a/crates/ashgauge/src/permit/mod.rs
+++ b/crates/ashgauge/src/permit/mod.rs
@@ -9,12 +9,12 @@
 mod grants;
 mod limits;
 mod passed;
-mod returns;
+mod schedule;
 
 pub use grants::{Grants, Place};
 pub use limits::{Limits, Rates, Told};
 pub use passed::Passed;
-pub use returns::Returns;
+pub use schedule::Schedule;
 
 use std::cmp::Reverse;
 use std::time::Duration;
@@ -25,6 +25,9 @@
 use crate::member::BoxId;
 use crate::share::UpstreamKey;
 
+/// Least and most time for which an upstream is left alone once no permit was given.
+const CLOSED_RANGE: (Duration, Duration) = (Duration::from_millis(10), Duration::from_secs(5));
+
 /// Number of an ask, chosen at random.
 pub type AskId = u64;
 
@@ -63,9 +66,6 @@
     Wait(u32),
 }
 
-/// Least and most time for which an upstream is left alone once no permit was given.
-const CLOSED_RANGE: (Duration, Duration) = (Duration::from_millis(10), Duration::from_secs(5));
-
 /// Who decides on a permit.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Giver {
@@ -133,22 +133,3 @@
     ordered.sort_by_cached_key(|id| Reverse(weight(id)));
     ordered
 }
-
-impl Grants {
-    /// Answers an ask by what this box knows, of which it is told first.
-    pub fn decide(
-        &mut self,
-        now: Duration,
-        limits: &Limits,
-        key: UpstreamKey,
-        place: Place,
-    ) -> Verdict {
-        let (Some(told), Some(rate)) = (limits.told_of(now, key), limits.rate_of(key)) else {
-            return Verdict::Free;
-        };
-        match self.take(now, &told, rate, place) {
-            Ok(()) => Verdict::Given,
-            Err(wait) => Verdict::Wait(wait.as_millis().try_into().unwrap_or(u32::MAX)),
-        }
-    }
-}
--- a/crates/ashgauge/src/permit/returns.rs
+++ b/crates/ashgauge/src/permit/schedule.rs
@@ -16,20 +16,20 @@
 /// # Example
 ///
 /// ```
-/// use ashgauge::permit::Returns;
+/// use ashgauge::permit::Schedule;
 /// use std::time::Duration;
 ///
 /// let second = Duration::from_secs(1);
-/// let mut returns = Returns::default();
-/// assert_eq!(returns.next(second, &"notes".into(), second, 2.0), second * 3 / 2);
-/// assert_eq!(returns.next(second, &"notes".into(), second, 2.0), second * 2);
+/// let mut schedule = Schedule::default();
+/// assert_eq!(schedule.next(second, &"notes".into(), second, 2.0), second * 3 / 2);
+/// assert_eq!(schedule.next(second, &"notes".into(), second, 2.0), second * 2);
 /// ```
 #[derive(Clone, Debug, Default)]
-pub struct Returns {
+pub struct Schedule {
     next: HashMap<ServiceId, Duration>,
 }
 
-impl Returns {
+impl Schedule {
     /// Time after which a caller comes back where nothing is taken for `wait`, and then
     /// `rate` requests a second of those that this box refuses.
     pub fn next(
--- a/crates/ashgauged/src/relay/permit.rs
+++ b/crates/ashgauged/src/relay/permit.rs
@@ -170,9 +170,9 @@
     let wait = time_left(desk, service)?;
     let rate = rate_left(desk, &service.name)?;
     let now = desk.now();
-    let mut returns = desk.permits.returns.borrow_mut();
+    let mut schedule = desk.permits.schedule.borrow_mut();
     let each = rate / f64::from(desk.boxes().max(1));
-    Some(returns.next(now, &service.name, wait, each))
+    Some(schedule.next(now, &service.name, wait, each))
 }
 
 /// How long until a service's upstreams take one more request, if that is what stands in
--- a/crates/ashgauged/src/relay/state/permits.rs
+++ b/crates/ashgauged/src/relay/state/permits.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use ashgauge::member::BoxId;
-use ashgauge::permit::{AskId, Grants, Limits, Passed, Returns, Verdict};
+use ashgauge::permit::{AskId, Grants, Limits, Passed, Schedule, Verdict};
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
 
@@ -17,7 +17,7 @@
     /// What this box gave.
     pub grants: RefCell<Grants>,
     /// When refused callers come back.
-    pub returns: RefCell<Returns>,
+    pub schedule: RefCell<Schedule>,
     /// Boxes that did not answer.
     pub passed: RefCell<Passed>,
     /// Boxes that may give permits, as all boxes know them; none if this one hears no
