Bound the looks for an upstream that takes one more plain request

What callers would see, by reading: a box that is cut off from the others, before two or more plain upstreams that name limits, asks in vain for a permit for each in turn, and by the time it has asked for the last the first is open to be asked for again; the request is held until its deadline though it is hopeless. Now it looks at four at most, as streams do, and is then refused at once with a time to come back. No test of its own: it would rest on times.

--- a/crates/ashgauged/src/relay/forward.rs
+++ b/crates/ashgauged/src/relay/forward.rs
@@ -26,6 +26,7 @@
 use super::loss::{self, Loss};
 use super::notice;
 use super::permit;
+use super::pick::PICKS_MOST;
 use super::record::Record;
 use super::request::{
     Admitted, BACK_FULL, BACK_UNSURE, Hold, Whole, finish, held_back, is_allowed, is_held, lost,
@@ -212,15 +213,13 @@
 
 /// Chooses an upstream that takes one more request.
 async fn choose(desk: &Desk, a: &Admitted, handoff: &Handoff) -> Option<(UpstreamId, String)> {
-    loop {
+    for _ in 0..PICKS_MOST {
         let (id, addr) = desk.choose(&a.service.name, handoff.tried())?;
         if permit::take(desk, &id).await {
             return Some((id, addr));
         }
-        if handoff.left(desk.now()).is_zero() {
-            return None;
-        }
     }
+    None
 }
 
 async fn try_plain(
--- a/crates/ashgauged/src/relay/pick.rs
+++ b/crates/ashgauged/src/relay/pick.rs
@@ -14,8 +14,9 @@
 use super::request::{Admitted, is_allowed, is_held};
 use super::select::Wish;
 
-/// Chains that are looked at whose first engines turn out to take no more.
-const PICKS_MOST: u32 = 4;
+/// Upstreams, or first engines of chains, that are looked at which turn out to take no more;
+/// where the boxes that give permits are silent, each costs as long as two answers may take.
+pub const PICKS_MOST: u32 = 4;
 
 /// Longest wait of a request that may have run for an engine that takes one more; a caller
 /// that has a part of the answer leaves after two seconds.
