Let streams in by a level that all boxes reckon alike

Cause: engines are filled past what they can do in time, as each box sees its own few requests and the others' loads late, so requests wait inside the engines and nearly all are late; rank decides nothing among the few that wait at one box.

Change: boxes tell each other, with their loads, what their callers ask for by class and team, and what ends. Each reckons from that, from the engines' memory and slots which classes may begin, and of the class at which that is used up an equal part for each team. Streams past it are refused at once. Switched on where routes of several ranks lead to a service; the setting 'shedding' overrides that.

--- /dev/null
+++ b/crates/ashgauge/src/class.rs
@@ -0,0 +1,103 @@
+//! The order of requests where not all of them can be served in time.
+
+use serde::{Deserialize, Serialize};
+
+/// Largest order that an engine takes; past it all requests are alike.
+const ORDER_MOST: u32 = 8;
+
+/// The priority class of a request, the most urgent first: by its team, then by its
+/// route, then those that are made for the first time.
+///
+/// One that comes back is late already. If it went first, an overload that lasts would
+/// make each new request late as well, as each that is refused comes back.
+///
+/// # Example
+///
+/// ```
+/// use ashgauge::class::Class;
+///
+/// let urgent = Class::new(Some(0), 2, false);
+/// assert!(urgent < Class::new(Some(1), 0, false));
+/// assert!(urgent < Class::new(Some(0), 2, true));
+/// ```
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Class {
+    /// Rank of its team, 0 first.
+    pub team: u8,
+    /// Rank of its route, 0 first.
+    pub route: u8,
+    /// Whether it was refused before.
+    pub back: bool,
+}
+
+impl Class {
+    /// The class of a request of a team with a rank, or none, on a route.
+    pub fn new(team: Option<u32>, route: u32, back: bool) -> Self {
+        let narrow = |rank: u32| u8::try_from(rank).unwrap_or(u8::MAX);
+        Class {
+            team: narrow(team.unwrap_or(route)),
+            route: narrow(route),
+            back,
+        }
+    }
+}
+
+/// The ranks that compete for a service.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Ranks {
+    /// Ranks of teams and routes that may come together, the most urgent first.
+    pairs: Vec<(u8, u8)>,
+    /// Distinct ranks of its routes.
+    routes: usize,
+}
+
+impl Ranks {
+    /// The ranks of requests on these routes, of teams with these ranks; `None` stands
+    /// for teams without one, or requests without a team.
+    pub fn new(teams: &[Option<u32>], routes: &[u32]) -> Self {
+        let both = |route: &u32| {
+            let classes = teams.iter().map(|team| Class::new(*team, *route, false));
+            classes.map(|c| (c.team, c.route)).collect::<Vec<_>>()
+        };
+        let mut pairs: Vec<_> = routes.iter().flat_map(both).collect();
+        pairs.sort_unstable();
+        pairs.dedup();
+        let mut routes = routes.to_vec();
+        routes.sort_unstable();
+        routes.dedup();
+        Ranks {
+            pairs,
+            routes: routes.len(),
+        }
+    }
+
+    /// Whether the operators ranked the service's routes differently, so that some
+    /// requests are to be served before others.
+    pub fn differ(&self) -> bool {
+        self.routes > 1
+    }
+
+    /// The order of a class at the engines, from 1, so that streams that go on can go
+    /// before the first.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use ashgauge::class::{Class, Ranks};
+    ///
+    /// let ranks = Ranks::new(&[Some(0), Some(1)], &[0, 2]);
+    /// assert!(ranks.differ());
+    /// assert_eq!(ranks.order(Class::new(Some(0), 2, false)), 2);
+    /// assert_eq!(ranks.order(Class::new(Some(1), 0, false)), 3);
+    /// ```
+    pub fn order(&self, class: Class) -> u32 {
+        let before = self
+            .pairs
+            .partition_point(|p| *p < (class.team, class.route));
+        u32::try_from(before + 1)
+            .unwrap_or(ORDER_MOST)
+            .min(ORDER_MOST)
+    }
+}
--- /dev/null
+++ b/crates/ashgauge/src/level.rs
@@ -0,0 +1,201 @@
+//! Which requests begin where callers ask for more than the engines can do in time.
+//!
+//! Every box reckons the same level from the same words: how much is asked for, by class
+//! and team, and how much may begin. Classes are let in one after the other until that is
+//! used up; of the class at which it is, each team gets an equal part, and what a team
+//! does not use goes to the others. No box decides for the others, and nothing is kept:
+//! a level ends with the demand that it answers.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::class::Class;
+use crate::demand::{Demand, Demands, Source, TeamKey};
+use crate::pressure::Pressure;
+
+/// Share of their bounds up to which engines are filled. Sizes vary: of some 180 requests
+/// in an engine's memory two deviations of their sum are 0.15.
+const FILL: f64 = 0.85;
+
+/// Time within which requests under way are brought to what the engines can do.
+const SETTLE: Duration = Duration::from_secs(1);
+
+/// Least part of what ends that may begin, so that engines do not run empty where what
+/// is known of them is wrong.
+const BEGIN_LEAST: f64 = 0.3;
+
+/// Time after which refused callers come back.
+const BACK_RANGE: (Duration, Duration) = (Duration::from_secs(3), Duration::from_millis(6400));
+
+/// Part of their time for which callers stay away at most; past a third they ask earlier
+/// than they were told.
+const BACK_PART: f64 = 0.32;
+
+/// Requests a second that may begin over all boxes, where so many end.
+///
+/// # Example
+///
+/// ```
+/// use ashgauge::level::allowed;
+/// use ashgauge::pressure::Pressure;
+///
+/// let pressure = |memory| Pressure { requests: 600.0, memory, slots: 0.1 };
+/// // Half of the room is free: more may begin than end.
+/// assert!(allowed(&pressure(0.4), 300.0) > 500.0);
+/// assert!(allowed(&pressure(1.0), 300.0) < 300.0);
+/// ```
+pub fn allowed(pressure: &Pressure, ends: f64) -> f64 {
+    let used = pressure.most();
+    if used <= 0.0 || pressure.requests <= 0.0 {
+        return f64::INFINITY;
+    }
+    let more = pressure.requests * (FILL / used - 1.0) / SETTLE.as_secs_f64();
+    (ends + more).max(ends * BEGIN_LEAST)
+}
+
+/// When a refused caller is to come back that waits so much longer, with a `draw` from 0 to
+/// 1 at random, so that those who are refused together do not return together.
+///
+/// Callers stay away for a third of their time at most. An overload mostly lasts longer
+/// than a request does, and most callers ask twice only, so they come back late.
+///
+/// # Example
+///
+/// ```
+/// use ashgauge::level::back_after;
+/// use std::time::Duration;
+///
+/// let ms = Duration::from_millis;
+/// assert!(back_after(ms(20_000), 0.0) >= ms(3000));
+/// assert!(back_after(ms(20_000), 1.0) < ms(6667));
+/// assert!(back_after(ms(300), 1.0) < ms(100));
+/// ```
+pub fn back_after(patience: Duration, draw: f64) -> Duration {
+    let (least, most) = BACK_RANGE;
+    let most = most.min(patience.mul_f64(BACK_PART));
+    let least = least.min(most / 2);
+    least + (most - least).mul_f64(draw.clamp(0.0, 1.0))
+}
+
+/// Who is let in.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Level {
+    /// Those of the classes before this one are let in, those behind it are not.
+    pub class: Class,
+    /// Work a second that each team of this class may begin.
+    pub part: f64,
+    /// What the teams of this class ask for.
+    demands: Vec<(Option<TeamKey>, Demand)>,
+}
+
+impl Level {
+    /// The level at which so much work a second begins; `None` if all is let in.
+    pub fn new(demands: &Demands, allowed: f64) -> Option<Self> {
+        let mut left = allowed;
+        let mut by_class: Vec<&(Source, Demand)> = demands.iter().collect();
+        by_class.sort_by_key(|(source, _)| source.class);
+        for same in by_class.chunk_by(|a, b| a.0.class == b.0.class) {
+            let asked: f64 = same.iter().map(|(_, demand)| demand.rate()).sum();
+            if asked <= left {
+                left -= asked;
+                continue;
+            }
+            let demands: Vec<_> = same.iter().map(|(s, d)| (s.team, *d)).collect();
+            return Some(Level {
+                class: same[0].0.class,
+                part: fair_part(&demands, left),
+                demands,
+            });
+        }
+        None
+    }
+
+    /// Part of a team's requests of this class that are let in, 0 to 1.
+    pub fn share(&self, class: Class, team: TeamKey) -> f64 {
+        match class.cmp(&self.class) {
+            std::cmp::Ordering::Less => 1.0,
+            std::cmp::Ordering::Greater => 0.0,
+            std::cmp::Ordering::Equal => self.share_at(team),
+        }
+    }
+
+    fn share_at(&self, team: TeamKey) -> f64 {
+        let find = |team| self.demands.iter().find(|(t, _)| *t == team);
+        let known = find(Some(team)).or_else(|| find(None));
+        // A team of which nothing was told yet has asked for little.
+        known.map_or(1.0, |(_, demand)| {
+            let part = self.part * f64::from(demand.teams.max(1));
+            (part / demand.rate()).min(1.0)
+        })
+    }
+}
+
+/// The most that each team may get of `left` if none gets more than it asks for.
+fn fair_part(demands: &[(Option<TeamKey>, Demand)], left: f64) -> f64 {
+    let each = |demand: &Demand| demand.rate() / f64::from(demand.teams.max(1));
+    let mut sorted: Vec<&Demand> = demands.iter().map(|(_, d)| d).collect();
+    sorted.sort_by(|a, b| each(a).total_cmp(&each(b)));
+    let mut teams: u32 = sorted.iter().map(|d| d.teams.max(1)).sum();
+    let mut left = left.max(0.0);
+    for demand in sorted {
+        let part = left / f64::from(teams.max(1));
+        if each(demand) >= part {
+            return part;
+        }
+        left -= demand.rate();
+        teams -= demand.teams.max(1);
+    }
+    f64::INFINITY
+}
+
+/// Lets requests of one box in by the level.
+#[derive(Debug, Default)]
+pub struct Gate {
+    level: Option<Level>,
+    since: Duration,
+    /// Parts of a request that each team is owed.
+    owed: HashMap<TeamKey, f64>,
+}
+
+impl Gate {
+    /// Puts a level in force; returns whether its class changed.
+    pub fn set(&mut self, now: Duration, level: Option<Level>) -> bool {
+        let class = |level: &Option<Level>| level.as_ref().map(|l| l.class);
+        let changed = class(&level) != class(&self.level);
+        if changed {
+            self.since = now;
+            self.owed.clear();
+        }
+        self.level = level;
+        changed
+    }
+
+    /// The level in force.
+    pub fn level(&self) -> Option<&Level> {
+        self.level.as_ref()
+    }
+
+    /// Since when requests of this class are the last to be let in, or all are.
+    pub fn since(&self) -> Duration {
+        self.since
+    }
+
+    /// Whether a request is let in; `start`, from 0 to 1 at random, spreads the first
+    /// refusals of boxes that have few requests each.
+    pub fn admits(&mut self, class: Class, team: TeamKey, start: f64) -> bool {
+        let Some(level) = &self.level else {
+            return true;
+        };
+        let share = level.share(class, team);
+        if class != level.class {
+            return share >= 1.0;
+        }
+        let owed = self.owed.entry(team).or_insert(start);
+        *owed += share;
+        let is_in = *owed >= 1.0;
+        if is_in {
+            *owed -= 1.0;
+        }
+        is_in
+    }
+}
--- a/crates/ashgauge/src/lib.rs
+++ b/crates/ashgauge/src/lib.rs
@@ -45,6 +45,8 @@
 //!   [`placement`], [`rate`], [`pending`],
 //!   [`handoff`], [`digest`], [`quarantine`], [`events`], [`fresh`], [`suspension`]: what a box decides where engines pass activations on among
 //!   themselves and a request is handed on whole.
+//! - [`class`], [`demand`], [`pressure`], [`level`]: who is let in where callers ask for
+//!   more than engines can do in time.
 //! - [`permit`]: limits that upstreams name for all boxes together, and who may send.
 //! - [`mirror`], [`revision`], [`reader`], [`question`], [`asker`]: a store that few boxes
 //!   read and all know, also where it comes back from a copy.
@@ -57,8 +59,10 @@
 pub mod chain;
 pub mod choice;
 pub mod claim;
+pub mod class;
 pub mod clock;
 pub mod cost;
+pub mod demand;
 pub mod digest;
 pub mod editor;
 pub mod entry;
@@ -68,6 +72,7 @@
 pub mod handoff;
 pub mod hub;
 pub mod lease;
+pub mod level;
 pub mod limit;
 pub mod load;
 pub mod member;
@@ -81,6 +86,7 @@
 pub mod pipes;
 pub mod placement;
 pub mod policy;
+pub mod pressure;
 pub mod progress;
 pub mod quarantine;
 pub mod question;
--- a/crates/ashgauge/src/routing.rs
+++ b/crates/ashgauge/src/routing.rs
@@ -8,6 +8,7 @@
 use rand::Rng;
 
 use crate::chain::Layer;
+use crate::class::Ranks;
 
 /// Name of a service.
 pub type ServiceId = Arc<str>;
@@ -26,6 +27,8 @@
     pub services: HashMap<ServiceId, Arc<Service>>,
     /// Teams by key, if requests need one.
     keys: Option<HashMap<String, Arc<Team>>>,
+    /// Ranks of the streams that compete for each service.
+    ranks: HashMap<ServiceId, Ranks>,
     /// Bounds for clients.
     pub bounds: Bounds,
 }
@@ -181,6 +184,7 @@
         teams: Option<Vec<Team>>,
         bounds: Bounds,
     ) -> Self {
+        let ranks = ranks(&routes, teams.as_deref());
         let mut hosts: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
         for route in routes {
             hosts
@@ -197,6 +201,7 @@
             hosts,
             services: services.collect(),
             keys: teams.map(by_key),
+            ranks,
             bounds,
         }
     }
@@ -227,6 +232,12 @@
         }
     }
 
+    /// The ranks of the streams that compete for a service; `None` if no route brings it
+    /// streams.
+    pub fn ranks(&self, service: &str) -> Option<&Ranks> {
+        self.ranks.get(service)
+    }
+
     /// Whether requests need keys at all.
     pub fn is_keyed(&self) -> bool {
         self.keys.is_some()
@@ -275,6 +286,29 @@
     }
 }
 
+/// The ranks of the streams that compete for each service.
+fn ranks(routes: &[Route], teams: Option<&[Team]>) -> HashMap<ServiceId, Ranks> {
+    let mut by_team: Vec<Option<u32>> = teams.unwrap_or_default().iter().map(|t| t.rank).collect();
+    if teams.is_none() || routes.iter().any(|r| r.open) {
+        by_team.push(None);
+    }
+    by_team.sort_unstable();
+    by_team.dedup();
+    let mut by_route: HashMap<ServiceId, Vec<u32>> = HashMap::new();
+    for route in routes.iter().filter(|r| r.stream.is_some()) {
+        for (service, _) in &route.split {
+            by_route
+                .entry(service.clone())
+                .or_default()
+                .push(route.rank);
+        }
+    }
+    let ranks = by_route.into_iter();
+    ranks
+        .map(|(service, routes)| (service, Ranks::new(&by_team, &routes)))
+        .collect()
+}
+
 fn by_key(teams: Vec<Team>) -> HashMap<String, Arc<Team>> {
     let mut keys = HashMap::new();
     for team in teams {
--- a/crates/ashgauge/src/share.rs
+++ b/crates/ashgauge/src/share.rs
@@ -16,6 +16,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::demand::Flows;
 use crate::member::BoxId;
 use crate::permit::Told;
 
@@ -91,6 +92,8 @@
     pub suspects: Vec<UpstreamKey>,
     /// Limits that upstreams named.
     pub limits: Vec<Told>,
+    /// What callers ask for, and what ends.
+    pub flows: Flows,
 }
 
 /// Uses of upstreams, ordered by their keys.
@@ -105,6 +108,8 @@
     pub uses: Uses,
     /// Upstreams that they found to be lost.
     pub suspects: Vec<UpstreamKey>,
+    /// What their callers ask for, and what ends.
+    pub flows: Flows,
 }
 
 /// What was heard from the other boxes.
@@ -122,6 +127,7 @@
     boxes: u32,
     uses: Uses,
     suspects: Vec<UpstreamKey>,
+    flows: Flows,
 }
 
 /// Whether words that are told after this time tell suspects.
@@ -174,6 +180,7 @@
             boxes: word.boxes,
             uses: word.uses,
             suspects: word.suspects,
+            flows: word.flows,
         };
         self.heard.insert(source, heard);
         true
@@ -204,9 +211,21 @@
 
     /// Boxes of which something was heard a short while ago.
     pub fn boxes(&self) -> usize {
+        self.counted().map(|heard| heard.boxes as usize).sum()
+    }
+
+    /// What the callers of this box, which are `own`, and of all others ask for, and what
+    /// ends.
+    pub fn flows(&self, own: &Flows) -> Flows {
+        let others = self.counted().map(|heard| &heard.flows);
+        Flows::sum(std::iter::once(own).chain(others))
+    }
+
+    /// What counts each other box once.
+    fn counted(&self) -> impl Iterator<Item = &Heard> {
         let counted = self.heard.iter();
         let counted = counted.filter(|((_, scope), _)| !matches!(scope, Scope::Far(_)));
-        counted.map(|(_, heard)| heard.boxes as usize).sum()
+        counted.map(|(_, heard)| heard)
     }
 
     /// Boxes that tell this one what they have themselves.
@@ -240,6 +259,7 @@
             return rest;
         };
         rest.boxes = rest.boxes.saturating_sub(told.boxes);
+        rest.flows = rest.flows.without(&told.flows);
         for (key, less) in &told.uses {
             if let Ok(at) = rest.uses.binary_search_by_key(key, |(key, _)| *key) {
                 rest.uses[at].1.take(less);
@@ -268,9 +288,11 @@
 /// Adds what was heard to what a box has itself.
 fn add_all<'a>(own: Sum, heard: impl Iterator<Item = &'a Heard>) -> Sum {
     let mut boxes = own.boxes;
-    let mut sums: BTreeMap<UpstreamKey, Use> = own.uses.into_iter().collect();
-    let mut suspects: BTreeSet<UpstreamKey> = own.suspects.into_iter().collect();
+    let mut sums: BTreeMap<UpstreamKey, Use> = own.uses.iter().copied().collect();
+    let mut suspects: BTreeSet<UpstreamKey> = own.suspects.iter().copied().collect();
+    let mut flows = vec![&own.flows];
     for heard in heard {
+        flows.push(&heard.flows);
         boxes += heard.boxes;
         suspects.extend(&heard.suspects);
         for (key, more) in &heard.uses {
@@ -281,6 +303,7 @@
         boxes,
         uses: sums.into_iter().collect(),
         suspects: suspects.into_iter().collect(),
+        flows: Flows::sum(flows.into_iter()),
     }
 }
 
@@ -296,6 +319,7 @@
 
     /// The part that a datagram holds: the upstreams with most on them.
     pub fn fit(mut self) -> Self {
+        self.flows = self.flows.fit();
         if self.uses.len() > USES_MOST {
             self.uses
                 .select_nth_unstable_by_key(USES_MOST, |(_, used)| Reverse(used.tokens));
--- a/crates/ashgauge/tests/choice.rs
+++ b/crates/ashgauge/tests/choice.rs
@@ -135,6 +135,7 @@
         uses: vec![(share::key(id), used)],
         suspects: Vec::new(),
         limits: Vec::new(),
+        flows: Default::default(),
     };
     assert!(shares.hear(Duration::from_secs(100), word));
     shares
@@ -189,6 +190,7 @@
         uses: vec![(share::key("b2"), full)],
         suspects: Vec::new(),
         limits: Vec::new(),
+        flows: Default::default(),
     };
     shares.hear(Duration::from_secs(100), word);
     assert_eq!(chosen(&shares), None);
--- a/crates/ashgauge/tests/hub.rs
+++ b/crates/ashgauge/tests/hub.rs
@@ -64,6 +64,7 @@
         boxes: 1,
         uses: uses.clone(),
         suspects: Vec::new(),
+        flows: Default::default(),
     }
 }
 
@@ -77,6 +78,7 @@
         uses: sum.uses,
         suspects: sum.suspects,
         limits: Vec::new(),
+        flows: Default::default(),
     }
 }
 
@@ -243,6 +245,7 @@
         boxes,
         uses: used.clone(),
         suspects: Vec::new(),
+        flows: Default::default(),
     };
     shares.hear(NOW, word(&"first".into(), Scope::Near, sum(90)));
     shares.hear(NOW, word(&"first".into(), Scope::Far(0), sum(90)));
--- a/crates/ashgauge/tests/share.rs
+++ b/crates/ashgauge/tests/share.rs
@@ -26,6 +26,7 @@
         uses: vec![(share::key("e1"), used)],
         suspects: Vec::new(),
         limits: Vec::new(),
+        flows: Default::default(),
     }
 }
 
--- a/crates/ashgauge/tests/worst_load.rs
+++ b/crates/ashgauge/tests/worst_load.rs
@@ -34,6 +34,7 @@
             uses: Vec::new(),
             suspects: Vec::new(),
             limits: Vec::new(),
+            flows: Default::default(),
         };
         assert!(shares.hear(Duration::from_secs(100), word));
     }
--- a/crates/ashgauged/src/relay/desk.rs
+++ b/crates/ashgauged/src/relay/desk.rs
@@ -35,7 +35,7 @@
 use super::log;
 use super::metrics::Metrics;
 use super::settings::Settings;
-use super::state::{Budgets, Clock, Permits, Probes, boot_time};
+use super::state::{Budgets, Clock, Gates, Permits, Probes, boot_time};
 
 /// Boxes assumed by choices of upstreams before their number is known.
 const BOXES_ASSUMED: u32 = 16;
@@ -126,6 +126,8 @@
     pub probes: Probes,
     /// Requests that wait for room, by service.
     pub lines: RefCell<HashMap<ServiceId, Line>>,
+    /// How much is asked of each service, and who is let in.
+    pub gates: Gates,
     /// How long streams stay, by service.
     pub stays: RefCell<HashMap<ServiceId, Stay>>,
     /// What the other boxes have on the upstreams.
@@ -188,6 +190,7 @@
             suspects: watch::Sender::new(0),
             probes: Probes::default(),
             lines: RefCell::default(),
+            gates: Gates::default(),
             stays: RefCell::default(),
             shares: RefCell::default(),
             lag: Cell::new(share::tell_times(0, 0).1),
@@ -354,6 +357,12 @@
         with(self.lines.borrow_mut().entry(service.clone()).or_default())
     }
 
+    /// How long streams of a service stay.
+    pub fn stay(&self, service: &str) -> Duration {
+        let stays = self.stays.borrow();
+        stays.get(service).copied().unwrap_or_default().mean()
+    }
+
     /// Notes how long a stream took that ended well.
     pub fn note_stay(&self, service: &ServiceId, took: Duration) {
         let mut stays = self.stays.borrow_mut();
--- a/crates/ashgauged/src/relay/forward.rs
+++ b/crates/ashgauged/src/relay/forward.rs
@@ -22,6 +22,7 @@
 
 use super::desk::Desk;
 use super::dial;
+use super::gate;
 use super::log;
 use super::loss::{self, Loss};
 use super::notice;
@@ -76,7 +77,7 @@
     let digest = digest_of(&head, &ask, team.as_deref(), &body);
     record.digest = Some(digest);
     let mut handoff = Handoff::new(until, route.attempts, route.may_repeat());
-    let admitted = Admitted {
+    let mut admitted = Admitted {
         head,
         ask,
         body,
@@ -84,8 +85,11 @@
         route,
         service,
         team,
+        class: None,
+        admission: None,
         record,
     };
+    admitted.class = gate::class_of(&desk, &admitted);
     if is_held(&desk, &admitted) {
         return held_back(&desk, admitted, false);
     }
@@ -242,7 +246,7 @@
         id,
         chain: None,
         team: a.team.as_ref().map(|t| t.name.as_str()),
-        rank: a.rank(),
+        rank: a.rank(desk),
         left,
         last_event: None,
     };
--- a/crates/ashgauged/src/relay/mod.rs
+++ b/crates/ashgauged/src/relay/mod.rs
@@ -13,6 +13,7 @@
 mod fetch;
 mod follow;
 mod forward;
+mod gate;
 mod log;
 mod loss;
 mod metrics;
--- a/crates/ashgauged/src/relay/open.rs
+++ b/crates/ashgauged/src/relay/open.rs
@@ -105,7 +105,7 @@
         id: &lead,
         chain: text.as_deref(),
         team: a.team.as_ref().map(|t| t.name.as_str()),
-        rank: slack::order(a.rank(), slack_of(a, last)),
+        rank: slack::order(a.rank(desk), slack_of(a, last)),
         left: handoff.left(desk.now()),
         last_event: last,
     };
--- a/crates/ashgauged/src/relay/request.rs
+++ b/crates/ashgauged/src/relay/request.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use ashgauge::chain::Stage;
+use ashgauge::class::Class;
 use ashgauge::digest::Digest;
 use ashgauge::handoff::{End, Outcome};
 use ashgauge::member::UpstreamId;
@@ -24,6 +25,7 @@
 use spdlog::Level;
 
 use super::desk::Desk;
+use super::gate::Admission;
 use super::log;
 use super::permit;
 use super::probe;
@@ -47,6 +49,9 @@
 /// not return together: about as long as requests stay on the engines.
 const BACK_ROOM: Range<Duration> = Duration::from_millis(1500)..Duration::from_millis(4500);
 
+/// A request with less than this part of its route's time left was made before.
+const FIRST_PART: f64 = 0.97;
+
 /// An upstream's whole answer.
 pub type Whole = Response<Bytes>;
 
@@ -66,17 +71,33 @@
     pub service: Arc<Service>,
     /// The key's team.
     pub team: Option<Arc<Team>>,
+    /// Its priority class, if the service lets requests in by those.
+    pub class: Option<Class>,
+    /// Counts it among what was let in, if so.
+    pub admission: Option<Admission>,
     /// What it came to.
     pub record: Record,
 }
 
 impl Admitted {
-    /// The request's rank: the team's, else the route's.
-    pub fn rank(&self) -> u32 {
+    /// The request's rank: the team's, else the route's; where requests are let in by
+    /// their class, the order of that.
+    pub fn rank(&self, desk: &Desk) -> u32 {
+        let routing = desk.routing();
+        let ranks = routing.ranks(&self.service.name);
+        if let (Some(class), Some(ranks)) = (self.class, ranks) {
+            return ranks.order(class);
+        }
         let team = self.team.as_ref().and_then(|t| t.rank);
         team.unwrap_or(self.route.rank)
     }
 
+    /// Whether its caller comes back: what it waited before is gone from its time.
+    pub fn is_back(&self) -> bool {
+        let timeout = self.route.timeout;
+        self.ask.patience.unwrap_or(timeout) < timeout.mul_f64(FIRST_PART)
+    }
+
     /// How the request stands against its aim, at its arrival.
     pub fn slack(&self) -> Slack {
         let timeout = self.route.timeout;
@@ -204,6 +225,12 @@
     own(StatusCode::SERVICE_UNAVAILABLE, Some(&a.ask), Some(after))
 }
 
+/// Ends a request for which there is no time at the engines, and says when there may be.
+pub fn shed(mut a: Admitted, after: Duration) -> Response<Body> {
+    a.record.end("overload");
+    own(StatusCode::SERVICE_UNAVAILABLE, Some(&a.ask), Some(after))
+}
+
 /// Ends a request that is held back. Its caller is told that it has not run, and
 /// when it is tried again, unless it may have run.
 pub fn held_back(desk: &Desk, mut a: Admitted, may_have_run: bool) -> Response<Body> {
--- a/crates/ashgauged/src/relay/select.rs
+++ b/crates/ashgauged/src/relay/select.rs
@@ -6,8 +6,10 @@
 use ashgauge::chain::Stage;
 use ashgauge::choice::{self, Need};
 use ashgauge::cost;
+use ashgauge::demand::{self, Demands};
 use ashgauge::member::UpstreamId;
 use ashgauge::pipes::Pipes;
+use ashgauge::pressure::Pressure;
 use ashgauge::roster::Roster;
 use ashgauge::routing::{Model, Service};
 use ashgauge::scene::Scene;
@@ -99,6 +101,33 @@
         model.map_or((0, 0), |m| choice::count_full(&scene, m, limit))
     }
 
+    /// How near the engines of a service are to what they can do.
+    pub fn pressure(&self, service: &Service, model: &Model) -> Pressure {
+        let (roster, pipes, shares) = (
+            self.roster.borrow(),
+            self.pipes.borrow(),
+            self.shares.borrow(),
+        );
+        let scene = self.scene(&roster, &pipes, &shares, &service.name);
+        Pressure::of(&scene, model)
+    }
+
+    /// What the callers of all boxes ask of a service, and requests of it that end each
+    /// second; boxes that were not heard lately are taken to do as those that were.
+    pub fn flows(&self, service: &str) -> (Demands, f64) {
+        let own = self.gates.flows(self.now());
+        let shares = self.shares.borrow();
+        let flows = shares.flows(&own);
+        let heard = shares.boxes() as f64 + 1.0;
+        let unheard = (f64::from(self.boxes()) / heard).max(1.0);
+        let key = demand::key(service);
+        let mut demands = flows.demands_of(key);
+        for (_, demand) in &mut demands {
+            demand.rate = (f64::from(demand.rate) * unheard) as u32;
+        }
+        (demands, flows.ends_of(key) * unheard)
+    }
+
     /// Writes a chain for the wire, with the first engine's address.
     pub fn chain_text(&self, stages: &[Stage]) -> Option<(String, String)> {
         let roster = self.roster.borrow();
@@ -174,13 +203,7 @@
             lag: self.lag.get(),
             boxes: f64::from(self.boxes()),
             neighbours: self.neighbours(roster),
-            stay: self
-                .stays
-                .borrow()
-                .get(service)
-                .copied()
-                .unwrap_or_default()
-                .mean(),
+            stay: self.stay(service),
             together: false,
             now: self.now(),
         }
--- a/crates/ashgauged/src/relay/settings.rs
+++ b/crates/ashgauged/src/relay/settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use ashgauge::asker::Pace;
+use ashgauge::class::Ranks;
 use ashgauge::retry::Allowance;
 use eyre::{Result, WrapErr, bail, eyre};
 use serde::Deserialize;
@@ -46,6 +47,9 @@
     /// Whether every box reads the store for itself.
     #[serde(default)]
     pub each_reads: bool,
+    /// Services whose streams are refused by their priority class under overload.
+    #[serde(default)]
+    pub shedding: Shedding,
     /// Bounds that the operators set.
     #[serde(default)]
     pub bounds: Bounds,
@@ -57,6 +61,20 @@
     pub timing: Timing,
 }
 
+/// Services whose streams are refused by their priority class where callers ask for more
+/// than engines can do in time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Shedding {
+    /// Those to which routes of several ranks lead.
+    #[default]
+    Ranked,
+    /// All.
+    All,
+    /// None.
+    Off,
+}
+
 /// Bounds that the operators set for the whole fleet. They may be fractions.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -212,6 +230,15 @@
         }
     }
 
+    /// Whether streams of a service for which these ranks compete are refused by class.
+    pub fn sheds(&self, ranks: &Ranks) -> bool {
+        match self.shedding {
+            Shedding::Ranked => ranks.differ(),
+            Shedding::All => true,
+            Shedding::Off => false,
+        }
+    }
+
     /// Whether boxes may learn from each other what a few of them read.
     pub fn shares_reading(&self) -> bool {
         self.peer.is_some() && !self.each_reads
--- a/crates/ashgauged/src/relay/state/mod.rs
+++ b/crates/ashgauged/src/relay/state/mod.rs
@@ -2,10 +2,12 @@
 
 mod budgets;
 mod clock;
+mod gates;
 mod permits;
 pub mod probes;
 
 pub use budgets::Budgets;
 pub use clock::{Clock, boot_time};
+pub use gates::Gates;
 pub use permits::Permits;
 pub use probes::Probes;
--- a/crates/ashgauged/src/relay/stream.rs
+++ b/crates/ashgauged/src/relay/stream.rs
@@ -11,11 +11,12 @@
 use serde_json::json;
 
 use super::desk::Desk;
+use super::gate;
 use super::loss::{self, Loss};
 use super::open::{begin, head_of};
 use super::pick::{NoWay, pick_late, pick_open};
 use super::pump;
-use super::request::{Admitted, finish, held_back, no_room, note_outcome, whole};
+use super::request::{Admitted, finish, held_back, no_room, note_outcome, shed, whole};
 use super::retry;
 use super::serve::Body;
 use super::turn::Turn;
@@ -27,6 +28,10 @@
     mut handoff: Handoff,
     rule: StreamRule,
 ) -> Response<Body> {
+    a.admission = match gate::admit(&desk, &a) {
+        Ok(admission) => admission,
+        Err(after) => return shed(a, after),
+    };
     let mut avoid = Vec::new();
     let mut turn = Turn::new(&desk, &a);
     let run = loop {
--- a/crates/ashgauged/src/relay/tell.rs
+++ b/crates/ashgauged/src/relay/tell.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ashgauge::demand::Flows;
 use ashgauge::hub::{self, Role};
 use ashgauge::permit::Rates;
 use ashgauge::quarantine::Audience;
@@ -150,6 +151,10 @@
             boxes: sum.boxes,
             uses: sum.uses,
             suspects: sum.suspects,
+            flows: match scope {
+                Scope::Far(_) => Flows::default(),
+                Scope::Own | Scope::Near => sum.flows,
+            },
             limits: match scope {
                 Scope::Far(_) => Vec::new(),
                 Scope::Own | Scope::Near => self.desk.permits.limits.borrow().tell(now),
@@ -248,5 +253,6 @@
         boxes: 1,
         uses,
         suspects: suspects.map(|e| share::key(&e.upstream.id)).collect(),
+        flows: desk.gates.flows(now),
     }
 }
--- a/crates/ashgauged/src/relay/turn.rs
+++ b/crates/ashgauged/src/relay/turn.rs
@@ -20,10 +20,6 @@
 /// another refusal is the last word. Callers leave after two seconds.
 const WAIT_BACK: Duration = Duration::from_millis(1200);
 
-/// A request with less than this part of its route's time left was made before:
-/// what it waited then is gone.
-const FIRST_PART: f64 = 0.97;
-
 /// Part of the expected wait that must fit: the expectation is rough, and one
 /// that is refused may have been let in.
 const WAIT_SURE: f64 = 0.5;
@@ -45,8 +41,7 @@
 impl Turn {
     /// A request that does not wait yet.
     pub fn new(desk: &Rc<Desk>, a: &Admitted) -> Self {
-        let patience = a.ask.patience.unwrap_or(a.route.timeout);
-        let first = patience >= a.route.timeout.mul_f64(FIRST_PART);
+        let first = !a.is_back();
         let most = if first { WAIT_MOST } else { WAIT_BACK };
         Turn {
             desk: desk.clone(),
@@ -73,8 +68,9 @@
     fn enter(&mut self, a: &Admitted) {
         if self.ticket.is_none() {
             let team = a.team.as_ref().map_or("", |t| t.name.as_str());
+            let rank = a.rank(&self.desk);
             let ticket = self.desk.line(&self.service, |l| {
-                l.join(a.rank(), self.first, &Arc::from(team))
+                l.join(rank, self.first, &Arc::from(team))
             });
             self.ticket = Some(ticket);
         }
@@ -83,7 +79,8 @@
     /// Waits until the request may look for a chain; returns false if it would
     /// take too long.
     pub async fn wait(&mut self, a: &Admitted) -> bool {
-        let line_ahead = |l: &mut Line| l.ahead_of(a.rank());
+        let rank = a.rank(&self.desk);
+        let line_ahead = |l: &mut Line| l.ahead_of(rank);
         if self.ticket.is_none() && self.desk.line(&self.service, line_ahead) > 0 {
             self.enter(a);
         }
