Tell other boxes which engines say that they are slow

Change: words hold the engines that told their box so, where a service's streams are let in by class; what was only heard is not told again. Besides: a level needs engines that are half full, boxes that are heard twice after a start of all are counted once, and engines are filled to 0.92 where streams are let in by class.

--- a/crates/ashgauge/src/entry.rs
+++ b/crates/ashgauge/src/entry.rs
@@ -28,6 +28,10 @@
 /// How long an upstream that had no room, and did not say for how long, is avoided.
 const FULL_TIME: Duration = Duration::from_millis(300);
 
+/// How long a box goes by another one's word that an engine is slow; it is told again with
+/// each word as long as that box knows it.
+const SLOW_TOLD_TIME: Duration = Duration::from_millis(1000);
+
 /// How long something that came proves that the upstream behind it is there: a
 /// part of the silence after which streams look for the cause (100 ms).
 const HEARD_TIME: Duration = Duration::from_millis(60);
@@ -82,6 +86,8 @@
     /// What it said in its answers.
     pub(crate) notice: Notice,
     slow: Option<(f64, Duration)>,
+    /// Other boxes' word on that, and until when it counts.
+    slow_told: Option<(f64, Duration)>,
     pub(crate) missing: Option<Duration>,
     /// Seconds of reading that it was given and that were not over at a time.
     reading: (f64, Duration),
@@ -120,8 +126,15 @@
 
     /// Factor on the time of its work, as it told lately; 1 if it told nothing.
     pub fn slowness(&self, now: Duration) -> f64 {
+        let told = [self.slow, self.slow_told].into_iter().flatten();
+        let counting = told.filter(|(_, until)| now < *until);
+        counting.map(|(factor, _)| factor).fold(1.0, f64::max)
+    }
+
+    /// Factor on the time of its work by its own word to this box, if it is slow.
+    pub fn found_slow(&self, now: Duration) -> Option<f64> {
         let told = self.slow.filter(|(_, until)| now < *until);
-        told.map_or(1.0, |(factor, _)| factor.max(1.0))
+        told.map(|(factor, _)| factor).filter(|f| *f > 1.0)
     }
 
     /// Learned share of requests that failed lately, 0 to 1.
@@ -192,6 +205,7 @@
             closed: None,
             notice,
             slow: None,
+            slow_told: None,
             missing: None,
             reading: (0.0, Duration::ZERO),
         }
@@ -278,6 +292,10 @@
         self.full = Some(now + FULL_TIME);
     }
 
+    pub(crate) fn hear_slow(&mut self, now: Duration, factor: f64) {
+        self.slow_told = Some((factor, now + SLOW_TOLD_TIME));
+    }
+
     /// Returns true if that is news.
     pub(crate) fn note_slow(&mut self, now: Duration, factor: f64) -> bool {
         let before = self.slowness(now);
--- a/crates/ashgauge/src/level.rs
+++ b/crates/ashgauge/src/level.rs
@@ -17,6 +17,10 @@
 /// in an engine's memory two deviations of their sum are 0.15.
 const FILL: f64 = 0.85;
 
+/// Share of their bounds below which all is let in: a box that has just started reckons
+/// the demand of all from its own few requests.
+const ENGAGE: f64 = 0.5;
+
 /// Time within which requests under way are brought to what the engines can do.
 const SETTLE: Duration = Duration::from_secs(1);
 
@@ -40,13 +44,14 @@
 /// use ashgauge::pressure::Pressure;
 ///
 /// let pressure = |memory| Pressure { requests: 600.0, memory, slots: 0.1 };
-/// // Half of the room is free: more may begin than end.
-/// assert!(allowed(&pressure(0.4), 300.0) > 500.0);
+/// assert_eq!(allowed(&pressure(0.4), 300.0), f64::INFINITY);
+/// // There is room left: more may begin than end.
+/// assert!(allowed(&pressure(0.6), 300.0) > 500.0);
 /// assert!(allowed(&pressure(1.0), 300.0) < 300.0);
 /// ```
 pub fn allowed(pressure: &Pressure, ends: f64) -> f64 {
     let used = pressure.most();
-    if used <= 0.0 || pressure.requests <= 0.0 {
+    if used < ENGAGE || pressure.requests <= 0.0 {
         return f64::INFINITY;
     }
     let more = pressure.requests * (FILL / used - 1.0) / SETTLE.as_secs_f64();
--- a/crates/ashgauge/src/pressure.rs
+++ b/crates/ashgauge/src/pressure.rs
@@ -43,14 +43,15 @@
                 room[layer] += memory / each;
             }
         }
+        let once = counted_once(scene);
         let shares = used
             .iter()
             .zip(&room)
             .map(|(used, room)| share(*used, *room));
         Pressure {
-            requests,
-            memory: shares.fold(0.0, f64::max),
-            slots: share(leads, slots),
+            requests: requests * once,
+            memory: shares.fold(0.0, f64::max) * once,
+            slots: share(leads, slots) * once,
         }
     }
 
@@ -60,6 +61,13 @@
     }
 }
 
+/// Factor on what was heard, where more boxes were heard than there are: after a start of
+/// all of them some tell for themselves and are in a hub's sum as well, for some seconds.
+fn counted_once(scene: &Scene) -> f64 {
+    let heard = scene.shares.boxes() as f64 + 1.0;
+    (scene.boxes / heard).min(1.0)
+}
+
 /// A share of what there is; all of it where there is nothing.
 fn share(used: f64, of: f64) -> f64 {
     match of > 0.0 {
--- a/crates/ashgauge/src/roster.rs
+++ b/crates/ashgauge/src/roster.rs
@@ -7,9 +7,12 @@
 use crate::entry::Entry;
 use crate::member::UpstreamId;
 use crate::notice::{Absent, Notice};
-use crate::share::{self, UpstreamKey};
+use crate::share::{self, Slow, UpstreamKey};
 use crate::upstream::Upstream;
 
+/// Factors on an engine's time are told in this part of one.
+const SLOW_UNIT: f64 = 10.0;
+
 /// All upstreams.
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
@@ -69,6 +72,33 @@
         }
     }
 
+    /// Notes which engines told other boxes that they are slow.
+    pub fn hear_slow(&mut self, now: Duration, slow: &Slow) {
+        if slow.is_empty() {
+            return;
+        }
+        for (id, entry) in &mut self.entries {
+            let key = share::key(id);
+            if let Ok(at) = slow.binary_search_by_key(&key, |(key, _)| *key) {
+                entry.hear_slow(now, f64::from(slow[at].1) / SLOW_UNIT);
+            }
+        }
+    }
+
+    /// Engines of some services that told this box that they are slow.
+    pub fn slow(&self, now: Duration, is_told: impl Fn(&str) -> bool) -> Slow {
+        let told = self.entries.values();
+        let told = told.filter(|e| is_told(&e.upstream.service));
+        let tenths = |factor: f64| (factor * SLOW_UNIT).min(f64::from(u16::MAX)) as u16;
+        let slow = told.filter_map(|e| {
+            let factor = e.found_slow(now)?;
+            Some((share::key(&e.upstream.id), tenths(factor)))
+        });
+        let mut slow: Slow = slow.collect();
+        slow.sort_unstable();
+        slow
+    }
+
     /// Forgets an upstream that is gone, but for what it said.
     pub fn remove(&mut self, now: Duration, id: &str) {
         if let Some(e) = self.entries.remove(id) {
--- a/crates/ashgauge/src/share.rs
+++ b/crates/ashgauge/src/share.rs
@@ -94,8 +94,14 @@
     pub limits: Vec<Told>,
     /// What callers ask for, and what ends.
     pub flows: Flows,
+    /// Engines that told it that they are slow; only in words that are told often.
+    pub slow: Slow,
 }
 
+/// Engines that say that they are slow, with the factor on their time in tenths, ordered
+/// by their keys.
+pub type Slow = Vec<(UpstreamKey, u16)>;
+
 /// Uses of upstreams, ordered by their keys.
 pub type Uses = Vec<(UpstreamKey, Use)>;
 
@@ -110,6 +116,8 @@
     pub suspects: Vec<UpstreamKey>,
     /// What their callers ask for, and what ends.
     pub flows: Flows,
+    /// Engines that told them that they are slow.
+    pub slow: Slow,
 }
 
 /// What was heard from the other boxes.
@@ -128,6 +136,7 @@
     uses: Uses,
     suspects: Vec<UpstreamKey>,
     flows: Flows,
+    slow: Slow,
 }
 
 /// Whether words that are told after this time tell suspects.
@@ -181,6 +190,7 @@
             uses: word.uses,
             suspects: word.suspects,
             flows: word.flows,
+            slow: word.slow,
         };
         self.heard.insert(source, heard);
         true
@@ -291,8 +301,13 @@
     let mut sums: BTreeMap<UpstreamKey, Use> = own.uses.iter().copied().collect();
     let mut suspects: BTreeSet<UpstreamKey> = own.suspects.iter().copied().collect();
     let mut flows = vec![&own.flows];
+    let mut slow: BTreeMap<UpstreamKey, u16> = own.slow.into_iter().collect();
     for heard in heard {
         flows.push(&heard.flows);
+        for (key, factor) in &heard.slow {
+            let known = slow.entry(*key).or_default();
+            *known = (*known).max(*factor);
+        }
         boxes += heard.boxes;
         suspects.extend(&heard.suspects);
         for (key, more) in &heard.uses {
@@ -304,6 +319,7 @@
         uses: sums.into_iter().collect(),
         suspects: suspects.into_iter().collect(),
         flows: Flows::sum(flows.into_iter()),
+        slow: slow.into_iter().collect(),
     }
 }
 
--- a/crates/ashgauge/tests/choice.rs
+++ b/crates/ashgauge/tests/choice.rs
@@ -136,6 +136,7 @@
         suspects: Vec::new(),
         limits: Vec::new(),
         flows: Default::default(),
+        slow: Vec::new(),
     };
     assert!(shares.hear(Duration::from_secs(100), word));
     shares
@@ -191,6 +192,7 @@
         suspects: Vec::new(),
         limits: Vec::new(),
         flows: Default::default(),
+        slow: Vec::new(),
     };
     shares.hear(Duration::from_secs(100), word);
     assert_eq!(chosen(&shares), None);
--- a/crates/ashgauge/tests/hub.rs
+++ b/crates/ashgauge/tests/hub.rs
@@ -65,6 +65,7 @@
         uses: uses.clone(),
         suspects: Vec::new(),
         flows: Default::default(),
+        slow: Vec::new(),
     }
 }
 
@@ -79,6 +80,7 @@
         suspects: sum.suspects,
         limits: Vec::new(),
         flows: Default::default(),
+        slow: Vec::new(),
     }
 }
 
@@ -246,6 +248,7 @@
         uses: used.clone(),
         suspects: Vec::new(),
         flows: Default::default(),
+        slow: Vec::new(),
     };
     shares.hear(NOW, word(&"first".into(), Scope::Near, sum(90)));
     shares.hear(NOW, word(&"first".into(), Scope::Far(0), sum(90)));
--- a/crates/ashgauge/tests/share.rs
+++ b/crates/ashgauge/tests/share.rs
@@ -27,6 +27,7 @@
         suspects: Vec::new(),
         limits: Vec::new(),
         flows: Default::default(),
+        slow: Vec::new(),
     }
 }
 
--- /dev/null
+++ b/crates/ashgauge/tests/slow.rs
@@ -0,0 +1,59 @@
+//! Engines that say that they are slow, as boxes tell each other.
+
+mod engines;
+
+use std::time::Duration;
+
+use ashgauge::share::{self, Scope, Shares, Sum, Word};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// With two fifths of the engines twelve times as slow each box once found out by its own
+/// late streams, engine by engine.
+#[test]
+fn slow_engine_is_known_to_boxes_that_did_not_use_it() {
+    let mut found = engines::twins();
+    found.note_slow(SECOND, "a1", 12.0);
+    let slow = found.slow(SECOND, |service| service == "model");
+    let mut others = engines::twins();
+    others.hear_slow(SECOND, &slow);
+    assert_eq!(others.get("a1").expect("an engine").slowness(SECOND), 12.0);
+    assert_eq!(others.get("a2").expect("an engine").slowness(SECOND), 1.0);
+    // What was only heard is not told again, or it would never end.
+    assert!(others.slow(SECOND, |_| true).is_empty());
+    assert_eq!(
+        others.get("a1").expect("an engine").slowness(SECOND * 3),
+        1.0
+    );
+}
+
+/// Deployments that do not ask for it tell nothing.
+#[test]
+fn engines_of_other_services_are_not_told() {
+    let mut found = engines::twins();
+    found.note_slow(SECOND, "a1", 12.0);
+    assert!(found.slow(SECOND, |_| false).is_empty());
+}
+
+/// Two boxes asked the same engine at different moments.
+#[test]
+fn larger_factor_counts_in_a_sum() {
+    let mut shares = Shares::default();
+    let key = share::key("a1");
+    for (n, factor) in [30, 120].into_iter().enumerate() {
+        let word = Word {
+            from: format!("box-{n}").into(),
+            boot: 1,
+            number: 1,
+            scope: Scope::Own,
+            boxes: 1,
+            uses: Vec::new(),
+            suspects: Vec::new(),
+            limits: Vec::new(),
+            flows: Default::default(),
+            slow: vec![(key, factor)],
+        };
+        assert!(shares.hear(SECOND, word));
+    }
+    assert_eq!(shares.all(Sum::default()).slow, [(key, 120)]);
+}
--- a/crates/ashgauge/tests/worst_load.rs
+++ b/crates/ashgauge/tests/worst_load.rs
@@ -35,6 +35,7 @@
             suspects: Vec::new(),
             limits: Vec::new(),
             flows: Default::default(),
+            slow: Vec::new(),
         };
         assert!(shares.hear(Duration::from_secs(100), word));
     }
--- a/crates/ashgauged/src/relay/gate.rs
+++ b/crates/ashgauged/src/relay/gate.rs
@@ -20,10 +20,15 @@
 
 /// Whether streams of a service are let in by the level.
 pub fn is_on(desk: &Desk, service: &Service) -> bool {
-    let routing = desk.routing();
-    let ranks = routing.ranks(&service.name);
     let has_engines = service.model.as_ref().is_some_and(|m| m.layers > 0);
-    has_engines && ranks.is_some_and(|r| desk.settings().sheds(r))
+    has_engines && is_shed(desk, &service.name)
+}
+
+/// Whether streams of a service compete by rank, as configuration and settings have it.
+pub fn is_shed(desk: &Desk, service: &str) -> bool {
+    let routing = desk.routing();
+    let ranks = routing.ranks(service);
+    ranks.is_some_and(|r| desk.settings().sheds(r))
 }
 
 /// The priority class of a request, if its service lets streams in by those.
--- a/crates/ashgauged/src/relay/peers.rs
+++ b/crates/ashgauged/src/relay/peers.rs
@@ -269,18 +269,20 @@
 
     fn take_load(&self, mut word: Word) -> Taken {
         let now = self.desk.now();
-        let suspects = word.suspects.clone();
+        let (suspects, slow) = (word.suspects.clone(), word.slow.clone());
         permit::hear(&self.desk, &word.from, &word.limits);
         if self.desk.role() != Role::Hub {
             word.suspects.clear();
+            word.slow.clear();
         }
         if !self.desk.shares.borrow_mut().hear(now, word) {
             return Taken::Late;
         }
+        let mut roster = self.desk.roster.borrow_mut();
         if !suspects.is_empty() {
-            let mut roster = self.desk.roster.borrow_mut();
             roster.hear_suspects(now, &suspects);
         }
+        roster.hear_slow(now, &slow);
         Taken::Heard
     }
 
--- a/crates/ashgauged/src/relay/pick.rs
+++ b/crates/ashgauged/src/relay/pick.rs
@@ -25,6 +25,10 @@
 /// Time between two looks of such a request.
 const LOOK_EVERY: Duration = Duration::from_millis(20);
 
+/// Share of its memory up to which an engine is filled where streams are let in by class: all
+/// engines together are filled to less, so there is another one.
+const LIMIT_SHED: f64 = 0.92;
+
 /// Why there is no chain for a request.
 pub enum NoWay {
     /// Some layers have no engine that may be used.
@@ -176,8 +180,13 @@
 /// The room that a request needs, if it goes over a chain.
 fn need(desk: &Desk, a: &Admitted) -> Option<Need> {
     a.service.model.as_ref().filter(|m| m.layers > 0)?;
+    let learned = desk.line(&a.service.name, |l| l.limit());
+    let limit = match a.class {
+        Some(_) => learned.min(LIMIT_SHED),
+        None => learned,
+    };
     Some(Need {
         tokens: a.usual_tokens(),
-        limit: desk.line(&a.service.name, |l| l.limit()),
+        limit,
     })
 }
--- a/crates/ashgauged/src/relay/select.rs
+++ b/crates/ashgauged/src/relay/select.rs
@@ -119,13 +119,14 @@
         let shares = self.shares.borrow();
         let flows = shares.flows(&own);
         let heard = shares.boxes() as f64 + 1.0;
-        let unheard = (f64::from(self.boxes()) / heard).max(1.0);
+        // More are heard than there are where some are in a hub's sum as well.
+        let factor = f64::from(self.boxes()) / heard;
         let key = demand::key(service);
         let mut demands = flows.demands_of(key);
         for (_, demand) in &mut demands {
-            demand.rate = (f64::from(demand.rate) * unheard) as u32;
+            demand.rate = (f64::from(demand.rate) * factor) as u32;
         }
-        (demands, flows.ends_of(key) * unheard)
+        (demands, flows.ends_of(key) * factor)
     }
 
     /// Writes a chain for the wire, with the first engine's address.
--- a/crates/ashgauged/src/relay/tell.rs
+++ b/crates/ashgauged/src/relay/tell.rs
@@ -18,7 +18,7 @@
 use super::desk::{Desk, Peer};
 use super::pack;
 use super::peers::Peers;
-use super::{permit, quarantine};
+use super::{gate, permit, quarantine};
 
 /// Longest time without a word, so that the others know that this box is there.
 const SILENT_MOST: Duration = Duration::from_millis(500);
@@ -100,6 +100,7 @@
             let mut sum = sum.clone();
             if !share::tells_suspects(time) {
                 sum.suspects.clear();
+                sum.slow.clear();
             }
             let to = listeners.iter().filter(|(_, p)| p.near == near);
             let to: Vec<&Peer> = to.map(|(_, p)| p).collect();
@@ -151,6 +152,7 @@
             boxes: sum.boxes,
             uses: sum.uses,
             suspects: sum.suspects,
+            slow: sum.slow,
             flows: match scope {
                 Scope::Far(_) => Flows::default(),
                 Scope::Own | Scope::Near => sum.flows,
@@ -205,6 +207,7 @@
         let mut part = self.whole.only(is_told);
         if scope != Scope::Near {
             part.suspects.clear();
+            part.slow.clear();
         }
         part
     }
@@ -254,5 +257,6 @@
         uses,
         suspects: suspects.map(|e| share::key(&e.upstream.id)).collect(),
         flows: desk.gates.flows(now),
+        slow: roster.slow(now, |service| gate::is_shed(desk, service)),
     }
 }
