Sum the teams of a level without overflow

Cause: other boxes say how many teams a demand stands for; two large figures overflowed the sum, which panics in the dev profile and wraps in the release profile.

Change: the sum is a u64. Turns level_holds_with_the_largest_numbers_of_teams and shares_are_parts green.

--- a/crates/ashgauge/src/level.rs
+++ b/crates/ashgauge/src/level.rs
@@ -135,15 +135,16 @@
     let each = |demand: &Demand| demand.rate() / f64::from(demand.teams.max(1));
     let mut sorted: Vec<&Demand> = demands.iter().map(|(_, d)| d).collect();
     sorted.sort_by(|a, b| each(a).total_cmp(&each(b)));
-    let mut teams: u32 = sorted.iter().map(|d| d.teams.max(1)).sum();
+    // Other boxes say how many teams there are, so a sum of these may not fit a `u32`.
+    let mut teams: u64 = sorted.iter().map(|d| u64::from(d.teams.max(1))).sum();
     let mut left = left.max(0.0);
     for demand in sorted {
-        let part = left / f64::from(teams.max(1));
+        let part = left / teams.max(1) as f64;
         if each(demand) >= part {
             return part;
         }
         left -= demand.rate();
-        teams -= demand.teams.max(1);
+        teams -= u64::from(demand.teams.max(1));
     }
     f64::INFINITY
 }
