Keep all classes in a word

Cause: of more than 64 demands a word held the 32 largest and one entry for the others of each class, cut off at 64. With more than 32 classes over all services the last ones were lost, so boxes let in more than they should.

Change: as many demands are told singly as leave an entry for each class. With more than 64 classes a word still cuts the last ones off. Turns fit_keeps_the_total_of_each_class green.

--- a/crates/ashgauge/src/demand.rs
+++ b/crates/ashgauge/src/demand.rs
@@ -210,9 +210,11 @@
         if self.demands.len() <= TOLD_MOST {
             return self;
         }
+        // Each class may need an entry for its others besides those told singly.
+        let single = TOLD_MOST.saturating_sub(self.classes());
         let demands = &mut self.demands;
         demands.sort_unstable_by_key(|(_, d)| Reverse(d.rate));
-        let small = demands.split_off(TOLD_MOST / 2);
+        let small = demands.split_off(single.min(TOLD_MOST / 2));
         let mut together: BTreeMap<Source, Demand> = demands.iter().copied().collect();
         for (source, more) in &small {
             let source = Source {
@@ -225,6 +227,14 @@
         self
     }
 
+    /// Classes of all services, where demands are ordered.
+    fn classes(&self) -> usize {
+        let same = |a: &(Source, Demand), b: &(Source, Demand)| {
+            (a.0.service, a.0.class) == (b.0.service, b.0.class)
+        };
+        self.demands.chunk_by(same).count()
+    }
+
     /// What is asked of one service.
     pub fn demands_of(&self, service: ServiceKey) -> Demands {
         let of = |(source, _): &&(Source, Demand)| source.service == service;
