Learn the mean work of requests from the first one on

Cause: each box told its demand in its own mean requests, and learned that mean from a usual request on with weight 0.02. A box of a large fleet has few requests, so where requests were five times the usual all told up to five times what was asked.

Change: the first requests weigh alike. Turns requests_of_one_size_count_one_each_from_the_first green.

--- a/crates/ashgauge/src/demand.rs
+++ b/crates/ashgauge/src/demand.rs
@@ -98,7 +98,8 @@
     }
 }
 
-/// Weight of the newest request in the learned mean of work.
+/// Least weight of the newest request in the learned mean of work; the first ones weigh
+/// as much as each of those before, as a box of a large fleet has few.
 const MEAN_LEARN: f64 = 0.02;
 
 /// Learns what the callers of one box ask for.
@@ -108,6 +109,8 @@
     ends: HashMap<ServiceKey, Rate>,
     /// Mean work of a request: what callers ask for may be far from the usual.
     mean: f64,
+    /// Requests that it was learned from.
+    noted: u32,
 }
 
 impl Default for Meter {
@@ -116,6 +119,7 @@
             rates: HashMap::new(),
             ends: HashMap::new(),
             mean: 1.0,
+            noted: 0,
         }
     }
 }
@@ -142,7 +146,9 @@
 impl Meter {
     /// Notes a request that asks for so much work. Rates count mean requests.
     pub fn note(&mut self, now: Duration, source: Source, work: f64) {
-        self.mean += MEAN_LEARN * (work - self.mean);
+        self.noted = self.noted.saturating_add(1);
+        let weight = f64::from(self.noted).recip().max(MEAN_LEARN);
+        self.mean += weight * (work - self.mean);
         let rate = self.rates.entry(source).or_default();
         rate.note(now, work / self.mean);
     }
