--- /dev/null
+++ b/crates/ashgauge/tests/fleet/mod.rs
@@ -0,0 +1,498 @@
+//! A fleet of boxes in virtual time that lets requests in by the level.
+
+pub mod engines;
+
+use std::collections::BTreeMap;
+use std::ops::Range;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ashgauge::class::Class;
+use ashgauge::demand::{self, Flows, Meter, Source};
+use ashgauge::hub;
+use ashgauge::level::{self, Gate, Level};
+use ashgauge::pressure::Pressure;
+use ashgauge::share::{self, Scope, Shares, Sum, Use, Word};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use engines::{BOUND, Begin, CAPACITY, Engines};
+
+/// Seconds between two words of a box.
+const TELL: f64 = 0.1;
+
+/// Time between two levels of a box.
+const RECKON: Duration = Duration::from_millis(50);
+
+/// Prompt and answer of a usual request, in tokens.
+pub const USUAL: (u32, u32) = (800, 200);
+
+/// Time that callers have.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Name of the one upstream that stands for all engines in words.
+const ENGINES: &str = "engines";
+
+/// Name of the service.
+pub const SERVICE: &str = "model";
+
+/// Tokens of prompt and answer, by a number from 0 to 1 at random.
+pub type Size = fn(f64) -> (u32, u32);
+
+/// Callers of one team on one route.
+#[derive(Clone)]
+pub struct Caller {
+    pub team: u32,
+    pub route: u32,
+    /// Work that they ask for, as a multiple of what the engines can do.
+    pub times: f64,
+    /// Boxes by which they enter.
+    pub boxes: Range<usize>,
+    pub size: Size,
+    /// Seconds at which they ask.
+    pub span: Range<f64>,
+}
+
+/// What fails.
+#[derive(Clone)]
+pub enum Fault {
+    /// Boxes die, with their requests.
+    Die(Range<usize>),
+    /// Boxes below this one and the others don't hear each other.
+    Part(usize),
+    /// No box hears another.
+    Mute,
+    /// All words arrive again.
+    Heal,
+    /// A box adds this to what it tells.
+    Lie(usize, Sum),
+}
+
+/// A fleet and its load.
+#[derive(Clone)]
+pub struct Run {
+    pub boxes: usize,
+    /// Age of words when the next one comes, in seconds.
+    pub age: f64,
+    pub callers: Vec<Caller>,
+    /// Whether refused callers come back once, as they are told.
+    pub returns: bool,
+    /// Whether the level decides; all requests are let in otherwise.
+    pub sheds: bool,
+    pub faults: Vec<(f64, Fault)>,
+    /// Seconds at which the run ends.
+    pub end: f64,
+    pub seed: u64,
+}
+
+/// One request.
+pub struct Seen {
+    pub caller: usize,
+    pub at: f64,
+    pub work: f64,
+    pub is_back: bool,
+    /// Whether the level let it in.
+    pub is_in: bool,
+    /// When it ended after a begin in time.
+    pub served: Option<f64>,
+}
+
+enum Event {
+    Ask(usize),
+    Return(usize, usize, (u32, u32)),
+    End(usize, f64, usize, bool),
+    Tell,
+    Hear(Rc<Round>),
+    Fault(Fault),
+}
+
+/// What all boxes told at one time.
+struct Round {
+    number: u64,
+    parts: Vec<Option<Sum>>,
+    total: Sum,
+}
+
+#[derive(Default)]
+struct Node {
+    meter: Meter,
+    gate: Gate,
+    shares: Shares,
+    reckoned: Option<Duration>,
+    heard: u64,
+    held: f64,
+    count: u32,
+    lie: Option<Sum>,
+    is_dead: bool,
+}
+
+/// A fleet while it runs.
+pub struct World {
+    run: Run,
+    /// Requests a second of each caller.
+    rates: Vec<f64>,
+    nodes: Vec<Node>,
+    engines: Engines,
+    events: BTreeMap<(Duration, u64), Event>,
+    count: u64,
+    now: Duration,
+    rounds: u64,
+    round: Option<(Duration, Rc<Round>)>,
+    cut: Option<usize>,
+    mute: bool,
+    rng: SmallRng,
+    pub seen: Vec<Seen>,
+}
+
+impl World {
+    /// Plays a run to its end.
+    pub fn play(run: &Run) -> World {
+        let rate = |from: &Caller| from.times * CAPACITY / mean_work(from.size);
+        let mut world = World {
+            rates: run.callers.iter().map(rate).collect(),
+            nodes: (0..run.boxes).map(|_| Node::default()).collect(),
+            engines: Engines::default(),
+            events: BTreeMap::new(),
+            count: 0,
+            now: Duration::ZERO,
+            rounds: 0,
+            round: None,
+            cut: None,
+            mute: false,
+            rng: SmallRng::seed_from_u64(run.seed),
+            seen: Vec::new(),
+            run: run.clone(),
+        };
+        world.push(0.0, Event::Tell);
+        for (at, fault) in run.faults.clone() {
+            world.push(at, Event::Fault(fault));
+        }
+        for (n, caller) in run.callers.iter().enumerate() {
+            world.push(caller.span.start, Event::Ask(n));
+        }
+        while let Some(((at, _), event)) = world.events.pop_first() {
+            if at.as_secs_f64() >= run.end {
+                break;
+            }
+            world.now = at;
+            world.step(event);
+        }
+        world
+    }
+
+    fn push(&mut self, after: f64, event: Event) {
+        self.count += 1;
+        let at = self.now + Duration::from_secs_f64(after);
+        self.events.insert((at, self.count), event);
+    }
+
+    fn step(&mut self, event: Event) {
+        match event {
+            Event::Ask(caller) => self.ask(caller),
+            Event::Return(caller, at_box, size) => self.arrive(caller, at_box, size, true),
+            Event::End(at_box, memory, seen, in_time) => self.end(at_box, memory, seen, in_time),
+            Event::Tell => self.tell(),
+            Event::Hear(round) => self.hear(round),
+            Event::Fault(fault) => self.fail(fault),
+        }
+    }
+
+    /// A new request, and the time of the next.
+    fn ask(&mut self, caller: usize) {
+        let from = self.run.callers[caller].clone();
+        if self.now.as_secs_f64() >= from.span.end {
+            return;
+        }
+        let draw: f64 = self.rng.random_range(f64::EPSILON..1.0);
+        let gap = -draw.ln() / self.rates[caller];
+        self.push(gap, Event::Ask(caller));
+        let at_box = self.rng.random_range(from.boxes);
+        let size = (from.size)(self.rng.random_range(0.0..1.0));
+        self.arrive(caller, at_box, size, false);
+    }
+
+    fn arrive(&mut self, caller: usize, at_box: usize, size: (u32, u32), is_back: bool) {
+        if self.nodes[at_box].is_dead {
+            return;
+        }
+        let from = &self.run.callers[caller];
+        let class = Class::new(Some(0), from.route, is_back);
+        let (team, work) = (from.team, demand::work(size, USUAL));
+        let service = demand::key(SERVICE);
+        let source = Source {
+            service,
+            class,
+            team: Some(team),
+        };
+        self.nodes[at_box].meter.note(self.now, source, work);
+        self.reckon(at_box);
+        let start = self.rng.random_range(0.0..1.0);
+        let is_in = !self.run.sheds || self.nodes[at_box].gate.admits(class, team, start);
+        self.seen.push(Seen {
+            caller,
+            at: self.now.as_secs_f64(),
+            work,
+            is_back,
+            is_in,
+            served: None,
+        });
+        if is_in {
+            self.begin(at_box, size);
+        } else if self.run.returns && !is_back {
+            let after = level::back_after(PATIENCE, self.rng.random_range(0.0..1.0));
+            self.push(after.as_secs_f64(), Event::Return(caller, at_box, size));
+        }
+    }
+
+    fn begin(&mut self, at_box: usize, (prompt, answer): (u32, u32)) {
+        let held = |(prompt, answer): (u32, u32)| f64::from(prompt) + f64::from(answer) / 2.0;
+        let memory = held((prompt, answer)) / held(USUAL);
+        let (stay, in_time) = match self.engines.begin(memory) {
+            Begin::InTime(stay) => (stay, true),
+            Begin::Late(stay) => (stay, false),
+            Begin::Refused => {
+                let now = self.now;
+                return self.nodes[at_box].meter.note_end(now, demand::key(SERVICE));
+            }
+        };
+        self.nodes[at_box].held += memory;
+        self.nodes[at_box].count += 1;
+        let stay = stay * f64::from(answer) / f64::from(USUAL.1);
+        let seen = self.seen.len() - 1;
+        self.push(stay, Event::End(at_box, memory, seen, in_time));
+    }
+
+    fn end(&mut self, at_box: usize, memory: f64, seen: usize, in_time: bool) {
+        let node = &mut self.nodes[at_box];
+        if node.is_dead {
+            return;
+        }
+        node.held -= memory;
+        node.count -= 1;
+        node.meter.note_end(self.now, demand::key(SERVICE));
+        self.engines.end(memory);
+        if in_time {
+            self.seen[seen].served = Some(self.now.as_secs_f64());
+        }
+    }
+
+    /// What each box tells at this time arrives when it is as old as words get.
+    fn tell(&mut self) {
+        let now = self.now;
+        let parts = self.nodes.iter_mut().map(|node| node.part(now));
+        let parts: Vec<Option<Sum>> = parts.collect();
+        self.rounds += 1;
+        let round = Round {
+            number: self.rounds,
+            total: add(parts.iter().flatten()),
+            parts,
+        };
+        self.push((self.run.age - TELL).max(0.0), Event::Hear(Rc::new(round)));
+        self.push(TELL, Event::Tell);
+    }
+
+    /// Takes words in: in a small fleet each box hears each other one, in a large one
+    /// each hears the sum of the others by a hub when it needs it.
+    fn hear(&mut self, round: Rc<Round>) {
+        if self.mute {
+            return;
+        }
+        if !hub::is_small(self.run.boxes) {
+            self.round = Some((self.now, round));
+            return;
+        }
+        let side = |n: usize| self.cut.is_some_and(|cut| n < cut);
+        for (n, node) in self.nodes.iter_mut().enumerate() {
+            for (from, part) in round.parts.iter().enumerate() {
+                if let Some(part) = part.as_ref().filter(|_| from != n && side(from) == side(n)) {
+                    let id = format!("box-{from}").into();
+                    let word = word(id, Scope::Own, round.number, part.clone());
+                    node.shares.hear(self.now, word);
+                }
+            }
+        }
+    }
+
+    fn reckon(&mut self, at_box: usize) {
+        let (now, node) = (self.now, &mut self.nodes[at_box]);
+        if node.reckoned.is_some_and(|at| now < at + RECKON) {
+            return;
+        }
+        node.reckoned = Some(now);
+        if let Some((at, round)) = self.round.as_ref().filter(|(_, r)| r.number > node.heard) {
+            node.heard = round.number;
+            let others = without(&round.total, round.parts[at_box].as_ref());
+            let word = word("hub".into(), Scope::Near, round.number, others.fit());
+            node.shares.hear(*at, word);
+        }
+        let lag = Duration::from_secs_f64(self.run.age);
+        node.shares.expire(now, lag);
+        let level = node.level(now, self.run.boxes);
+        node.gate.set(now, level);
+    }
+
+    fn fail(&mut self, fault: Fault) {
+        match fault {
+            Fault::Die(boxes) => {
+                for node in &mut self.nodes[boxes] {
+                    node.is_dead = true;
+                    self.engines.end(node.held);
+                }
+            }
+            Fault::Part(cut) => self.cut = Some(cut),
+            Fault::Mute => self.mute = true,
+            Fault::Heal => (self.cut, self.mute) = (None, false),
+            Fault::Lie(at_box, sum) => self.nodes[at_box].lie = Some(sum),
+        }
+    }
+
+    /// Work that was served in time within a span, as a part of what engines can do.
+    pub fn goodput(&self, span: Range<f64>) -> f64 {
+        let served = |seen: &&Seen| seen.served.is_some_and(|at| span.contains(&at));
+        let work: f64 = self.seen.iter().filter(served).map(|s| s.work).sum();
+        work / CAPACITY / (span.end - span.start)
+    }
+
+    /// Seconds in which nothing was let in at the longest, within a span.
+    pub fn longest_stop(&self, span: Range<f64>) -> f64 {
+        let begun = self.seen.iter().filter(|s| s.is_in && span.contains(&s.at));
+        let mut times = vec![span.start];
+        times.extend(begun.map(|s| s.at));
+        times.push(span.end);
+        times.windows(2).map(|w| w[1] - w[0]).fold(0.0, f64::max)
+    }
+
+    /// Part of the requests with a property that were served in time, of those asked
+    /// within a span.
+    pub fn served(&self, span: Range<f64>, of: impl Fn(&Seen) -> bool) -> f64 {
+        let asked = self.seen.iter().filter(|s| span.contains(&s.at) && of(s));
+        let asked: Vec<&Seen> = asked.collect();
+        let served = asked.iter().filter(|s| s.served.is_some()).count();
+        served as f64 / asked.len().max(1) as f64
+    }
+
+    /// Work of requests with a property that were asked within a span.
+    pub fn asked(&self, span: Range<f64>, of: impl Fn(&Seen) -> bool) -> f64 {
+        let asked = self.seen.iter().filter(|s| span.contains(&s.at) && of(s));
+        asked.map(|s| s.work).sum()
+    }
+
+    /// Work of requests with a property that was served in time, of those asked within
+    /// a span.
+    pub fn work(&self, span: Range<f64>, of: impl Fn(&Seen) -> bool) -> f64 {
+        let asked = self.seen.iter().filter(|s| span.contains(&s.at) && of(s));
+        let served = asked.filter(|s| s.served.is_some());
+        served.map(|s| s.work).sum()
+    }
+
+    /// The team of a request.
+    pub fn team(&self, seen: &Seen) -> u32 {
+        self.run.callers[seen.caller].team
+    }
+
+    /// The rank of a request's route.
+    pub fn route(&self, seen: &Seen) -> u32 {
+        self.run.callers[seen.caller].route
+    }
+}
+
+impl Node {
+    /// What it tells.
+    fn part(&mut self, now: Duration) -> Option<Sum> {
+        if self.is_dead {
+            return None;
+        }
+        let used = Use {
+            requests: self.count,
+            leads: self.count,
+            tokens: (self.held * 1e3).max(0.0) as u32,
+            reading: 0,
+        };
+        let own = Sum {
+            boxes: 1,
+            uses: vec![(share::key(ENGINES), used)],
+            suspects: Vec::new(),
+            flows: self.meter.flows(now).fit(),
+        };
+        Some(self.lie.clone().unwrap_or(own))
+    }
+
+    /// The level by what it knows; boxes that it does not hear count as those it does.
+    fn level(&mut self, now: Duration, boxes: usize) -> Option<Level> {
+        let unheard = (boxes as f64 / (self.shares.boxes() as f64 + 1.0)).max(1.0);
+        let own = self.meter.flows(now);
+        let flows = self.shares.flows(&own);
+        let mut demands = flows.demands_of(demand::key(SERVICE));
+        for (_, demand) in &mut demands {
+            demand.rate = (f64::from(demand.rate) * unheard) as u32;
+        }
+        let others = self.shares.others(ENGINES);
+        let held = self.held + f64::from(others.tokens) / 1e3;
+        let pressure = Pressure {
+            requests: (f64::from(self.count) + f64::from(others.leads)) * unheard,
+            memory: held * unheard / BOUND,
+            slots: 0.0,
+        };
+        let ends = flows.ends_of(demand::key(SERVICE)) * unheard;
+        Level::new(&demands, level::allowed(&pressure, ends))
+    }
+}
+
+fn word(from: Arc<str>, scope: Scope, number: u64, sum: Sum) -> Word {
+    Word {
+        from,
+        boot: 1,
+        number,
+        scope,
+        boxes: sum.boxes,
+        uses: sum.uses,
+        suspects: Vec::new(),
+        limits: Vec::new(),
+        flows: sum.flows,
+    }
+}
+
+/// The number that stands for the engines in words.
+pub fn engines_key() -> share::UpstreamKey {
+    share::key(ENGINES)
+}
+
+/// Mean work of a caller's requests.
+fn mean_work(size: Size) -> f64 {
+    let draws = (0..1000).map(|n| (f64::from(n) + 0.5) / 1000.0);
+    draws
+        .map(|draw| demand::work(size(draw), USUAL))
+        .sum::<f64>()
+        / 1000.0
+}
+
+/// What some boxes have together.
+fn add<'a>(parts: impl Iterator<Item = &'a Sum> + Clone) -> Sum {
+    let mut used = Use::default();
+    parts
+        .clone()
+        .flat_map(|p| &p.uses)
+        .for_each(|(_, u)| used.add(u));
+    Sum {
+        boxes: parts.clone().map(|p| p.boxes).sum(),
+        uses: vec![(share::key(ENGINES), used)],
+        suspects: Vec::new(),
+        flows: Flows::sum(parts.map(|p| &p.flows)),
+    }
+}
+
+/// A sum without what one box told of itself.
+fn without(sum: &Sum, part: Option<&Sum>) -> Sum {
+    let mut rest = sum.clone();
+    let Some(part) = part else {
+        return rest;
+    };
+    rest.boxes -= part.boxes;
+    rest.flows = rest.flows.without(&part.flows);
+    for ((_, rest), (_, less)) in rest.uses.iter_mut().zip(&part.uses) {
+        rest.leads = rest.leads.saturating_sub(less.leads);
+        rest.tokens = rest.tokens.saturating_sub(less.tokens);
+    }
+    rest
+}
