Measure what one level costs

Change: 'slopes decisions' reckons a level (pressure, sums, level) with 64 demands before 86 to 6,000 engines.

--- a/crates/bench/src/bin/slopes.rs
+++ b/crates/bench/src/bin/slopes.rs
@@ -39,6 +39,7 @@
         print("first plan, milliseconds, by engines", &first);
         print("plan at rest, milliseconds, by engines", &rest);
         print("chain, milliseconds, by engines", &decision::chains());
+        print("level, milliseconds, by engines", &decision::levels());
     }
     if want("memory") {
         print("request, bytes, by requests in flight", &request_memory());
--- a/crates/bench/src/decision.rs
+++ b/crates/bench/src/decision.rs
@@ -5,12 +5,16 @@
 use std::time::{Duration, Instant};
 
 use ashgauge::choice;
+use ashgauge::class::Class;
+use ashgauge::demand::{self, Flows, Meter, Source};
+use ashgauge::level::{self, Level};
 use ashgauge::pipes::Pipes;
 use ashgauge::placement::{self, Seat};
+use ashgauge::pressure::Pressure;
 use ashgauge::roster::Roster;
 use ashgauge::routing::{Card, Model};
 use ashgauge::scene::Scene;
-use ashgauge::share::Shares;
+use ashgauge::share::{self, Scope, Shares, Use, Uses, Word};
 use ashgauge::upstream::Upstream;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -20,13 +24,19 @@
 /// Engines of one service.
 const ENGINES: [usize; 4] = [300, 1000, 3000, 6000];
 
+/// Engines before which a level is reckoned.
+const LEVEL_ENGINES: [usize; 5] = [86, 300, 1000, 3000, 6000];
+
+/// Demands that one word holds at most.
+const DEMANDS: u32 = 64;
+
 /// Data centres over which they are spread.
 const PLACES: usize = 5;
 
 /// Kinds of accelerators, with their part of a hundred engines.
 const CARDS: [(&str, usize); 4] = [("large", 2), ("medium", 8), ("small", 45), ("tiny", 45)];
 
-/// Chains that are chosen for one figure.
+/// Chains that are chosen, and levels that are reckoned, for one figure.
 const CHOICES: u32 = 20;
 
 const MODEL: &str = "model";
@@ -60,6 +70,85 @@
 }
 
 fn chain(model: &Model, engines: usize) -> f64 {
+    let (pipes, shares, place) = (Pipes::default(), Shares::default(), Arc::from("place-0"));
+    let roster = roster(model, engines);
+    let scene = scene(&roster, &pipes, &shares, &place);
+    let (all, mut rng) = (choice::whole(model.layers), SmallRng::seed_from_u64(1));
+    let began = Instant::now();
+    for _ in 0..CHOICES {
+        black_box(choice::chain(&scene, model, all, &[], None, &mut rng));
+    }
+    millis(began) / f64::from(CHOICES)
+}
+
+/// Milliseconds of one level: pressure, sums of what boxes tell, and who is let in.
+pub fn levels() -> Vec<Point> {
+    let model = model();
+    LEVEL_ENGINES
+        .map(|engines| (engines as f64, level(&model, engines)))
+        .to_vec()
+}
+
+fn level(model: &Model, engines: usize) -> f64 {
+    let (pipes, place) = (Pipes::default(), Arc::from("place-0"));
+    let roster = roster(model, engines);
+    let mut shares = Shares::default();
+    shares.hear(Duration::from_secs(100), word(&roster));
+    let scene = scene(&roster, &pipes, &shares, &place);
+    let own = flows();
+    let began = Instant::now();
+    for _ in 0..CHOICES {
+        let pressure = Pressure::of(&scene, model);
+        let flows = shares.flows(&own);
+        let service = demand::key(MODEL);
+        let allowed = level::allowed(&pressure, flows.ends_of(service));
+        black_box(Level::new(&flows.demands_of(service), allowed));
+    }
+    millis(began) / f64::from(CHOICES)
+}
+
+/// What a hub tells of all other boxes.
+fn word(roster: &Roster) -> Word {
+    let busy = Use {
+        requests: 100,
+        leads: 20,
+        tokens: 100_000,
+        reading: 10,
+    };
+    let mut uses: Uses = roster
+        .all()
+        .map(|e| (share::key(&e.upstream.id), busy))
+        .collect();
+    uses.sort_unstable_by_key(|(key, _)| *key);
+    Word {
+        from: "hub".into(),
+        boot: 1,
+        number: 1,
+        scope: Scope::Near,
+        boxes: 984,
+        uses,
+        suspects: Vec::new(),
+        limits: Vec::new(),
+        flows: flows(),
+    }
+}
+
+/// As many demands as a word holds, of teams of three ranks.
+fn flows() -> Flows {
+    let mut meter = Meter::default();
+    for n in 0..DEMANDS {
+        let source = Source {
+            service: demand::key(MODEL),
+            class: Class::new(Some(n % 3), 0, false),
+            team: Some(n),
+        };
+        meter.note(Duration::ZERO, source, 1.0);
+    }
+    meter.note_end(Duration::ZERO, demand::key(MODEL));
+    meter.flows(Duration::ZERO)
+}
+
+fn roster(model: &Model, engines: usize) -> Roster {
     let seats = seats(engines);
     let ranges = sorted(placement::plan(model, &seats));
     let mut roster = Roster::default();
@@ -77,26 +166,28 @@
             models: Vec::new(),
         });
     }
-    let (pipes, shares, place) = (Pipes::default(), Shares::default(), Arc::from("place-0"));
-    let scene = Scene {
-        roster: &roster,
-        pipes: &pipes,
-        shares: &shares,
+    roster
+}
+
+fn scene<'a>(
+    roster: &'a Roster,
+    pipes: &'a Pipes,
+    shares: &'a Shares,
+    place: &'a Arc<str>,
+) -> Scene<'a> {
+    Scene {
+        roster,
+        pipes,
+        shares,
         service: MODEL,
-        place: &place,
+        place,
         lag: Duration::from_millis(100),
         stay: Duration::from_secs(2),
         boxes: 1000.0,
         neighbours: 200.0,
         together: false,
         now: Duration::from_secs(100),
-    };
-    let (all, mut rng) = (choice::whole(model.layers), SmallRng::seed_from_u64(1));
-    let began = Instant::now();
-    for _ in 0..CHOICES {
-        black_box(choice::chain(&scene, model, all, &[], None, &mut rng));
     }
-    millis(began) / f64::from(CHOICES)
 }
 
 /// Ranges in the order of the seats.
