Red: absurd numbers of boxes overflow a hub's sum

Cause: no test covered words that tell for more boxes than a u32 counts together.

Change: absurd_numbers_of_boxes_do_not_overflow, which panics in the dev profile.

--- a/crates/ashgauge/tests/share.rs
+++ b/crates/ashgauge/tests/share.rs
@@ -121,3 +121,16 @@
         prop_assert_eq!(shares.others("e1"), Use::default());
     }
 }
+
+/// A hub adds up how many boxes others tell for; two large figures made it overflow.
+#[test]
+fn absurd_numbers_of_boxes_do_not_overflow() {
+    let mut shares = Shares::default();
+    for from in 0..2 {
+        let mut word = word(from, 7, 1, 10);
+        word.boxes = u32::MAX;
+        shares.hear(SECOND, word);
+    }
+    let sum = shares.all(share::Sum::default());
+    assert_eq!(sum.boxes, u32::MAX);
+}
