Add up boxes of a hub without overflow

Cause: the sum of the boxes that words tell for panicked in the dev profile and wrapped in the release profile.

Change: it saturates. Turns absurd_numbers_of_boxes_do_not_overflow green.

--- a/crates/ashgauge/src/share.rs
+++ b/crates/ashgauge/src/share.rs
@@ -293,7 +293,7 @@
     let mut flows = vec![&own.flows];
     for heard in heard {
         flows.push(&heard.flows);
-        boxes += heard.boxes;
+        boxes = boxes.saturating_add(heard.boxes);
         suspects.extend(&heard.suspects);
         for (key, more) in &heard.uses {
             sums.entry(*key).or_default().add(more);
