Test long overloads, and a large team beside many small ones

Cause: bursts of 12 s do not tell a slow swing at the begin from one that lasts, and no test had teams of which some are told singly and some together.

Change: long_overload_settles_* judge seconds 40 to 60 of an overload; a large team is to get its part beside 100 small ones.

--- a/crates/ashgauge/tests/overload.rs
+++ b/crates/ashgauge/tests/overload.rs
@@ -188,6 +188,48 @@
     assert_recovers(1.0);
 }
 
+/// Seconds of a long overload by which the swing of its begin should have faded.
+const SETTLED: Range<f64> = 40.0..60.0;
+
+fn assert_settles(age: f64) {
+    let mut low = Vec::new();
+    for boxes in [8, 86] {
+        for times in LOADS {
+            let mut run = burst(boxes, age, times);
+            run.callers
+                .iter_mut()
+                .for_each(|c| c.span.end = SETTLED.end);
+            run.end = SETTLED.end;
+            let goodput = World::play(&run).goodput(SETTLED);
+            if goodput < GOODPUT_LEAST {
+                low.push(format!("{boxes} boxes, {times} times: {goodput:.3}"));
+            }
+        }
+    }
+    assert!(low.is_empty(), "words {age} s old: {low:?}");
+}
+
+/// Guards against a level that swings for as long as the load lasts. Load: 1.2 to 10
+/// times what engines can do, for 58 s.
+#[test]
+fn long_overload_settles_with_words_of_100_ms() {
+    assert_settles(0.1);
+}
+
+/// Guards against a level that swings for as long as the load lasts. Load: 1.2 to 10
+/// times what engines can do, for 58 s.
+#[test]
+fn long_overload_settles_with_words_of_500_ms() {
+    assert_settles(0.5);
+}
+
+/// Guards against a level that swings for as long as the load lasts. Load: 1.2 to 10
+/// times what engines can do, for 58 s.
+#[test]
+fn long_overload_settles_with_words_of_1_s() {
+    assert_settles(1.0);
+}
+
 /// Guards against a model in which engines do well without a level. Load: twice what
 /// they can do, all let in.
 #[test]
@@ -349,6 +391,22 @@
     assert!(unfair.is_empty(), "{unfair:?}");
 }
 
+/// Guards against small teams that are counted once for each box that tells them
+/// together, which leaves a team that is told singly without its part. Load: a team that
+/// asks for half of what engines can do beside 100 that ask for 0.03 each.
+#[test]
+fn large_team_gets_its_part_beside_many_small_ones() {
+    let mut short = Vec::new();
+    for boxes in [8, 86] {
+        let mut all: Vec<_> = (0..100).map(|_| (0.03, 0..boxes)).collect();
+        all.insert(0, (0.5, 0..boxes));
+        let unfair = unfair(&teams(boxes, &all), STEADY);
+        let large = unfair.iter().filter(|team| team.starts_with("team 1 "));
+        short.extend(large.map(|team| format!("{boxes} boxes: {team}")));
+    }
+    assert!(short.is_empty(), "{short:?}");
+}
+
 /// Answers of which few are long: the largest are some 8 times the median.
 fn heavy(draw: f64) -> (u32, u32) {
     let answer = 80.0 * (1.0 - draw).powf(-0.7);
