Test goodput with more teams than a word holds

Cause: fairness among many teams passes also where too little is let in.

Change: 100 teams by 8 boxes are to bring 0.9 of what engines can do.

--- a/crates/ashgauge/tests/overload.rs
+++ b/crates/ashgauge/tests/overload.rs
@@ -410,6 +410,15 @@
     assert!(short.is_empty(), "{short:?}");
 }
 
+/// Guards against engines that stay empty where some teams are told together. Load: 100
+/// teams that ask for three times what engines can do together, by 8 boxes.
+#[test]
+fn goodput_stays_with_more_teams_than_a_word_holds() {
+    let many: Vec<_> = (0..100).map(|_| (0.03, 0..8)).collect();
+    let goodput = World::play(&teams(8, &many)).goodput(STEADY);
+    assert!(goodput >= GOODPUT_LEAST, "{goodput:.3}");
+}
+
 /// Answers of which few are long: the largest are some 8 times the median.
 fn heavy(draw: f64) -> (u32, u32) {
     let answer = 80.0 * (1.0 - draw).powf(-0.7);
