Name the setting in the error for a wrong value of shedding

The error named the place in the file and the choices, but not the setting. It is now read from any JSON value, and the error names it with the choices.

--- a/crates/ashgauged/src/relay/settings.rs
+++ b/crates/ashgauged/src/relay/settings.rs
@@ -9,6 +9,7 @@
 use ashgauge::retry::Allowance;
 use eyre::{Result, WrapErr, bail, eyre};
 use serde::Deserialize;
+use serde_json::Value;
 
 /// All settings. Times end in `_ms`. Unknown fields are errors, so that a
 /// misspelt one is not taken for its default.
@@ -64,7 +65,7 @@
 /// Services whose streams are refused by their priority class where callers ask for more
 /// than engines can do in time.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Deserialize)]
-#[serde(rename_all = "lowercase")]
+#[serde(try_from = "Value")]
 pub enum Shedding {
     /// Those to which routes of several ranks lead.
     #[default]
@@ -75,6 +76,22 @@
     Off,
 }
 
+impl TryFrom<Value> for Shedding {
+    type Error = String;
+
+    /// Reads the setting; an error names it, which that of a derived reader does not.
+    fn try_from(value: Value) -> Result<Self, String> {
+        match value.as_str() {
+            Some("ranked") => Ok(Shedding::Ranked),
+            Some("all") => Ok(Shedding::All),
+            Some("off") => Ok(Shedding::Off),
+            _ => Err(format!(
+                "shedding: {value} is unknown; use `ranked`, `all` or `off`"
+            )),
+        }
+    }
+}
+
 /// Bounds that the operators set for the whole fleet. They may be fractions.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
