Show levels in status, metrics and log

Operators could see a level only by its log line, which came up to 20 times a second and told of an end only when the next stream arrived.

The basis of a level (demand by class, allowance, ends, pressure, boxes heard) is kept beside it; status, gauges and the log line use the same values. Levels are also computed twice a second while no streams arrive, so the end of one is logged. The line comes once a second at most for a service. The ended line of a stream has its class and the class of the level at its arrival.

--- a/crates/ashgauge/src/lib.rs
+++ b/crates/ashgauge/src/lib.rs
@@ -94,6 +94,7 @@
 pub mod rate;
 pub mod reader;
 pub mod record;
+pub mod report;
 pub mod retry;
 pub mod revision;
 pub mod roster;
--- /dev/null
+++ b/crates/ashgauge/src/report.rs
@@ -0,0 +1,124 @@
+//! What operators are told of a level: what it was computed from, and when it changed.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::class::Class;
+use crate::demand::Demands;
+use crate::level;
+use crate::pressure::Pressure;
+
+/// Least time between two reports of changes. Near its bound a level may change with each
+/// computation, 20 times a second.
+const REPORT_EVERY: Duration = Duration::from_secs(1);
+
+/// What a level was computed from.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Basis {
+    /// Requests a second that are asked for by class, the most urgent first.
+    pub classes: Vec<(Class, f64)>,
+    /// Requests a second that may begin over all boxes; infinite if nothing limits them.
+    pub allowed: f64,
+    /// Requests a second that end.
+    pub ends: f64,
+    /// Use of the engines.
+    pub pressure: Pressure,
+    /// Other boxes that were heard.
+    pub boxes: usize,
+}
+
+impl Basis {
+    /// The basis of a level for these demands.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use ashgauge::pressure::Pressure;
+    /// use ashgauge::report::Basis;
+    ///
+    /// let basis = Basis::new(&Vec::new(), Pressure::default(), 0.0, 0);
+    /// assert_eq!(basis.asked(), 0.0);
+    /// assert_eq!(basis.allowed, f64::INFINITY);
+    /// ```
+    pub fn new(demands: &Demands, pressure: Pressure, ends: f64, boxes: usize) -> Self {
+        let mut classes: BTreeMap<Class, f64> = BTreeMap::new();
+        for (source, demand) in demands {
+            *classes.entry(source.class).or_default() += demand.rate();
+        }
+        Basis {
+            classes: classes.into_iter().collect(),
+            allowed: level::allowed(&pressure, ends),
+            ends,
+            pressure,
+            boxes,
+        }
+    }
+
+    /// Requests a second that are asked for, over all classes.
+    pub fn asked(&self) -> f64 {
+        self.classes.iter().map(|(_, rate)| rate).sum()
+    }
+
+    /// How many classes with demand are ahead of this one.
+    pub fn before(&self, class: Class) -> usize {
+        self.classes.iter().filter(|(c, _)| *c < class).count()
+    }
+}
+
+/// How a level differs from the one that was reported last.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Change {
+    /// All classes were admitted before.
+    Began,
+    /// Another class was the last to be admitted.
+    Moved,
+    /// All classes are admitted again; the level lasted so long.
+    Ended(Duration),
+}
+
+/// Decides when a change of a level is reported.
+#[derive(Debug, Default)]
+pub struct Report {
+    /// Class of the level that was reported last.
+    class: Option<Class>,
+    /// When that was.
+    told: Option<Duration>,
+    /// When the first level of this overload was reported.
+    began: Duration,
+}
+
+impl Report {
+    /// The change to report now, if there is one and the last report is old enough. A change
+    /// that comes too early is reported by a later call if it still holds.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use ashgauge::class::Class;
+    /// use ashgauge::report::{Change, Report};
+    ///
+    /// let (mut report, class) = (Report::default(), Class::default());
+    /// let second = Duration::from_secs(1);
+    /// assert_eq!(report.change(second, Some(class)), Some(Change::Began));
+    /// assert_eq!(report.change(second, None), None);
+    /// assert_eq!(report.change(second * 2, None), Some(Change::Ended(second)));
+    /// ```
+    pub fn change(&mut self, now: Duration, class: Option<Class>) -> Option<Change> {
+        let is_early = self.told.is_some_and(|told| now < told + REPORT_EVERY);
+        if class == self.class || is_early {
+            return None;
+        }
+        let change = match (self.class, class) {
+            (None, _) => Change::Began,
+            (Some(_), Some(_)) => Change::Moved,
+            (Some(_), None) => Change::Ended(now.saturating_sub(self.began)),
+        };
+        if change == Change::Began {
+            self.began = now;
+        }
+        self.class = class;
+        self.told = Some(now);
+        Some(change)
+    }
+}
--- a/crates/ashgauged/src/relay/forward.rs
+++ b/crates/ashgauged/src/relay/forward.rs
@@ -90,6 +90,7 @@
         record,
     };
     admitted.class = gate::class_of(&desk, &admitted);
+    admitted.record.class = admitted.class;
     if is_held(&desk, &admitted) {
         return held_back(&desk, admitted, false);
     }
--- a/crates/ashgauged/src/relay/gate.rs
+++ b/crates/ashgauged/src/relay/gate.rs
@@ -6,18 +6,22 @@
 use ashgauge::class::Class;
 use ashgauge::demand::{self, Source};
 use ashgauge::level::{self, Level};
+use ashgauge::report::Basis;
 use ashgauge::routing::{Model, Service, ServiceId};
 use rand::Rng;
-use serde_json::json;
-use spdlog::Level as Severity;
+use tokio::time::sleep;
 
 use super::desk::Desk;
-use super::log;
+use super::levels;
 use super::request::Admitted;
+use super::state::State;
 
 /// Time between two reckonings of a level: words of other boxes come no faster.
 const RECKON_EVERY: Duration = Duration::from_millis(50);
 
+/// Time between two reckonings while no streams arrive, for operators only.
+const WATCH_EVERY: Duration = Duration::from_millis(500);
+
 /// Whether streams of a service are let in by the level.
 pub fn is_on(desk: &Desk, service: &Service) -> bool {
     let routing = desk.routing();
@@ -37,7 +41,7 @@
 
 /// Notes a stream that wants to begin, and decides whether it may; if not, says when its
 /// caller is to come back.
-pub fn admit(desk: &Rc<Desk>, a: &Admitted) -> Result<Option<Admission>, Duration> {
+pub fn admit(desk: &Rc<Desk>, a: &mut Admitted) -> Result<Option<Admission>, Duration> {
     let (Some(model), Some(class)) = (a.service.model.as_ref(), a.class) else {
         return Ok(None);
     };
@@ -45,9 +49,14 @@
     note(desk, a, model, class, team);
     reckon(desk, &a.service, model);
     let start = desk.rng().random_range(0.0..1.0);
-    let is_in = desk
-        .gates
-        .with(&a.service.name, |s| s.gate.admits(class, team, start));
+    let (is_in, level) = desk.gates.with(&a.service.name, |s| {
+        let is_in = s.gate.admits(class, team, start);
+        s.count(class, is_in);
+        (is_in, s.class())
+    });
+    a.record.level = level;
+    let result = if is_in { "let in" } else { "refused" };
+    desk.metrics.admissions.with_label_values(&[result]).inc();
     if is_in {
         return Ok(Some(Admission {
             desk: desk.clone(),
@@ -86,29 +95,46 @@
     }
     let pressure = desk.pressure(service, model);
     let (demands, ends) = desk.flows(&service.name);
-    let allowed = level::allowed(&pressure, ends);
-    let asked: f64 = demands.iter().map(|(_, d)| d.rate()).sum();
-    let level = Level::new(&demands, allowed);
-    let changed = desk
-        .gates
-        .with(&service.name, |s| s.gate.set(now, level.clone()));
-    if changed {
-        let fields = json!({
-            "service": &*service.name,
-            "class": level.as_ref().map(|l| l.class),
-            "part": level.as_ref().map(|l| l.part),
-            "asked": asked,
-            "allowed": allowed,
-            "requests": pressure.requests,
-            "memory": pressure.memory,
-            "slots": pressure.slots,
-            "ends": ends,
-            "boxes_heard": desk.shares.borrow().boxes(),
-        });
-        log::line(Severity::Info, "admission", "level", fields);
+    let boxes = desk.shares.borrow().boxes();
+    let basis = Basis::new(&demands, pressure, ends, boxes);
+    let level = Level::new(&demands, basis.allowed);
+    desk.gates.with(&service.name, |s| {
+        s.gate.set(now, level);
+        s.basis = Some(basis);
+        levels::log_change(now, &service.name, s);
+    });
+}
+
+/// Reckons levels also while no streams arrive, as long as the process runs, so that what
+/// operators see is not older than [`WATCH_EVERY`] and the end of a level is logged.
+pub async fn watch(desk: Rc<Desk>) {
+    loop {
+        sleep(WATCH_EVERY).await;
+        let routing = desk.routing();
+        for service in routing.services.values() {
+            match &service.model {
+                Some(model) if is_on(&desk, service) => reckon(&desk, service, model),
+                _ => {}
+            }
+        }
+        let is_off = |name: &ServiceId| {
+            let service = routing.services.get(name);
+            !service.is_some_and(|s| is_on(&desk, s))
+        };
+        let now = desk.now();
+        for name in desk.gates.names().into_iter().filter(is_off) {
+            desk.gates.with(&name, |s| lift(now, &name, s));
+        }
     }
 }
 
+/// Ends the level of a service for which shedding was switched off.
+fn lift(now: Duration, service: &ServiceId, state: &mut State) {
+    state.gate.set(now, None);
+    state.basis = None;
+    levels::log_change(now, service, state);
+}
+
 /// A stream that was let in; notes its end when it is dropped.
 pub struct Admission {
     desk: Rc<Desk>,
--- /dev/null
+++ b/crates/ashgauged/src/relay/levels.rs
@@ -0,0 +1,167 @@
+//! What operators see of the levels by which streams are admitted: status, metrics, log.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use ashgauge::class::Class;
+use ashgauge::pressure::Pressure;
+use ashgauge::report::{Basis, Change};
+use ashgauge::routing::ServiceId;
+use serde::Serialize;
+use serde_json::json;
+use spdlog::Level as Severity;
+
+use super::desk::Desk;
+use super::log;
+use super::state::State;
+
+/// Value of the level's gauge where all classes are admitted.
+const ALL_ADMITTED: i64 = -1;
+
+/// The level of a service.
+#[derive(Serialize)]
+pub struct LevelStatus {
+    service: String,
+    /// Class at which the allowance is used up; nothing if all are admitted.
+    class: Option<Class>,
+    /// Requests a second that each team of this class may begin.
+    part: Option<f64>,
+    /// Time since that class last changed, in milliseconds.
+    since_ms: u64,
+    #[serde(flatten)]
+    cause: Cause,
+    /// Classes that are asked for, or were since the box started.
+    classes: Vec<ClassStatus>,
+}
+
+/// What a level was computed from, in requests a second and shares.
+#[derive(Serialize)]
+struct Cause {
+    asked: f64,
+    /// Nothing (`null`) if no bound is in use.
+    allowed: f64,
+    ends: f64,
+    /// Requests under way.
+    requests: f64,
+    memory: f64,
+    slots: f64,
+    boxes_heard: usize,
+}
+
+/// A priority class of a service.
+#[derive(Serialize)]
+struct ClassStatus {
+    class: Class,
+    /// Requests a second that all boxes are asked for.
+    asked: f64,
+    /// Which of them are admitted: `all`, `part` or `none`.
+    admits: &'static str,
+    /// Requests that this box admitted since its start.
+    admitted: u64,
+    /// Requests that it refused.
+    refused: u64,
+}
+
+impl Cause {
+    fn new(basis: &Basis) -> Self {
+        Cause {
+            asked: basis.asked(),
+            allowed: basis.allowed,
+            ends: basis.ends,
+            requests: basis.pressure.requests,
+            memory: basis.pressure.memory,
+            slots: basis.pressure.slots,
+            boxes_heard: basis.boxes,
+        }
+    }
+}
+
+/// Levels of the services for which shedding is switched on.
+pub fn status(desk: &Desk) -> Vec<LevelStatus> {
+    let (now, uptime) = (desk.now(), desk.uptime());
+    desk.gates.reckoned(|service, state, basis| {
+        let since = now.saturating_sub(state.gate.since()).min(uptime);
+        LevelStatus {
+            service: service.to_string(),
+            class: state.class(),
+            part: state.gate.level().map(|l| l.part),
+            since_ms: since.as_millis() as u64,
+            cause: Cause::new(basis),
+            classes: classes(state, basis),
+        }
+    })
+}
+
+fn classes(state: &State, basis: &Basis) -> Vec<ClassStatus> {
+    let asked = basis.classes.iter().map(|(class, _)| *class);
+    let all: BTreeSet<Class> = asked.chain(state.counts.keys().copied()).collect();
+    let one = |class: Class| {
+        let asked = basis.classes.iter().find(|(c, _)| *c == class);
+        let counts = state.counts.get(&class).copied().unwrap_or_default();
+        ClassStatus {
+            class,
+            asked: asked.map_or(0.0, |(_, rate)| *rate),
+            admits: admits(state.class(), class),
+            admitted: counts.admitted,
+            refused: counts.refused,
+        }
+    };
+    all.into_iter().map(one).collect()
+}
+
+fn admits(level: Option<Class>, class: Class) -> &'static str {
+    match level {
+        Some(level) if class == level => "part",
+        Some(level) if class > level => "none",
+        _ => "all",
+    }
+}
+
+/// Sets the gauges to the service under the highest pressure.
+pub fn set_gauges(desk: &Desk) {
+    let metrics = &desk.metrics;
+    let levels = desk.gates.reckoned(|_, state, basis| {
+        let before = state.class().map(|class| basis.before(class) as i64);
+        (basis.pressure, before.unwrap_or(ALL_ADMITTED))
+    });
+    let highest = levels
+        .into_iter()
+        .max_by(|a, b| a.0.most().total_cmp(&b.0.most()));
+    metrics.pressure.reset();
+    let Some((pressure, level)) = highest else {
+        metrics.level.set(ALL_ADMITTED);
+        return;
+    };
+    metrics.level.set(level);
+    for (bound, share) in bounds(&pressure) {
+        metrics.pressure.with_label_values(&[bound]).set(share);
+    }
+}
+
+fn bounds(pressure: &Pressure) -> [(&'static str, f64); 2] {
+    [("memory", pressure.memory), ("slots", pressure.slots)]
+}
+
+/// Logs a change of a service's level, once a second at most.
+pub fn log_change(now: Duration, service: &ServiceId, state: &mut State) {
+    let Some(change) = state.report.change(now, state.class()) else {
+        return;
+    };
+    let mut fields = match &state.basis {
+        Some(basis) => json!(Cause::new(basis)),
+        // Shedding was switched off.
+        None => json!({}),
+    };
+    fields["service"] = json!(&**service);
+    fields["class"] = json!(state.class());
+    fields["part"] = json!(state.gate.level().map(|l| l.part));
+    fields["change"] = json!(match change {
+        Change::Began => "began",
+        Change::Moved => "moved",
+        Change::Ended(_) => "ended",
+    });
+    if let Change::Ended(lasted) = change {
+        fields["lasted_ms"] = json!(lasted.as_millis() as u64);
+    }
+    log::line(Severity::Info, "admission", "level", fields);
+}
--- a/crates/ashgauged/src/relay/metrics.rs
+++ b/crates/ashgauged/src/relay/metrics.rs
@@ -1,8 +1,8 @@
 //! Figures for operators, in the text form of `prometheus`.
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
 };
 
 /// Bounds of the latency histograms, in seconds: around the aims of routes.
@@ -39,6 +39,12 @@
     pub limited: IntGauge,
     /// Sends to such upstreams.
     pub limited_sends: IntCounter,
+    /// Streams by whether the level admitted them.
+    pub admissions: IntCounterVec,
+    /// Classes that are admitted in full; -1 if all are.
+    pub level: IntGauge,
+    /// Use of the engines by bound, as shares.
+    pub pressure: GaugeVec,
     /// Upstreams that became suspect.
     pub suspects: IntCounter,
     /// Time to the first byte of an answer.
@@ -89,6 +95,12 @@
             registry.register(Box::new(counter.clone()))?;
             prometheus::Result::Ok(counter)
         };
+        let pressure = Opts::new(
+            "ashgauge_pressure",
+            "Share of a bound of the engines in use, of the service under the highest pressure",
+        );
+        let pressure = GaugeVec::new(pressure, &["bound"])?;
+        registry.register(Box::new(pressure.clone()))?;
         Ok(Metrics {
             ends: counters("ashgauge_requests_total", "Requests by end", "end")?,
             sends: counters("ashgauge_sends_total", "Sends by outcome", "outcome")?,
@@ -122,6 +134,16 @@
                 "ashgauge_limited_sends_total",
                 "Sends to upstreams that name a limit",
             )?,
+            admissions: counters(
+                "ashgauge_admissions_total",
+                "Streams by whether the level admitted them",
+                "result",
+            )?,
+            level: gauge(
+                "ashgauge_level",
+                "Classes admitted in full, -1 if all are, of the service under the highest pressure",
+            )?,
+            pressure,
             suspects: counter("ashgauge_suspects_total", "Upstreams that became suspect")?,
             registry,
         })
--- a/crates/ashgauged/src/relay/mod.rs
+++ b/crates/ashgauged/src/relay/mod.rs
@@ -14,6 +14,7 @@
 mod follow;
 mod forward;
 mod gate;
+mod levels;
 mod log;
 mod loss;
 mod metrics;
@@ -116,6 +117,7 @@
     Follower::start(desk.clone(), peers);
     Placer::start(desk.clone());
     tokio::task::spawn_local(clock::watch(desk.clone()));
+    tokio::task::spawn_local(gate::watch(desk.clone()));
     tokio::task::spawn_local(serve::accept(desk.clone(), callers));
     tokio::task::spawn_local(serve::answer_ready(desk.clone(), ready));
     if let Some(listener) = metrics {
--- a/crates/ashgauged/src/relay/record.rs
+++ b/crates/ashgauged/src/relay/record.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ashgauge::class::Class;
 use ashgauge::digest::{self, Digest};
 use platform::ingress::Ask;
 use serde_json::json;
@@ -19,6 +20,10 @@
     route: String,
     /// Tells repeats of a request from others, once its body was read.
     pub digest: Option<Digest>,
+    /// Its priority class, if its service admits streams by those.
+    pub class: Option<Class>,
+    /// Class of the level at its arrival, if one was in force.
+    pub level: Option<Class>,
     arrived: Duration,
     /// Upstreams or chains that it was sent to.
     pub sends: Vec<Arc<str>>,
@@ -37,6 +42,8 @@
             id: ask.id.clone(),
             route: route.into(),
             digest: None,
+            class: None,
+            level: None,
             arrived,
             sends: Vec::new(),
             first: None,
@@ -67,7 +74,7 @@
         self.desk.metrics.whole.observe(took.as_secs_f64());
         let age = self.desk.fresh.borrow().age(self.desk.now());
         let sends: Vec<&str> = self.sends.iter().map(|s| &**s).collect();
-        let fields = json!({
+        let mut fields = json!({
             "id": self.id,
             "digest": self.digest.map(digest::text),
             "route": self.route,
@@ -79,6 +86,12 @@
             "pause_ms": self.pause.as_millis() as u64,
             "ms": took.as_millis() as u64,
         });
+        if let Some(class) = self.class {
+            fields["class"] = json!(class);
+        }
+        if let Some(level) = self.level {
+            fields["level"] = json!(level);
+        }
         log::line(Level::Info, "request", "ended", fields);
     }
 }
--- a/crates/ashgauged/src/relay/serve.rs
+++ b/crates/ashgauged/src/relay/serve.rs
@@ -23,7 +23,7 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use super::desk::Desk;
-use super::{forward, log, status};
+use super::{forward, levels, log, status};
 
 /// Pause after a connection could not be accepted, which mostly means that
 /// the descriptors are used up.
@@ -91,6 +91,7 @@
         }
         desk.metrics.inflight.set(desk.inflight.get() as i64);
         desk.metrics.dropped.set(log::dropped() as i64);
+        levels::set_gauges(&desk);
         (StatusCode::OK, desk.metrics.write())
     })
     .await;
--- a/crates/ashgauged/src/relay/state/gates.rs
+++ b/crates/ashgauged/src/relay/state/gates.rs
@@ -1,11 +1,13 @@
 //! What a box knows of how much is asked of its services, and who is let in.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
+use ashgauge::class::Class;
 use ashgauge::demand::{Flows, Meter};
 use ashgauge::level::Gate;
+use ashgauge::report::{Basis, Report};
 use ashgauge::routing::ServiceId;
 
 /// Demand and admission, by service.
@@ -23,6 +25,37 @@
     pub gate: Gate,
     /// When the level was last reckoned.
     pub reckoned: Option<Duration>,
+    /// What the level was reckoned from; nothing while shedding is off.
+    pub basis: Option<Basis>,
+    /// When changes of the level are logged.
+    pub report: Report,
+    /// Requests of this box by class, since its start.
+    pub counts: BTreeMap<Class, Counts>,
+}
+
+/// Requests that were admitted or refused by the level.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counts {
+    /// Those that were let in.
+    pub admitted: u64,
+    /// Those that were refused.
+    pub refused: u64,
+}
+
+impl State {
+    /// Counts a request of a class.
+    pub fn count(&mut self, class: Class, is_in: bool) {
+        let counts = self.counts.entry(class).or_default();
+        match is_in {
+            true => counts.admitted += 1,
+            false => counts.refused += 1,
+        }
+    }
+
+    /// The class of the level in force.
+    pub fn class(&self) -> Option<Class> {
+        self.gate.level().map(|l| l.class)
+    }
 }
 
 impl Gates {
@@ -32,6 +65,21 @@
         of(services.entry(service.clone()).or_default())
     }
 
+    /// Services that have a state.
+    pub fn names(&self) -> Vec<ServiceId> {
+        self.services.borrow().keys().cloned().collect()
+    }
+
+    /// Uses the states of the services whose level is reckoned, in the order of their names.
+    pub fn reckoned<T>(&self, of: impl Fn(&ServiceId, &State, &Basis) -> T) -> Vec<T> {
+        let services = self.services.borrow();
+        let mut named: Vec<_> = services.iter().collect();
+        named.sort_unstable_by_key(|(name, _)| *name);
+        let known = named.into_iter();
+        let known = known.filter_map(|(name, s)| Some(of(name, s, s.basis.as_ref()?)));
+        known.collect()
+    }
+
     /// What this box's callers ask of all services, and what ends.
     pub fn flows(&self, now: Duration) -> Flows {
         let mut services = self.services.borrow_mut();
--- a/crates/ashgauged/src/relay/state/mod.rs
+++ b/crates/ashgauged/src/relay/state/mod.rs
@@ -8,6 +8,6 @@
 
 pub use budgets::Budgets;
 pub use clock::{Clock, boot_time};
-pub use gates::Gates;
+pub use gates::{Gates, State};
 pub use permits::Permits;
 pub use probes::Probes;
--- a/crates/ashgauged/src/relay/status.rs
+++ b/crates/ashgauged/src/relay/status.rs
@@ -12,6 +12,7 @@
 use serde::Serialize;
 
 use super::desk::Desk;
+use super::levels::{self, LevelStatus};
 
 /// What a box knows, and how old it is.
 #[derive(Serialize)]
@@ -49,6 +50,8 @@
     suspects: usize,
     /// Upstreams that name a limit.
     limits: Vec<LimitStatus>,
+    /// Levels of the services for which shedding is switched on.
+    levels: Vec<LevelStatus>,
     upstreams: Vec<UpstreamStatus>,
 }
 
@@ -218,6 +221,7 @@
         held: held(desk),
         suspects: desk.quarantine.borrow().suspects(),
         limits: limits(desk),
+        levels: levels::status(desk),
         upstreams,
     };
     match serde_json::to_string(&status) {
--- a/crates/ashgauged/src/relay/stream.rs
+++ b/crates/ashgauged/src/relay/stream.rs
@@ -28,7 +28,7 @@
     mut handoff: Handoff,
     rule: StreamRule,
 ) -> Response<Body> {
-    a.admission = match gate::admit(&desk, &a) {
+    a.admission = match gate::admit(&desk, &mut a) {
         Ok(admission) => admission,
         Err(after) => return shed(a, after),
     };
