--- a/crates/ashctl/src/relay.rs
+++ b/crates/ashctl/src/relay.rs
@@ -76,7 +76,7 @@
             text("id"),
             text("service"),
             text("data_centre"),
-            u["inflight"],
+            u["inflight"].to_string(),
             state(u),
         );
     }
@@ -142,8 +142,8 @@
                 class(&c["class"]),
                 rate(&c["asked"]),
                 c["admits"].as_str().unwrap_or_default(),
-                c["admitted"],
-                c["refused"],
+                c["admitted"].to_string(),
+                c["refused"].to_string(),
             );
         }
     }
