Forecast when a chain brings the first event of a stream

Cause: silence before a first event is looked into after a fixed time, so engines that are busy are checked as if they were lost.

Change: forecast() adds up, over the engines of a chain, the prompts that are queued, the reading of this prompt and one and a half passes. Calibration learns the ratio of actual to forecast time on a logarithmic scale, and how far it varies. Both are bounded for any input. A prompt of 0 tokens counts as the usual one; engines that are not known any more add nothing. cost::work_seconds and cost::PASSES are visible in the crate, so that a pass is written down once.

--- a/crates/ashgauge/src/cost.rs
+++ b/crates/ashgauge/src/cost.rs
@@ -17,7 +17,7 @@
 
 /// Passes of an engine that a token takes: it comes in the middle of one, and is
 /// worked on in the next.
-const PASSES: f64 = 1.5;
+pub(crate) const PASSES: f64 = 1.5;
 
 /// Seconds that a chain in another data centre counts for if a stream goes on
 /// there: its events come later by a few delays, and reading may be shared among
@@ -217,7 +217,13 @@
 
 /// Seconds that an engine with this load needs for one layer of so many steps
 /// and of reading so many tokens.
-fn work_seconds(model: &Model, entry: &Entry, load: f64, steps: f64, tokens: f64) -> f64 {
+pub(crate) fn work_seconds(
+    model: &Model,
+    entry: &Entry,
+    load: f64,
+    steps: f64,
+    tokens: f64,
+) -> f64 {
     let card = entry.upstream.card.as_ref();
     let card = card.and_then(|c| model.cards.get(c));
     let (step, read) = card.map_or((1.0, 1.0), |c| (c.step_factor, c.read_factor));
--- a/crates/ashgauge/src/lib.rs
+++ b/crates/ashgauge/src/lib.rs
@@ -47,6 +47,8 @@
 //!   themselves and a request is handed on whole.
 //! - [`class`], [`demand`], [`pressure`], [`level`]: who is let in where callers ask for
 //!   more than engines can do in time.
+//! - [`forecast`]: when a chain brings the first event of a stream, and how far apart the
+//!   next are.
 //! - [`permit`]: limits that upstreams name for all boxes together, and who may send.
 //! - [`mirror`], [`revision`], [`reader`], [`question`], [`asker`]: a store that few boxes
 //!   read and all know, also where it comes back from a copy.
@@ -68,6 +70,7 @@
 pub mod entry;
 mod error;
 pub mod events;
+pub mod forecast;
 pub mod fresh;
 pub mod handoff;
 pub mod hub;
--- /dev/null
+++ b/crates/ashgauge/tests/forecast.rs
@@ -0,0 +1,333 @@
+//! What is forecast for a chain, and what is learned from what came.
+
+mod engines;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ashgauge::chain::Stage;
+use ashgauge::forecast::{Calibration, FORECAST_MOST, Forecast, forecast};
+use ashgauge::pipes::Pipes;
+use ashgauge::roster::Roster;
+use ashgauge::routing::{Card, Model};
+use ashgauge::scene::Scene;
+use ashgauge::share::{Shares, Use, Word, key};
+use ashgauge::upstream::Span;
+use engines::{model, scene, twins, upstream};
+use proptest::prelude::*;
+
+/// Time of the scene.
+const NOW: Duration = Duration::from_secs(100);
+
+/// Prompt of the tests, in tokens.
+const PROMPT: u32 = 772;
+
+fn stage(id: &str, first: u32, end: u32) -> Stage {
+    let upstream = id.into();
+    Stage {
+        upstream,
+        first,
+        end,
+    }
+}
+
+/// A chain over two engines of [`twins`].
+fn chain() -> Vec<Stage> {
+    vec![stage("a1", 0, 40), stage("b1", 40, 80)]
+}
+
+/// Forecasts as a single box that hears no others.
+fn alone(roster: &Roster, model: &Model, stages: &[Stage], prompt: u32) -> Forecast {
+    let (pipes, shares, place) = (Pipes::default(), Shares::default(), Arc::from("a"));
+    let scene = scene(roster, &pipes, &shares, &place);
+    let scene = Scene {
+        boxes: 1.0,
+        neighbours: 1.0,
+        ..scene
+    };
+    forecast(&scene, model, stages, prompt)
+}
+
+fn is_near(time: Duration, seconds: f64) -> bool {
+    (time.as_secs_f64() - seconds).abs() < 1e-6
+}
+
+/// A forecast that left out the prompt or the passes would be as long as the checks of
+/// engines are apart in any case.
+#[test]
+fn idle_chain_takes_its_reading_and_its_passes() {
+    let idle = alone(&twins(), &model(), &chain(), PROMPT);
+    let (read, pass) = (772.0 / 196_000.0, 0.000_85 * 1.4 * 2.0);
+    assert!(is_near(idle.pause, 1.5 * pass), "{idle:?}");
+    assert!(is_near(idle.first, read + 1.5 * pass), "{idle:?}");
+}
+
+/// Streams behind long prompts were checked as if their engines were lost.
+#[test]
+fn prompts_that_are_queued_come_before() {
+    let (mut roster, model) = (twins(), model());
+    let idle = alone(&roster, &model, &chain(), PROMPT);
+    roster.note_reading(NOW, "a1", 0.4);
+    roster.note_reading(NOW, "b1", 0.3);
+    roster.note_reading(NOW, "a2", 9.0);
+    let busy = alone(&roster, &model, &chain(), PROMPT);
+    let more = (busy.first - idle.first).as_secs_f64();
+    assert!((more - 0.7).abs() < 2e-3, "{more}");
+    assert_eq!(busy.pause, idle.pause);
+}
+
+/// Near their limit engines take a few times as long for a pass, in which the requests
+/// of all boxes take part.
+#[test]
+fn requests_of_all_boxes_make_passes_longer() {
+    let (roster, model) = (twins(), model());
+    let (pipes, mut shares, place) = (Pipes::default(), Shares::default(), Arc::from("a"));
+    let uses = ["a1", "b1"].map(|id| {
+        let used = Use {
+            requests: 1000,
+            reading: 250,
+            ..Use::default()
+        };
+        (key(id), used)
+    });
+    let word = Word {
+        from: "box-2".into(),
+        boot: 1,
+        number: 1,
+        scope: Default::default(),
+        boxes: 1,
+        uses: uses.into(),
+        suspects: Vec::new(),
+        limits: Vec::new(),
+        flows: Default::default(),
+    };
+    assert!(shares.hear(NOW, word));
+    let scene = scene(&roster, &pipes, &shares, &place);
+    let scene = Scene {
+        boxes: 2.0,
+        neighbours: 2.0,
+        ..scene
+    };
+    let full = forecast(&scene, &model, &chain(), PROMPT);
+    let pass = (0.000_85 + 1000.0 * 3.82e-6) * 1.4 * 2.0;
+    assert!(is_near(full.pause, 1.5 * pass), "{full:?}");
+    let read = 772.0 / 196_000.0;
+    assert!(is_near(full.first, 0.5 + read + 1.5 * pass), "{full:?}");
+}
+
+/// The types of accelerators differ more in reading than in writing, or less.
+#[test]
+fn kinds_of_engines_read_and_write_at_their_own_rates() {
+    let mut roster = twins();
+    let held = Span { first: 0, end: 40 };
+    roster.put(upstream("slow", "a", "small", Some(held), 7));
+    let stages = [stage("slow", 0, 40), stage("b1", 40, 80)];
+    let slow = alone(&roster, &model(), &stages, PROMPT);
+    let pass = 0.000_85 * 2.0 * (16.0 + 1.4) / 2.0;
+    let read = 772.0 / 196_000.0 * (8.2 + 1.0) / 2.0;
+    assert!(is_near(slow.pause, 1.5 * pass), "{slow:?}");
+    assert!(is_near(slow.first, read + 1.5 * pass), "{slow:?}");
+}
+
+/// An engine that says that it is slow was checked again and again.
+#[test]
+fn engine_that_says_it_is_slow_takes_longer() {
+    let (mut roster, model) = (twins(), model());
+    let idle = alone(&roster, &model, &chain(), PROMPT);
+    roster.note_slow(NOW, "a1", 5.0);
+    roster.note_slow(NOW, "b1", 5.0);
+    let slow = alone(&roster, &model, &chain(), PROMPT);
+    assert!(is_near(slow.first, idle.first.as_secs_f64() * 5.0));
+    assert!(is_near(slow.pause, idle.pause.as_secs_f64() * 5.0));
+}
+
+/// A caller that does not say how long its prompt is sends no empty one.
+#[test]
+fn unknown_prompt_counts_as_the_usual() {
+    let (roster, model) = (twins(), model());
+    let unknown = alone(&roster, &model, &chain(), 0);
+    assert_eq!(unknown, alone(&roster, &model, &chain(), model.prompt));
+}
+
+/// A caller that names an absurd prompt would have its engines checked in an hour.
+#[test]
+fn absurd_prompt_gives_the_longest_forecast() {
+    let absurd = alone(&twins(), &model(), &chain(), 1_000_000_000);
+    assert_eq!(absurd.first, FORECAST_MOST);
+    assert!(absurd.pause < Duration::from_millis(10));
+    assert_eq!(absurd.ratio(Duration::from_secs(1)), None);
+}
+
+/// An engine may have left while a permit for it was asked for.
+#[test]
+fn engines_that_are_gone_add_nothing() {
+    let (roster, model) = (twins(), model());
+    let gone = alone(&roster, &model, &[stage("gone", 0, 80)], PROMPT);
+    assert_eq!(gone, Forecast::default());
+    assert_eq!(gone.ratio(Duration::from_secs(1)), None);
+}
+
+/// An engine that works on far more than it tells makes events late by the same factor
+/// each time.
+#[test]
+fn calibration_learns_how_late_events_come() {
+    let forecast = Forecast {
+        first: Duration::from_millis(100),
+        pause: Duration::ZERO,
+    };
+    let mut calibration = Calibration::default();
+    assert_eq!(calibration.apply(forecast.first), forecast.first);
+    for _ in 0..200 {
+        let ratio = forecast.ratio(Duration::from_millis(250)).expect("a ratio");
+        calibration.note(ratio);
+    }
+    let factor = calibration.factor();
+    assert!((factor - 2.5).abs() < 0.01, "{factor}");
+    let calibrated = calibration.apply(forecast.first);
+    assert!(is_near(calibrated, 0.1 * factor), "{calibrated:?}");
+}
+
+/// One stream that hung for a minute must not make all others wait twice as long before
+/// their engines are checked.
+#[test]
+fn one_late_event_changes_little() {
+    let mut calibration = Calibration::default();
+    calibration.note(600.0);
+    let factor = calibration.factor();
+    assert!((1.05..1.1).contains(&factor), "{factor}");
+}
+
+/// Twice as late and twice as early are errors of one size: on a linear scale the late
+/// ones would count for more, and forecasts grow.
+#[test]
+fn late_and_early_events_weigh_alike() {
+    let mut calibration = Calibration::default();
+    for _ in 0..200 {
+        calibration.note(2.0);
+        calibration.note(0.5);
+    }
+    let factor = calibration.factor();
+    assert!((factor - 1.0).abs() < 0.05, "{factor}");
+}
+
+/// Engines that report nothing true would switch the checks off, or check each stream
+/// at once.
+#[test]
+fn calibration_is_bounded() {
+    let (mut late, mut early) = (Calibration::default(), Calibration::default());
+    for _ in 0..1000 {
+        late.note(1e6);
+        early.note(0.0);
+    }
+    assert!((late.factor() - 4.0).abs() < 1e-6);
+    assert!((early.factor() - 0.25).abs() < 1e-6);
+    assert_eq!(late.apply(FORECAST_MOST), FORECAST_MOST);
+}
+
+/// Whoever uses a forecast must be able to tell one that was never compared with
+/// anything, or that is as often wrong as right, from a good one.
+#[test]
+fn spread_tells_how_sure_a_forecast_is() {
+    let (mut even, mut uneven) = (Calibration::default(), Calibration::default());
+    assert!((even.spread() - 4.0).abs() < 1e-6);
+    for n in 0..400 {
+        even.note(1.5);
+        uneven.note(if n % 2 == 0 { 3.0 } else { 1.0 / 3.0 });
+    }
+    assert!(even.spread() < 1.01, "{}", even.spread());
+    assert!((2.5..3.5).contains(&uneven.spread()), "{}", uneven.spread());
+}
+
+/// Any figure at all, the absurd ones often.
+fn figure() -> impl Strategy<Value = f64> {
+    prop_oneof![
+        any::<f64>(),
+        Just(0.0),
+        Just(-1.0),
+        Just(f64::NAN),
+        Just(f64::INFINITY),
+        Just(f64::NEG_INFINITY),
+        0.0..100.0,
+    ]
+}
+
+fn time() -> impl Strategy<Value = Duration> {
+    prop_oneof![
+        any::<Duration>(),
+        Just(Duration::ZERO),
+        Just(Duration::MAX),
+        (0u64..5000).prop_map(Duration::from_micros),
+    ]
+}
+
+fn count() -> impl Strategy<Value = u32> {
+    prop_oneof![any::<u32>(), Just(0), Just(u32::MAX), 0u32..1000]
+}
+
+prop_compose! {
+    fn any_model()(
+        layers in count(),
+        (step, step_request) in (time(), time()),
+        (event_tokens, prompt) in (count(), count()),
+        read_rate in figure(),
+        (step_factor, read_factor) in (figure(), figure()),
+    ) -> Model {
+        let card = Card { memory_mb: 1.0, step_factor, read_factor };
+        let cards = [("large".to_string(), card)].into();
+        Model { layers, step, step_request, event_tokens, prompt, read_rate, cards, ..model() }
+    }
+}
+
+proptest! {
+    /// A figure that is missing or absurd ends the box, or its silence is never noticed.
+    #[test]
+    fn forecasts_are_bounded(
+        model in any_model(),
+        prompt in count(),
+        spans in prop::collection::vec(("a1|a2|b1|gone", count(), count()), 0..8),
+        (boxes, neighbours) in (figure(), figure()),
+        (reading, slowness) in (figure(), figure()),
+        used in (count(), count()),
+    ) {
+        let mut roster = twins();
+        roster.note_reading(NOW, "a1", reading);
+        roster.note_slow(NOW, "a2", slowness);
+        let (pipes, mut shares, place) = (Pipes::default(), Shares::default(), Arc::from("a"));
+        let (requests, reading) = used;
+        let uses = vec![(key("a1"), Use { requests, reading, ..Use::default() })];
+        let word = Word {
+            from: "box-2".into(),
+            boot: 1,
+            number: 1,
+            scope: Default::default(),
+            boxes: 1,
+            uses,
+            suspects: Vec::new(),
+            limits: Vec::new(),
+            flows: Default::default(),
+        };
+        shares.hear(NOW, word);
+        let scene = scene(&roster, &pipes, &shares, &place);
+        let scene = Scene { boxes, neighbours, ..scene };
+        let stages: Vec<_> = spans.iter().map(|(id, from, to)| stage(id, *from, *to)).collect();
+        let bounded = forecast(&scene, &model, &stages, prompt);
+        prop_assert!(bounded.first <= FORECAST_MOST);
+        prop_assert!(bounded.pause <= bounded.first);
+        if let Some(ratio) = bounded.ratio(Duration::from_secs(1)) {
+            prop_assert!(ratio.is_finite() && ratio > 0.0, "{ratio}");
+        }
+    }
+
+    /// Nothing that was noted once leaves the calibration without a bound for good.
+    #[test]
+    fn calibrations_are_bounded(
+        ratios in prop::collection::vec(figure(), 0..200),
+        time in time(),
+    ) {
+        let mut calibration = Calibration::default();
+        ratios.iter().for_each(|ratio| calibration.note(*ratio));
+        prop_assert!((0.2499..=4.001).contains(&calibration.factor()));
+        prop_assert!((1.0..=16.001).contains(&calibration.spread()));
+        prop_assert!(calibration.apply(time) <= FORECAST_MOST);
+    }
+}
