Check the engines of a stream by the forecast of its first event

Cause: engines that read long prompts were checked after a fixed 250 ms, as if they were lost, and the checks of a stream of which nothing came left it after 2 s, not 1.3 s.

Change: where streams are let in by their class, a chain's forecast is kept with the stream. Its engines are first checked after the longer of timing.first_ms and twice the forecast, and one check comes at SILENT_MOST. A first event of a stream that was sent once and not repaired teaches the service's calibration and is observed in ashgauge_forecast_ratio. The line 'ended' has the forecast. Without classes nothing changes.

--- a/crates/ashgauge/src/forecast.rs
+++ b/crates/ashgauge/src/forecast.rs
@@ -27,6 +27,10 @@
 /// silences must be looked into whatever engines report.
 const RATIO_RANGE: (f64, f64) = (0.25, 4.0);
 
+/// Multiple of its forecast after which a first event counts as late: most come within
+/// it, and engines that are only busy are not checked.
+const LATE_FACTOR: u32 = 2;
+
 /// What is expected of a request on a chain.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Forecast {
@@ -92,6 +96,24 @@
     }
 }
 
+/// Silence before a first event, forecast for `first`, after which the engines are looked
+/// at: `least`, or twice the forecast if that is longer, up to `most`.
+///
+/// # Example
+///
+/// ```
+/// use std::time::Duration;
+/// use ashgauge::forecast::patience;
+///
+/// let ms = Duration::from_millis;
+/// assert_eq!(patience(ms(20), ms(250), ms(1300)), ms(250));
+/// assert_eq!(patience(ms(400), ms(250), ms(1300)), ms(800));
+/// ```
+pub fn patience(first: Duration, least: Duration, most: Duration) -> Duration {
+    let late = first.saturating_mul(LATE_FACTOR);
+    least.max(late.min(most))
+}
+
 /// Seconds that an event takes on an engine that works on so many requests.
 fn event_seconds(scene: &Scene, model: &Model, entry: &Entry, layers: Layer, requests: f64) -> f64 {
     // Longer steps would not fit into a time with the requests in them.
--- a/crates/ashgauge/src/silence.rs
+++ b/crates/ashgauge/src/silence.rs
@@ -95,6 +95,32 @@
         let silence = Duration::from_secs_f64(self.pace() * PACE_FACTOR).max(least);
         self.heard + silence * 2u32.pow(self.checks.min(DOUBLINGS_MOST))
     }
+
+    /// As [`Silence::due`], but one of the checks comes after a silence of `most`, if the
+    /// first comes no later: after a long `first` the next would come late by far.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use ashgauge::silence::Silence;
+    /// use std::time::Duration;
+    ///
+    /// let ms = Duration::from_millis;
+    /// let mut silence = Silence::new(ms(0));
+    /// assert_eq!(silence.due_within(ms(800), ms(100), ms(1300)), ms(800));
+    /// silence.note_check();
+    /// assert_eq!(silence.due_within(ms(800), ms(100), ms(1300)), ms(1300));
+    /// ```
+    pub fn due_within(&self, first: Duration, least: Duration, most: Duration) -> Duration {
+        let due = self.due(first, least);
+        let checks = self.checks.saturating_sub(1);
+        let before = Silence { checks, ..*self }.due(first, least);
+        let end = self.heard + most;
+        match before < end {
+            true => due.min(end),
+            false => due,
+        }
+    }
 }
 
 /// How long to wait for the head of an answer before the engines are looked at
--- a/crates/ashgauge/tests/forecast.rs
+++ b/crates/ashgauge/tests/forecast.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use ashgauge::chain::Stage;
-use ashgauge::forecast::{Calibration, FORECAST_MOST, Forecast, forecast};
+use ashgauge::forecast::{Calibration, FORECAST_MOST, Forecast, forecast, patience};
 use ashgauge::pipes::Pipes;
 use ashgauge::roster::Roster;
 use ashgauge::routing::{Card, Model};
@@ -238,6 +238,18 @@
     assert!((2.5..3.5).contains(&uneven.spread()), "{}", uneven.spread());
 }
 
+/// Engines that told of a minute of work were never looked at, and their streams waited
+/// for that minute.
+#[test]
+fn long_forecasts_do_not_put_checks_off_for_good() {
+    let ms = Duration::from_millis;
+    assert_eq!(patience(FORECAST_MOST, ms(250), ms(1300)), ms(1300));
+    assert_eq!(patience(Duration::MAX, ms(250), ms(1300)), ms(1300));
+    // A box that is set to wait for longer does so.
+    assert_eq!(patience(FORECAST_MOST, ms(3000), ms(1300)), ms(3000));
+    assert_eq!(patience(Duration::ZERO, ms(250), ms(1300)), ms(250));
+}
+
 /// Any figure at all, the absurd ones often.
 fn figure() -> impl Strategy<Value = f64> {
     prop_oneof![
--- a/crates/ashgauged/src/relay/desk.rs
+++ b/crates/ashgauged/src/relay/desk.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use ashgauge::admission::Line;
+use ashgauge::forecast::Calibration;
 use ashgauge::fresh::Freshness;
 use ashgauge::hub::{self, Role};
 use ashgauge::member::{BoxId, UpstreamId};
@@ -130,6 +131,8 @@
     pub gates: Gates,
     /// How long streams stay, by service.
     pub stays: RefCell<HashMap<ServiceId, Stay>>,
+    /// How far forecasts of first events are off, by service.
+    pub calibrations: RefCell<HashMap<ServiceId, Calibration>>,
     /// What the other boxes have on the upstreams.
     pub shares: RefCell<Shares>,
     /// Time between two words on what boxes elsewhere have.
@@ -192,6 +195,7 @@
             lines: RefCell::default(),
             gates: Gates::default(),
             stays: RefCell::default(),
+            calibrations: RefCell::default(),
             shares: RefCell::default(),
             lag: Cell::new(share::tell_times(0, 0).1),
             quarantine: RefCell::default(),
--- /dev/null
+++ b/crates/ashgauged/src/relay/forecast.rs
@@ -0,0 +1,66 @@
+//! Forecasts of first events: made for a chosen chain, used to tell engines that are busy
+//! from lost ones, and compared with what came.
+
+use std::time::Duration;
+
+use ashgauge::chain::Stage;
+use ashgauge::forecast::{self, Forecast};
+use ashgauge::routing::ServiceId;
+use serde_json::json;
+
+use super::desk::Desk;
+use super::open::SILENT_MOST;
+use super::request::Admitted;
+
+/// What is expected of a stream on its chain.
+#[derive(Clone, Copy)]
+pub struct Estimate {
+    /// What follows from the load of the engines.
+    forecast: Forecast,
+    /// Time to the first event, corrected by what was learned of the service.
+    pub first: Duration,
+    /// When the chain was chosen.
+    made: Duration,
+}
+
+impl Estimate {
+    /// Silence before the first event after which the engines are checked, `least` at the
+    /// least.
+    pub fn patience(&self, least: Duration) -> Duration {
+        forecast::patience(self.first, least, SILENT_MOST)
+    }
+}
+
+/// Forecasts a request on a chain that it is not counted on yet, if its service lets
+/// streams in by their class.
+pub fn estimate(desk: &Desk, a: &Admitted, stages: &[Stage]) -> Option<Estimate> {
+    a.class?;
+    let (service, prompt) = (&a.service.name, a.ask.prompt);
+    let model = a.service.model.as_ref()?;
+    let forecast = desk.forecast(service, model, stages, prompt);
+    let calibrations = desk.calibrations.borrow();
+    let calibration = calibrations.get(service).copied().unwrap_or_default();
+    let first = calibration.apply(forecast.first);
+    if prompt == 0 || forecast.is_bounded() {
+        let fields = json!({"prompt": prompt, "forecast_ms": first.as_millis() as u64});
+        a.record.step("rough forecast", fields);
+    }
+    Some(Estimate {
+        forecast,
+        first,
+        made: desk.now(),
+    })
+}
+
+/// Learns from the first event of a stream of which nothing but the load of its chain
+/// decided when it came.
+pub fn learn(desk: &Desk, service: &ServiceId, estimate: &Estimate, now: Duration) {
+    let actual = now.saturating_sub(estimate.made);
+    let Some(ratio) = estimate.forecast.ratio(actual) else {
+        return;
+    };
+    desk.metrics.forecast_ratio.observe(ratio);
+    let mut calibrations = desk.calibrations.borrow_mut();
+    let calibration = calibrations.entry(service.clone()).or_default();
+    calibration.note(ratio);
+}
--- a/crates/ashgauged/src/relay/metrics.rs
+++ b/crates/ashgauged/src/relay/metrics.rs
@@ -10,6 +10,10 @@
     0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0,
 ];
 
+/// Bounds of the ratios of actual to forecast times: steps of the square root of 2 over
+/// the range that is learned.
+const RATIO_BUCKETS: [f64; 9] = [0.25, 0.354, 0.5, 0.707, 1.0, 1.414, 2.0, 2.828, 4.0];
+
 /// Counters and histograms of one box.
 pub struct Metrics {
     registry: Registry,
@@ -47,6 +51,8 @@
     pub whole: Histogram,
     /// Time from a stream's last event before a repair to the next one.
     pub gap: Histogram,
+    /// Actual times to first events, divided by their forecasts.
+    pub forecast_ratio: Histogram,
     /// Version of the configuration in force.
     pub version: IntGauge,
     /// How often the store has come back from a copy.
@@ -73,12 +79,13 @@
             prometheus::Result::Ok(counters)
         };
         let counters = |name: &str, help: &str, label: &str| labelled(name, help, &[label]);
-        let histogram = |name: &str, help: &str| {
-            let opts = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
+        let distribution = |name: &str, help: &str, buckets: &[f64]| {
+            let opts = HistogramOpts::new(name, help).buckets(buckets.to_vec());
             let histogram = Histogram::with_opts(opts)?;
             registry.register(Box::new(histogram.clone()))?;
             prometheus::Result::Ok(histogram)
         };
+        let histogram = |name: &str, help: &str| distribution(name, help, &LATENCY_BUCKETS);
         let gauge = |name: &str, help: &str| {
             let gauge = IntGauge::new(name, help)?;
             registry.register(Box::new(gauge.clone()))?;
@@ -109,6 +116,11 @@
             first: histogram("ashgauge_first_seconds", "Time to the first byte")?,
             whole: histogram("ashgauge_whole_seconds", "Time to the end")?,
             gap: histogram("ashgauge_repair_gap_seconds", "Pause of a repaired stream")?,
+            forecast_ratio: distribution(
+                "ashgauge_forecast_ratio",
+                "Actual times to first events, divided by their forecasts",
+                &RATIO_BUCKETS,
+            )?,
             version: gauge("ashgauge_config_version", "Configuration in force")?,
             era: gauge("ashgauge_store_era", "Returns of the store from a copy")?,
             held: gauge("ashgauge_held_requests", "Requests that are held back")?,
--- a/crates/ashgauged/src/relay/mod.rs
+++ b/crates/ashgauged/src/relay/mod.rs
@@ -12,6 +12,7 @@
 mod dial;
 mod fetch;
 mod follow;
+mod forecast;
 mod forward;
 mod gate;
 mod log;
--- a/crates/ashgauged/src/relay/open.rs
+++ b/crates/ashgauged/src/relay/open.rs
@@ -17,6 +17,7 @@
 
 use super::desk::Desk;
 use super::dial::{self, Exchange};
+use super::forecast::{self, Estimate};
 use super::loss::Trial;
 use super::notice;
 use super::pick::Chosen;
@@ -46,6 +47,8 @@
     pub first_event: Option<Duration>,
     /// Whether it has shown that the request does not end its upstream.
     pub proven: bool,
+    /// What was forecast for it, if its service lets streams in by their class.
+    pub estimate: Option<Estimate>,
     /// Counts it as a trial until then, if upstreams were lost under the request.
     pub trial: Option<Trial>,
     /// Counts the stream on its engines.
@@ -84,6 +87,10 @@
         text,
         first,
     } = chosen;
+    let estimate = forecast::estimate(desk, a, &stages);
+    if let Some(estimate) = &estimate {
+        a.record.note_forecast(estimate.first);
+    }
     note_chosen(desk, a, &stages);
     let lead = stages[0].upstream.clone();
     let failed = |outcome| Failed {
@@ -113,7 +120,8 @@
     let request = engine::request(&a.head, a.body.clone(), &target);
     let sent = desk.now();
     let sending = line.send(request);
-    let exchange = await_head(desk, a, &stages, sending, handoff, avoid).await;
+    let wait = first_wait(desk, estimate.as_ref());
+    let exchange = await_head(desk, a, &stages, sending, handoff, avoid, wait).await;
     let exchange = exchange.map_err(failed)?;
     let parts = head_of(&exchange);
     notice::take(desk, &lead, sent, &parts);
@@ -146,6 +154,7 @@
         events: 0,
         first_event: None,
         proven: false,
+        estimate,
         trial,
         hold,
     })
@@ -167,8 +176,14 @@
     }
 }
 
+/// How long to wait for the head of an answer before the engines are checked.
+fn first_wait(desk: &Desk, estimate: Option<&Estimate>) -> Duration {
+    let least = Duration::from_millis(desk.settings().timing.first_ms);
+    estimate.map_or(least, |e| e.patience(least))
+}
+
 /// Waits for the head of an answer; checks the chain's engines when it is
-/// late.
+/// late, first after `wait`.
 async fn await_head(
     desk: &Rc<Desk>,
     a: &Admitted,
@@ -176,10 +191,10 @@
     sending: impl Future<Output = Result<Exchange, ::http::Failure>>,
     handoff: &Handoff,
     avoid: &mut Vec<UpstreamId>,
+    mut wait: Duration,
 ) -> Result<Exchange, Outcome> {
     tokio::pin!(sending);
     let lead = &stages[0].upstream;
-    let mut wait = Duration::from_millis(desk.settings().timing.first_ms);
     let began = desk.now();
     loop {
         let left = handoff.left(desk.now());
--- a/crates/ashgauged/src/relay/pump/mod.rs
+++ b/crates/ashgauged/src/relay/pump/mod.rs
@@ -17,7 +17,8 @@
 use tokio::time::sleep_until;
 
 use super::desk::Desk;
-use super::open::Run;
+use super::forecast;
+use super::open::{Run, SILENT_MOST};
 use super::pieces::Pieces;
 use super::request::Admitted;
 use super::serve::Broken;
@@ -174,7 +175,13 @@
         let settings = self.desk.settings();
         let ms = Duration::from_millis;
         let (first, least) = (settings.timing.first_ms, settings.timing.silence_ms);
-        self.silence.due(ms(first), ms(least))
+        match &self.run.estimate {
+            Some(estimate) if !self.passed => {
+                let first = estimate.patience(ms(first));
+                self.silence.due_within(first, first, SILENT_MOST)
+            }
+            _ => self.silence.due(ms(first), ms(least)),
+        }
     }
 
     /// Passes whole events on.
@@ -199,6 +206,9 @@
         let piece = self.buffer.split_to(whole.len).freeze();
         self.last = whole.last.or(self.last);
         self.note_pause(now);
+        if whole.count > 0 && !self.passed {
+            self.learn_forecast(now);
+        }
         self.passed |= whole.count > 0;
         self.run.events += whole.count as u64;
         if whole.count > 0 {
@@ -236,6 +246,19 @@
         self.event_at = now;
     }
 
+    /// Compares the time of the first event with its forecast. A loss, a refusal or a
+    /// repair makes an event late that the forecast knows nothing of.
+    fn learn_forecast(&self, now: Duration) {
+        let was_sent_once = self.a.record.sends.len() == 1 && self.a.ask.last_event.is_none();
+        let was_repaired = self.repairs > 0 || !self.left.is_empty();
+        if let Some(estimate) = &self.run.estimate
+            && was_sent_once
+            && !was_repaired
+        {
+            forecast::learn(&self.desk, &self.a.service.name, estimate, now);
+        }
+    }
+
     /// Notes once that the request does not end its upstream.
     fn prove(&mut self, now: Duration) {
         let run = &mut self.run;
--- a/crates/ashgauged/src/relay/record.rs
+++ b/crates/ashgauged/src/relay/record.rs
@@ -24,6 +24,8 @@
     pub sends: Vec<Arc<str>>,
     /// Time to the first event of a stream.
     pub first: Option<Duration>,
+    /// Forecast of the time from the send that brought it, or the last one, to that event.
+    forecast: Option<Duration>,
     /// Longest pause between two events that were passed on.
     pub pause: Duration,
     ended: bool,
@@ -40,6 +42,7 @@
             arrived,
             sends: Vec::new(),
             first: None,
+            forecast: None,
             pause: Duration::ZERO,
             ended: false,
         }
@@ -50,6 +53,13 @@
         self.desk.now().saturating_sub(self.arrived)
     }
 
+    /// Notes what is forecast for a send, if no event came before.
+    pub fn note_forecast(&mut self, first: Duration) {
+        if self.first.is_none() {
+            self.forecast = Some(first);
+        }
+    }
+
     /// Writes a line about a step of this request.
     pub fn step(&self, what: &str, mut fields: serde_json::Value) {
         fields["id"] = self.id.as_str().into();
@@ -67,7 +77,7 @@
         self.desk.metrics.whole.observe(took.as_secs_f64());
         let age = self.desk.fresh.borrow().age(self.desk.now());
         let sends: Vec<&str> = self.sends.iter().map(|s| &**s).collect();
-        let fields = json!({
+        let mut fields = json!({
             "id": self.id,
             "digest": self.digest.map(digest::text),
             "route": self.route,
@@ -79,6 +89,9 @@
             "pause_ms": self.pause.as_millis() as u64,
             "ms": took.as_millis() as u64,
         });
+        if let Some(forecast) = self.forecast {
+            fields["forecast_ms"] = (forecast.as_millis() as u64).into();
+        }
         log::line(Level::Info, "request", "ended", fields);
     }
 }
--- a/crates/ashgauged/src/relay/select.rs
+++ b/crates/ashgauged/src/relay/select.rs
@@ -7,6 +7,7 @@
 use ashgauge::choice::{self, Need};
 use ashgauge::cost;
 use ashgauge::demand::{self, Demands};
+use ashgauge::forecast::{self, Forecast};
 use ashgauge::member::UpstreamId;
 use ashgauge::pipes::Pipes;
 use ashgauge::pressure::Pressure;
@@ -128,6 +129,20 @@
         (demands, flows.ends_of(key) * unheard)
     }
 
+    /// Forecasts the events of a request of `prompt` tokens over a chain.
+    pub fn forecast(
+        &self,
+        service: &str,
+        model: &Model,
+        stages: &[Stage],
+        prompt: u32,
+    ) -> Forecast {
+        let roster = self.roster.borrow();
+        let (pipes, shares) = (self.pipes.borrow(), self.shares.borrow());
+        let scene = self.scene(&roster, &pipes, &shares, service);
+        forecast::forecast(&scene, model, stages, prompt)
+    }
+
     /// Writes a chain for the wire, with the first engine's address.
     pub fn chain_text(&self, stages: &[Stage]) -> Option<(String, String)> {
         let roster = self.roster.borrow();
