--- a/crates/ashgauge/tests/report.rs
+++ b/crates/ashgauge/tests/report.rs
@@ -77,7 +77,7 @@
         memory: 0.85,
         slots: 0.1,
     };
-    let basis = Basis::new(&asked, pressure, 130.0, 3);
+    let basis = Basis::new(&asked, pressure, 130.0, Duration::ZERO, 3);
     let classes = [(class(0), 60.0), (class(1), 50.0), (class(2), 100.0)];
     assert_eq!(basis.classes, classes);
     assert_eq!(basis.asked(), 210.0);
--- a/crates/ashgauged/src/relay/record.rs
+++ b/crates/ashgauged/src/relay/record.rs
@@ -29,6 +29,8 @@
     pub sends: Vec<Arc<str>>,
     /// Time to the first event of a stream.
     pub first: Option<Duration>,
+    /// Forecast of the time from the send that brought it, or the last one, to that event.
+    forecast: Option<Duration>,
     /// Longest pause between two events that were passed on.
     pub pause: Duration,
     ended: bool,
@@ -47,6 +49,7 @@
             arrived,
             sends: Vec::new(),
             first: None,
+            forecast: None,
             pause: Duration::ZERO,
             ended: false,
         }
@@ -57,6 +60,13 @@
         self.desk.now().saturating_sub(self.arrived)
     }
 
+    /// Notes what is forecast for a send, if no event came before.
+    pub fn note_forecast(&mut self, first: Duration) {
+        if self.first.is_none() {
+            self.forecast = Some(first);
+        }
+    }
+
     /// Writes a line about a step of this request.
     pub fn step(&self, what: &str, mut fields: serde_json::Value) {
         fields["id"] = self.id.as_str().into();
@@ -92,6 +102,9 @@
         if let Some(level) = self.level {
             fields["level"] = json!(level);
         }
+        if let Some(forecast) = self.forecast {
+            fields["forecast_ms"] = (forecast.as_millis() as u64).into();
+        }
         log::line(Level::Info, "request", "ended", fields);
     }
 }
