Account of repairs, resends and checks that shrinks with the pressure

Under overload boxes made 1.7 liveness checks and 2.5 connections for each request. Each service gets an account of eight uses for each request that is let in, a tenth of that at a pressure of 1. Half is for streams of which the caller has a part, a quarter for resends, and the rest for all uses.

--- a/crates/ashgauge/src/lib.rs
+++ b/crates/ashgauge/src/lib.rs
@@ -47,6 +47,7 @@
 //!   themselves and a request is handed on whole.
 //! - [`class`], [`demand`], [`pressure`], [`level`]: who is let in where callers ask for
 //!   more than engines can do in time.
+//! - [`recovery`]: how much is done for streams that are held up.
 //! - [`permit`]: limits that upstreams name for all boxes together, and who may send.
 //! - [`mirror`], [`revision`], [`reader`], [`question`], [`asker`]: a store that few boxes
 //!   read and all know, also where it comes back from a copy.
@@ -94,6 +95,7 @@
 pub mod rate;
 pub mod reader;
 pub mod record;
+pub mod recovery;
 pub mod retry;
 pub mod revision;
 pub mod roster;
--- /dev/null
+++ b/crates/ashgauge/src/recovery.rs
@@ -0,0 +1,220 @@
+//! How much a box does for streams that are held up, so that an overload does not make
+//! more work of its own.
+//!
+//! Changes of chain, resends and checks of engines are work for engines that may have too
+//! much already. A box earns them with the requests that it lets in, and earns fewer the
+//! nearer the engines are to what they can do.
+
+use std::time::Duration;
+
+/// Pressure up to which a box earns the most: engines below it have time for all checks.
+pub const EASY: f64 = 0.6;
+
+/// Pressure from which an engine's refusal ends a request that has no second chain: the
+/// other engines are as full, and one more send is refused as well.
+pub const TIGHT: f64 = 0.8;
+
+/// Part that a box earns at a pressure of 1.
+const EARNED_LEAST: f64 = 0.1;
+
+/// Uses earned by each request. A quarter is for checks: at a pressure of 1 one for five
+/// requests.
+const EARNED: f64 = 8.0;
+
+/// Uses earned each second without requests: a check each second at a pressure of 1, and
+/// six at once without it, as many as a chain has engines.
+const EARNED_IDLE: f64 = 40.0;
+
+/// Time over which requests are counted.
+const COUNT_TIME: Duration = Duration::from_secs(1);
+
+/// Time of earnings that may be saved. With [`PRESSURE_TIME`] it makes the second after
+/// which an account is full once the load has gone.
+const SAVED_TIME: Duration = Duration::from_millis(600);
+
+/// Time for which a pressure counts. It is reckoned when requests come; a box with five
+/// a second seldom has a longer pause.
+const PRESSURE_TIME: Duration = Duration::from_millis(400);
+
+/// Parts of what is earned: for repairs only, for repairs and resends, for all uses.
+const PARTS: [f64; 3] = [0.5, 0.25, 0.25];
+
+/// What one use takes, without the rounding of sums.
+const ONE: f64 = 1.0 - 1e-9;
+
+/// What a box does for a stream that is held up, the most useful first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Use {
+    /// Leads a stream of which the caller has a part over another chain.
+    Repair,
+    /// Sends a request again of which the caller has nothing.
+    Resend,
+    /// Connects to an engine, or asks it how it is.
+    Check,
+}
+
+impl Use {
+    /// Its name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Use::Repair => "repair",
+            Use::Resend => "resend",
+            Use::Check => "check",
+        }
+    }
+}
+
+/// What a box may do for streams of one service that are held up.
+///
+/// A part is for repairs only, so that none waits for checks or resends.
+///
+/// # Example
+///
+/// ```
+/// use std::time::Duration;
+/// use ashgauge::recovery::{Account, Use};
+///
+/// let now = Duration::from_secs(60);
+/// let mut account = Account::default();
+/// account.set_pressure(now, 1.0);
+/// assert!(account.take(now, Use::Check));
+/// assert!(!account.take(now, Use::Check));
+/// assert!(account.take(now, Use::Repair));
+/// ```
+#[derive(Clone, Debug)]
+pub struct Account {
+    /// The pressure, and when it was reckoned.
+    pressure: Option<(Duration, f64)>,
+    /// Requests a second.
+    requests: f64,
+    /// What is left of each part.
+    saved: [f64; PARTS.len()],
+    /// Up to when earnings are counted.
+    at: Duration,
+}
+
+impl Default for Account {
+    /// Makes an account that is full without requests.
+    fn default() -> Self {
+        Account {
+            pressure: None,
+            requests: 0.0,
+            saved: PARTS.map(|part| saved_most(part * EARNED_IDLE)),
+            at: Duration::ZERO,
+        }
+    }
+}
+
+impl Account {
+    /// Notes a request that was let in.
+    pub fn note_request(&mut self, now: Duration) {
+        self.earn(now);
+        self.requests += 1.0 / COUNT_TIME.as_secs_f64();
+    }
+
+    /// Sets how near the engines are to what they can do.
+    pub fn set_pressure(&mut self, now: Duration, pressure: f64) {
+        self.earn(now);
+        // What is no number came from engines of which nothing is known.
+        let pressure = if pressure.is_nan() { 1.0 } else { pressure };
+        self.pressure = Some((now, pressure.clamp(0.0, 1.0)));
+        self.clip();
+    }
+
+    /// The pressure, 0 to 1, if it was set a short while ago; else 0.
+    pub fn pressure(&self, now: Duration) -> f64 {
+        let known = self.pressure.filter(|(at, _)| now < *at + PRESSURE_TIME);
+        known.map_or(0.0, |(_, pressure)| pressure)
+    }
+
+    /// Whether there is enough for one use.
+    pub fn has(&mut self, now: Duration, what: Use) -> bool {
+        self.earn(now);
+        self.part(what).is_some()
+    }
+
+    /// Takes one use out; returns false if there is not enough for it.
+    pub fn take(&mut self, now: Duration, what: Use) -> bool {
+        self.earn(now);
+        let part = self.part(what);
+        if let Some(part) = part {
+            self.saved[part] = (self.saved[part] - 1.0).max(0.0);
+        }
+        part.is_some()
+    }
+
+    /// The part from which a use is taken: its own, else one for less useful ones.
+    fn part(&self, what: Use) -> Option<usize> {
+        (what as usize..PARTS.len()).find(|part| self.saved[*part] >= ONE)
+    }
+
+    /// Adds what was earned since the last time.
+    fn earn(&mut self, now: Duration) {
+        if now <= self.at {
+            return;
+        }
+        let passed = now - self.at;
+        let counted = passed.as_secs_f64() / COUNT_TIME.as_secs_f64();
+        self.requests *= (-counted).exp();
+        let pressed = self.pressed_time(now);
+        let part = earned_part(self.pressure.map_or(0.0, |(_, pressure)| pressure));
+        let time = pressed.as_secs_f64() * part + (passed - pressed).as_secs_f64();
+        let earned = self.earned() * time;
+        for (saved, part) in self.saved.iter_mut().zip(PARTS) {
+            *saved += earned * part;
+        }
+        self.at = now;
+        self.clip();
+    }
+
+    /// How much of the time since the last earnings the pressure counted.
+    fn pressed_time(&self, now: Duration) -> Duration {
+        let set = self.pressure.map_or(Duration::ZERO, |(at, _)| at);
+        now.min(set + PRESSURE_TIME).saturating_sub(self.at)
+    }
+
+    /// Uses earned each second without pressure.
+    fn earned(&self) -> f64 {
+        (self.requests * EARNED).max(EARNED_IDLE)
+    }
+
+    /// Drops what is more than may be saved.
+    fn clip(&mut self) {
+        let earned = self.earned() * earned_part(self.pressure(self.at));
+        for (saved, part) in self.saved.iter_mut().zip(PARTS) {
+            *saved = saved.min(saved_most(part * earned));
+        }
+    }
+}
+
+/// Part that is earned at a pressure, 0 to 1.
+fn earned_part(pressure: f64) -> f64 {
+    let over = (pressure - EASY) / (1.0 - EASY);
+    1.0 - over.clamp(0.0, 1.0) * (1.0 - EARNED_LEAST)
+}
+
+/// What may be saved of so much a second; one in any case, as less is of no use.
+fn saved_most(earned: f64) -> f64 {
+    (earned * SAVED_TIME.as_secs_f64()).max(1.0)
+}
+
+/// Whether a stream that cannot go on otherwise does without what it waits for, at one of
+/// its looks, if it may wait for `left` more; `draw` is from 0 to 1 at random.
+///
+/// Streams that are cut off together end their waits evenly over the time that they have.
+///
+/// # Example
+///
+/// ```
+/// use std::time::Duration;
+/// use ashgauge::recovery::goes_anyway;
+///
+/// let ms = Duration::from_millis;
+/// // One in twenty goes at this look.
+/// assert!(goes_anyway(ms(1000), ms(50), 0.04));
+/// assert!(!goes_anyway(ms(1000), ms(50), 0.06));
+/// assert!(goes_anyway(ms(0), ms(50), 0.99));
+/// ```
+pub fn goes_anyway(left: Duration, every: Duration, draw: f64) -> bool {
+    left.mul_f64(draw.clamp(0.0, 1.0)) <= every
+}
