Repairs, resends and checks of the relay draw on the account

Where streams are let in by the level, each connection to look at an engine, each question to it and each change of chain takes a use out of the service's account. Under pressure engines that were heard since an event was due are not connected to, and of a chain only the first engine is asked for its report, as the first names the one that holds the chain up. Streams without a class take the same steps as before.

--- a/crates/ashgauge/src/entry.rs
+++ b/crates/ashgauge/src/entry.rs
@@ -152,6 +152,11 @@
         self.heard.is_some_and(|at| now < at + HEARD_TIME)
     }
 
+    /// When it last had a part in something that came.
+    pub fn heard_at(&self) -> Option<Duration> {
+        self.heard
+    }
+
     /// Whether another box has said lately that it is lost.
     pub fn is_rumoured(&self, now: Duration) -> bool {
         self.rumour.is_some_and(|until| now < until) && !self.was_heard(now)
--- a/crates/ashgauged/src/relay/gate.rs
+++ b/crates/ashgauged/src/relay/gate.rs
@@ -45,18 +45,28 @@
     note(desk, a, model, class, team);
     reckon(desk, &a.service, model);
     let start = desk.rng().random_range(0.0..1.0);
-    let is_in = desk
-        .gates
-        .with(&a.service.name, |s| s.gate.admits(class, team, start));
+    let now = desk.now();
+    let is_in = desk.gates.with(&a.service.name, |s| {
+        let is_in = s.gate.admits(class, team, start);
+        if is_in {
+            s.account.note_request(now);
+        }
+        is_in
+    });
     if is_in {
         return Ok(Some(Admission {
             desk: desk.clone(),
             service: a.service.name.clone(),
         }));
     }
+    Err(back_after(desk, a))
+}
+
+/// When the caller of a request that is refused for overload is to come back.
+pub fn back_after(desk: &Desk, a: &Admitted) -> Duration {
     let patience = a.ask.patience.unwrap_or(a.route.timeout);
     let draw = desk.rng().random_range(0.0..1.0);
-    Err(level::back_after(patience, draw))
+    level::back_after(patience, draw)
 }
 
 fn note(desk: &Desk, a: &Admitted, model: &Model, class: Class, team: demand::TeamKey) {
@@ -89,9 +99,10 @@
     let allowed = level::allowed(&pressure, ends);
     let asked: f64 = demands.iter().map(|(_, d)| d.rate()).sum();
     let level = Level::new(&demands, allowed);
-    let changed = desk
-        .gates
-        .with(&service.name, |s| s.gate.set(now, level.clone()));
+    let changed = desk.gates.with(&service.name, |s| {
+        s.account.set_pressure(now, pressure.most());
+        s.gate.set(now, level.clone())
+    });
     if changed {
         let fields = json!({
             "service": &*service.name,
--- a/crates/ashgauged/src/relay/metrics.rs
+++ b/crates/ashgauged/src/relay/metrics.rs
@@ -19,6 +19,8 @@
     pub sends: IntCounterVec,
     /// Retries that were asked for, by whether the budget had one left.
     pub retries: IntCounterVec,
+    /// Repairs, resends and checks under overload, by use and result.
+    pub recovery: IntCounterVec,
     /// Repairs of streams by kind.
     pub repairs: IntCounterVec,
     /// Calls to the store by kind and result.
@@ -94,6 +96,11 @@
             sends: counters("ashgauge_sends_total", "Sends by outcome", "outcome")?,
             retries: counters("ashgauge_retries_total", "Retries by result", "result")?,
             repairs: counters("ashgauge_repairs_total", "Repairs of streams", "kind")?,
+            recovery: labelled(
+                "ashgauge_recovery_total",
+                "Repairs, resends and checks by use and result",
+                &["use", "result"],
+            )?,
             store: labelled(
                 "ashgauge_store_calls_total",
                 "Store calls by kind and result",
--- a/crates/ashgauged/src/relay/mod.rs
+++ b/crates/ashgauged/src/relay/mod.rs
@@ -29,6 +29,7 @@
 mod pump;
 mod quarantine;
 mod record;
+mod recovery;
 mod request;
 mod retry;
 mod select;
--- a/crates/ashgauged/src/relay/open.rs
+++ b/crates/ashgauged/src/relay/open.rs
@@ -21,6 +21,7 @@
 use super::notice;
 use super::pick::Chosen;
 use super::probe::{ask_engines, find_dead};
+use super::recovery;
 use super::request::{Admitted, Hold, is_allowed, lost, refused};
 
 /// Silence after which a stream whose engines all answer goes on elsewhere;
@@ -200,14 +201,15 @@
             };
         }
         let waited = desk.now() - began;
-        let mut dead = find_dead(desk, stages).await;
+        let mut dead = find_dead(desk, a, stages, Duration::ZERO).await;
         if dead.is_empty() {
-            dead.extend(ask_engines(desk, stages, &a.ask.id).await);
+            dead.extend(ask_engines(desk, a, stages).await);
         }
         if handoff.left(desk.now()).is_zero() {
             return Err(Outcome::Lost);
         }
-        if !dead.is_empty() || waited >= SILENT_MOST {
+        let is_late = waited >= SILENT_MOST;
+        if !dead.is_empty() || (is_late && recovery::has(desk, a)) {
             dead.iter()
                 .for_each(|id| desk.suspect(id, "holds up its chain"));
             if dead.is_empty() {
@@ -218,7 +220,10 @@
             avoid.extend(dead);
             return Err(Outcome::Lost);
         }
-        wait = next_wait(wait, desk.now() - began, SILENT_MOST);
+        wait = match is_late {
+            true => recovery::LOOK_EVERY,
+            false => next_wait(wait, desk.now() - began, SILENT_MOST),
+        };
     }
 }
 
--- a/crates/ashgauged/src/relay/pick.rs
+++ b/crates/ashgauged/src/relay/pick.rs
@@ -173,6 +173,11 @@
     }
 }
 
+/// Whether there is a chain with room for a request without the engines to `avoid`.
+pub fn has_room(desk: &Desk, a: &Admitted, handoff: &Handoff, avoid: &[UpstreamId]) -> bool {
+    choose(desk, a, handoff, avoid, need(desk, a)).is_some()
+}
+
 /// The room that a request needs, if it goes over a chain.
 fn need(desk: &Desk, a: &Admitted) -> Option<Need> {
     a.service.model.as_ref().filter(|m| m.layers > 0)?;
--- a/crates/ashgauged/src/relay/probe.rs
+++ b/crates/ashgauged/src/relay/probe.rs
@@ -6,12 +6,15 @@
 //! that had a part in another stream's last event needs no connection for that.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use ashgauge::chain::Stage;
 use ashgauge::entry::Entry;
 use ashgauge::member::UpstreamId;
+use ashgauge::routing::{Service, ServiceId};
 use platform::engine::{self, Report};
+use rand::Rng;
 use serde_json::json;
 use spdlog::Level;
 use tokio::net::TcpStream;
@@ -19,8 +22,9 @@
 use tokio::time::timeout;
 
 use super::desk::Desk;
-use super::state::probes::cell;
-use super::{log, notice};
+use super::request::Admitted;
+use super::state::probes::{Cached, cell, is_known};
+use super::{gate, log, notice, recovery};
 
 /// For a connection to come up; a healthy one takes under 2 ms. A machine without
 /// power answers nothing, so each millisecond here is one more of pause for every
@@ -46,10 +50,17 @@
 const SLOW_LEAST: f64 = 1.5;
 
 /// Finds the engines of a chain that take no connection.
-pub async fn find_dead(desk: &Rc<Desk>, stages: &[Stage]) -> Vec<UpstreamId> {
+///
+/// Under pressure those need none that were heard after `since`, when what a request waits
+/// for was due.
+pub async fn find_dead(
+    desk: &Rc<Desk>,
+    a: &Admitted,
+    stages: &[Stage],
+    since: Duration,
+) -> Vec<UpstreamId> {
     let mut probes = JoinSet::new();
-    for stage in stages {
-        let id = stage.upstream.clone();
+    for id in to_check(desk, a, stages, since) {
         let desk = desk.clone();
         probes.spawn_local(async move {
             let alive = is_alive(&desk, &id).await;
@@ -66,12 +77,76 @@
     dead
 }
 
+/// The engines of a chain that are connected to, for want of a sign of them.
+fn to_check(desk: &Desk, a: &Admitted, stages: &[Stage], since: Duration) -> Vec<UpstreamId> {
+    let mut ids: Vec<UpstreamId> = stages.iter().map(|s| s.upstream.clone()).collect();
+    if a.class.is_none() {
+        return ids;
+    }
+    let now = desk.now();
+    let since = match recovery::is_pressed(desk, a) {
+        true => since.max(now.saturating_sub(SHARED_TIME)),
+        false => now,
+    };
+    let roster = desk.roster.borrow();
+    let heard = |id: &UpstreamId| roster.get(id).and_then(Entry::heard_at);
+    ids.retain(|id| !roster.get(id).is_some_and(|e| e.was_heard(now)) && heard(id) <= Some(since));
+    // A lost one is among those that were heard longest ago; chains that lost the same
+    // one are not to check their other engines in the same order.
+    ids.sort_by_cached_key(|id| (heard(id), desk.rng().random::<u32>()));
+    drop(roster);
+    let alive = &desk.probes.alive;
+    ids.retain(|id| may_look(desk, &a.service.name, alive, id, SHARED_TIME));
+    ids
+}
+
+/// Whether there is an answer of an engine to share, or it may be asked for one; the
+/// question then stands for all that ask meanwhile.
+fn may_look<T>(
+    desk: &Desk,
+    service: &ServiceId,
+    cached: &Cached<T>,
+    id: &str,
+    shared: Duration,
+) -> bool {
+    let now = desk.now();
+    let Some(addr) = address(desk, id) else {
+        // That it is gone is known without a connection.
+        return true;
+    };
+    if is_known(cached, now, &addr, shared) {
+        return true;
+    }
+    let may = recovery::take_check(desk, service);
+    if may {
+        cell(cached, now, &addr, shared);
+    }
+    may
+}
+
+/// Whether an engine is asked how it is. Under pressure only the first of a chain is: it
+/// names the one that holds the chain up.
+fn may_ask(desk: &Desk, a: &Admitted, n: usize, id: &str) -> bool {
+    if a.class.is_none() {
+        return true;
+    }
+    if n > 0 && recovery::is_pressed(desk, a) {
+        return false;
+    }
+    let reports = &desk.probes.reports;
+    may_look(desk, &a.service.name, reports, id, REPORT_SHARED)
+}
+
 /// Asks the engines of a chain how they are, and notes which are slow.
 /// Returns the engine that the first one names as the cause of the silence of
-/// request `id`.
-pub async fn ask_engines(desk: &Rc<Desk>, stages: &[Stage], id: &str) -> Option<UpstreamId> {
+/// the request.
+pub async fn ask_engines(desk: &Rc<Desk>, a: &Admitted, stages: &[Stage]) -> Option<UpstreamId> {
+    let id = a.ask.id.as_str();
     let mut asked = JoinSet::new();
     for (n, stage) in stages.iter().enumerate() {
+        if !may_ask(desk, a, n, &stage.upstream) {
+            continue;
+        }
         let (desk, upstream) = (desk.clone(), stage.upstream.clone());
         asked.spawn_local(async move { (n, report(&desk, &upstream).await) });
     }
@@ -115,11 +190,28 @@
 
 /// Suspects an upstream if it takes no connection.
 pub async fn check(desk: Rc<Desk>, id: UpstreamId) {
+    if is_spared(&desk, &id) {
+        return;
+    }
     if !is_alive(&desk, &id).await {
         desk.suspect(&id, "named by another, no connection");
     }
 }
 
+/// Whether an upstream is not checked, as there are no checks left for its service.
+fn is_spared(desk: &Desk, id: &str) -> bool {
+    let roster = desk.roster.borrow();
+    let Some(entry) = roster.get(id).filter(|e| !e.was_heard(desk.now())) else {
+        return false;
+    };
+    let service = entry.upstream.service.clone();
+    drop(roster);
+    let routing = desk.routing();
+    let is_on = |s: &Arc<Service>| gate::is_on(desk, s);
+    let is_on = routing.services.get(&service).is_some_and(is_on);
+    is_on && !may_look(desk, &service, &desk.probes.alive, id, SHARED_TIME)
+}
+
 /// Whether an upstream whose connection just broke takes no other one.
 ///
 /// That streams heard it a moment ago says nothing here.
--- a/crates/ashgauged/src/relay/pump/mend.rs
+++ b/crates/ashgauged/src/relay/pump/mend.rs
@@ -13,11 +13,13 @@
 use ashgauge::upstream::Span;
 use platform::engine::{self, Reply};
 use serde_json::json;
+use tokio::time::sleep;
 
 use super::super::loss::{self, Loss};
 use super::super::open::{Run, SILENT_MOST, begin, id_at};
 use super::super::pick::pick_late;
 use super::super::probe::{ask_engines, find_dead};
+use super::super::recovery;
 use super::super::request::{Hold, note_outcome};
 use super::super::retry;
 use super::super::select::Wish;
@@ -39,7 +41,9 @@
         self.a
             .record
             .step("stream broke", json!({"cause": cause, "last": self.last}));
-        let dead = find_dead(&self.desk, &self.run.stages).await;
+        // What was heard before it broke says nothing.
+        let since = self.desk.now();
+        let dead = find_dead(&self.desk, &self.a, &self.run.stages, since).await;
         dead.iter()
             .for_each(|id| self.desk.suspect(id, "no connection"));
         if loss::look(&self.desk, &self.a, self.loss()).await {
@@ -61,16 +65,17 @@
     /// Looks for the cause of a silence.
     pub(super) async fn check(&mut self) -> Go {
         self.silence.note_check();
-        let dead = find_dead(&self.desk, &self.run.stages).await;
+        let due = self.silence.heard() + Duration::from_secs_f64(self.silence.pace());
+        let dead = find_dead(&self.desk, &self.a, &self.run.stages, due).await;
         if !dead.is_empty() {
             dead.iter()
                 .for_each(|id| self.desk.suspect(id, "no connection"));
             return self.repair(dead).await;
         }
-        if self.desk.now() >= self.silence.heard() + SILENT_MOST {
+        if self.is_late() && self.may_leave() {
             return self.resume("silent", true).await;
         }
-        match ask_engines(&self.desk, &self.run.stages, &self.a.ask.id).await {
+        match ask_engines(&self.desk, &self.a, &self.run.stages).await {
             // A report lags; it may name an engine that was led around already.
             Some(id) if self.run.stages.iter().any(|s| s.upstream == id) => {
                 self.desk.suspect(&id, "reported as stalled");
@@ -88,10 +93,66 @@
         if !lost.is_empty() {
             return self.repair(lost).await;
         }
+        // One that had no turn yet to leave its silent engines.
+        if self.a.class.is_some() && self.is_late() {
+            return match self.may_leave() {
+                true => self.resume("silent", true).await,
+                false => Go::On,
+            };
+        }
         self.leave_early().await;
         Go::On
     }
 
+    /// Whether nothing has come for so long that the stream goes on elsewhere.
+    fn is_late(&self) -> bool {
+        self.desk.now() >= self.late_at()
+    }
+
+    fn late_at(&self) -> Duration {
+        self.silence.heard() + SILENT_MOST
+    }
+
+    /// Whether a stream whose engines all answer is led elsewhere now. It may go on by
+    /// itself, so it waits for its turn as long as it takes.
+    fn may_leave(&mut self) -> bool {
+        let may = recovery::take(&self.desk, &self.a);
+        self.look_again(may);
+        may
+    }
+
+    /// The same for a stream that cannot go on by itself, which waits until it is late
+    /// at most.
+    fn may_repair(&mut self) -> bool {
+        let may = recovery::take_until(&self.desk, &self.a, self.late_at());
+        self.look_again(may);
+        may
+    }
+
+    /// Has the stream looked at soon that has no turn.
+    fn look_again(&mut self, may: bool) {
+        if self.a.class.is_none() {
+            return;
+        }
+        let now = self.desk.now();
+        self.leave_at = match may {
+            true => self.leave_at.map(|at| at.max(now + LEAVE_EVERY)),
+            false => Some(now + recovery::LOOK_EVERY),
+        };
+    }
+
+    /// Waits for the turn of a stream whose answer has ended; returns false if its caller
+    /// leaves.
+    async fn wait_turn(&mut self) -> bool {
+        while !self.may_repair() {
+            tokio::select! {
+                () = sleep(recovery::LOOK_EVERY) => {}
+                () = self.sender.closed() => return false,
+            }
+        }
+        true
+    }
+
     /// Leads the stream away from engines that leave or give up their part,
     /// while they still work: a stream that waits for their end breaks off, and
     /// holds up their new orders until then.
@@ -121,6 +182,10 @@
             self.leave_at = Some(self.desk.now() + LEAVE_EVERY);
             return;
         };
+        if !recovery::take(&self.desk, &self.a) {
+            self.leave_at = Some(self.desk.now() + LEAVE_EVERY);
+            return;
+        }
         self.left.extend(ends.iter().cloned());
         self.repath(&ends, stages, &text).await;
     }
@@ -151,6 +216,9 @@
     /// pipe, which takes seconds if many streams lose the same engine; a whole
     /// chain elsewhere reads them anew in a fraction of that.
     async fn repair(&mut self, lost: Vec<UpstreamId>) -> Go {
+        if !self.may_repair() {
+            return Go::On;
+        }
         let first = &self.run.stages[0].upstream;
         if lost.contains(first) {
             self.handoff.lose();
@@ -254,6 +322,9 @@
     /// If that cannot be and `alive` says that the present answer may still
     /// go on, it is waited for.
     pub(super) async fn resume(&mut self, why: &'static str, alive: bool) -> Go {
+        if !alive && self.can_resume() && !self.wait_turn().await {
+            return Go::Break("caller left");
+        }
         match self.try_resume(why).await || alive {
             true => Go::On,
             false => Go::Break("broken"),
@@ -270,9 +341,14 @@
         }
     }
 
+    /// Whether another run may go on where this one stands.
+    fn can_resume(&self) -> bool {
+        self.rule.resume && (self.last.is_some() || !self.passed)
+    }
+
     /// As [`Pump::resume`]; returns whether it goes on elsewhere.
     async fn try_resume(&mut self, why: &str) -> bool {
-        if !self.rule.resume || (self.last.is_none() && self.passed) {
+        if !self.can_resume() {
             return false;
         }
         let mut avoid = vec![self.run.stages[0].upstream.clone()];
@@ -301,6 +377,7 @@
                             self.handoff.lose();
                         }
                     }
+                    recovery::wait_turn(&self.desk, &self.a).await;
                 }
             }
         }
--- a/crates/ashgauged/src/relay/state/probes.rs
+++ b/crates/ashgauged/src/relay/state/probes.rs
@@ -23,6 +23,12 @@
     pub reports: Cached<Option<Rc<Report>>>,
 }
 
+/// Whether a question to an address is under way or was just answered.
+pub fn is_known<T>(cached: &Cached<T>, now: Duration, addr: &str, shared: Duration) -> bool {
+    let recent = cached.borrow();
+    recent.get(addr).is_some_and(|(at, _)| now < *at + shared)
+}
+
 /// The question to an address that is under way or was just answered, else a
 /// new one.
 pub fn cell<T>(cached: &Cached<T>, now: Duration, addr: &str, shared: Duration) -> Rc<OnceCell<T>> {
--- a/crates/ashgauged/src/relay/stream.rs
+++ b/crates/ashgauged/src/relay/stream.rs
@@ -16,6 +16,7 @@
 use super::open::{begin, head_of};
 use super::pick::{NoWay, pick_late, pick_open};
 use super::pump;
+use super::recovery;
 use super::request::{Admitted, finish, held_back, no_room, note_outcome, shed, whole};
 use super::retry;
 use super::serve::Body;
@@ -75,9 +76,15 @@
                 handoff.lose();
             }
         }
+        let is_refused = !may_have_run && failed.outcome == Outcome::NotRun;
+        if is_refused && !recovery::may_resend(&desk, &a, &handoff, &avoid) {
+            let after = gate::back_after(&desk, &a);
+            return shed(a, after);
+        }
         let next = retry::next(&desk, &a, &mut handoff, failed.outcome);
         match (next, failed.answer) {
-            (Next::Again, _) => {}
+            (Next::Again, _) if is_refused => {}
+            (Next::Again, _) => recovery::wait_turn(&desk, &a).await,
             (Next::PassOn, Some(answer)) => {
                 a.record.end("failed upstream");
                 return whole(answer);
