--- a/crates/ashgauged/src/relay/probe.rs
+++ b/crates/ashgauged/src/relay/probe.rs
@@ -214,7 +214,8 @@
 
 /// Whether an upstream whose connection just broke takes no other one.
 ///
-/// That streams heard it a moment ago says nothing here.
+/// That streams heard it a moment ago says nothing here. It takes nothing out of the
+/// account: without it a stream loses an attempt for an engine that is lost.
 pub async fn is_lost(desk: &Desk, id: &str) -> bool {
     !takes_connection(desk, id, LOST_SHARED).await
 }
