--- a/crates/ashgauge/src/lib.rs
+++ b/crates/ashgauge/src/lib.rs
@@ -49,6 +49,7 @@
 //!   more than engines can do in time.
 //! - [`forecast`]: when a chain brings the first event of a stream, and how far apart the
 //!   next are.
+//! - [`recovery`]: how much is done for streams that are held up.
 //! - [`permit`]: limits that upstreams name for all boxes together, and who may send.
 //! - [`mirror`], [`revision`], [`reader`], [`question`], [`asker`]: a store that few boxes
 //!   read and all know, also where it comes back from a copy.
@@ -97,6 +98,7 @@
 pub mod rate;
 pub mod reader;
 pub mod record;
+pub mod recovery;
 pub mod report;
 pub mod retry;
 pub mod revision;
--- a/crates/ashgauge/tests/forecast.rs
+++ b/crates/ashgauge/tests/forecast.rs
@@ -100,6 +100,7 @@
         suspects: Vec::new(),
         limits: Vec::new(),
         flows: Default::default(),
+        slow: Vec::new(),
     };
     assert!(shares.hear(NOW, word));
     let scene = scene(&roster, &pipes, &shares, &place);
@@ -317,6 +318,7 @@
             suspects: Vec::new(),
             limits: Vec::new(),
             flows: Default::default(),
+            slow: Vec::new(),
         };
         shares.hear(NOW, word);
         let scene = scene(&roster, &pipes, &shares, &place);
--- a/crates/ashgauged/src/relay/gate.rs
+++ b/crates/ashgauged/src/relay/gate.rs
@@ -55,9 +55,13 @@
     note(desk, a, model, class, team);
     reckon(desk, &a.service, model);
     let start = desk.rng().random_range(0.0..1.0);
+    let now = desk.now();
     let (is_in, level) = desk.gates.with(&a.service.name, |s| {
         let is_in = s.gate.admits(class, team, start);
         s.count(class, is_in);
+        if is_in {
+            s.account.note_request(now);
+        }
         (is_in, s.class())
     });
     a.record.level = level;
@@ -70,9 +74,14 @@
             begun: Cell::new(false),
         }));
     }
+    Err(back_after(desk, a))
+}
+
+/// When the caller of a request that is refused for overload is to come back.
+pub fn back_after(desk: &Desk, a: &Admitted) -> Duration {
     let patience = a.ask.patience.unwrap_or(a.route.timeout);
     let draw = desk.rng().random_range(0.0..1.0);
-    Err(level::back_after(patience, draw))
+    level::back_after(patience, draw)
 }
 
 fn note(desk: &Desk, a: &Admitted, model: &Model, class: Class, team: demand::TeamKey) {
@@ -106,6 +115,7 @@
     let basis = Basis::new(&demands, pressure, ends, desk.words_age(), boxes);
     let level = Level::new(&demands, basis.allowed);
     desk.gates.with(&service.name, |s| {
+        s.account.set_pressure(now, pressure.most());
         s.gate.set(now, level);
         s.basis = Some(basis);
         levels::log_change(now, &service.name, s);
--- a/crates/ashgauged/src/relay/state/gates.rs
+++ b/crates/ashgauged/src/relay/state/gates.rs
@@ -1,12 +1,13 @@
 //! What a box knows of how much is asked of its services, and who is let in.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use ashgauge::class::Class;
 use ashgauge::demand::{Flows, Meter};
 use ashgauge::level::Gate;
+use ashgauge::recovery::Account;
 use ashgauge::report::{Basis, Report};
 use ashgauge::routing::ServiceId;
 
@@ -14,6 +15,8 @@
 #[derive(Default)]
 pub struct Gates {
     services: RefCell<HashMap<ServiceId, State>>,
+    /// When a line about a refused repair was last written.
+    written: Cell<Option<Duration>>,
 }
 
 /// Demand for one service, and who is let in.
@@ -31,6 +34,8 @@
     pub report: Report,
     /// Requests of this box by class, since its start.
     pub counts: BTreeMap<Class, Counts>,
+    /// What is done for streams that are held up.
+    pub account: Account,
 }
 
 /// Requests that were admitted or refused by the level.
@@ -80,6 +85,15 @@
         known.collect()
     }
 
+    /// Whether a line may be written, as none was within `every`.
+    pub fn may_write(&self, now: Duration, every: Duration) -> bool {
+        let is_due = self.written.get().is_none_or(|at| now >= at + every);
+        if is_due {
+            self.written.set(Some(now));
+        }
+        is_due
+    }
+
     /// What this box's callers ask of all services, and what ends.
     pub fn flows(&self, now: Duration) -> Flows {
         let mut services = self.services.borrow_mut();
