Weigh engines by a request's own prompt and answer

Cause: chains were chosen for a usual request, so long prompts went to engines that read slowly and long answers to engines that write slowly.

Change: 'shape' tells what a request has to read and to write, within 1/8 to 8 times the usual figures. A scene carries it; reading, writing and passing on activations are weighed by it, what describes the other requests of an engine by the usual one as before. Relays give a request's shape where streams are let in by class. Without a shape the choice is the same as before: a test holds 800 choices against a digest taken from the code before.

--- a/crates/ashgauge/src/choice.rs
+++ b/crates/ashgauge/src/choice.rs
@@ -51,8 +51,8 @@
 /// Chooses a chain over `span` of the model's layers, without the engines in
 /// `avoid` and those that lack what the request may `need`.
 ///
-/// The cost is the time of a usual request: reading its prompt, writing its
-/// answer, handing activations on; engines that are filling up cost more.
+/// The cost is the time of a request of the scene's shape: reading its prompt, writing
+/// its answer, handing activations on; engines that are filling up cost more.
 pub fn chain(
     scene: &Scene,
     model: &Model,
@@ -96,7 +96,7 @@
     }
     chain::cheapest_across(span.first, span.end, &edges, |from, to| match from {
         _ if from == Some(to) => 0.0,
-        Some(from) => cost::crossing_seconds(scene, model, places[from], places[to]),
+        Some(from) => scale.crossing_seconds(places[from], places[to]),
         None if to == 0 => 0.0,
         None => cost::entry_seconds(scene),
     })
--- a/crates/ashgauge/src/cost.rs
+++ b/crates/ashgauge/src/cost.rs
@@ -8,6 +8,7 @@
 use crate::entry::Entry;
 use crate::routing::Model;
 use crate::scene::{Scene, Total};
+use crate::shape::Shape;
 use crate::upstream::Span;
 
 /// Most of an engine's time that it is taken to read prompts: its cost is at most
@@ -82,6 +83,8 @@
 pub(crate) struct Scale<'a> {
     scene: &'a Scene<'a>,
     model: &'a Model,
+    /// What the request has to read and to write.
+    shape: Shape,
     /// Whether the data centre has engines to spare.
     spare: bool,
 }
@@ -89,9 +92,11 @@
 impl<'a> Scale<'a> {
     pub(crate) fn new(scene: &'a Scene<'a>, model: &'a Model) -> Self {
         let spare = copies_near(scene, model) >= COPIES_SPARE;
+        let shape = scene.shape.unwrap_or_else(|| Shape::usual(model));
         Scale {
             scene,
             model,
+            shape,
             spare,
         }
     }
@@ -128,7 +133,7 @@
         let power = if self.spare { FILLING_SPARE } else { 1 };
         let filling = jitter / (1.0 - full.min(FULL).powi(power));
         let filling = filling * self.reading_factor(entry, held, total.requests);
-        let engine = ENGINE_SECONDS + f64::from(model.answer) * HOP_SECONDS;
+        let engine = ENGINE_SECONDS + f64::from(self.shape.answer) * HOP_SECONDS;
         // A request waits at one engine of its chain at a time.
         let there = match self.spare {
             true => f64::from(held.len()) / f64::from(model.layers.max(1)),
@@ -139,7 +144,7 @@
             let (wait, layer) = self.weigh_next(entry, held, load, rng);
             return (fixed + wait, layer * filling);
         }
-        let layer = layer_seconds(model, entry, load) * slowness * filling;
+        let layer = layer_seconds(model, self.shape, entry, load) * slowness * filling;
         (fixed + engine * filling, layer)
     }
 
@@ -166,14 +171,32 @@
     /// as many streams as boxes stand near, at the most.
     fn weigh_next(&self, entry: &Entry, held: Span, load: f64, rng: &mut impl Rng) -> (f64, f64) {
         let (scene, model) = (self.scene, self.model);
-        let tokens = model.prompt + model.answer / 2;
-        let read = reading_seconds(scene, model, entry, held.len(), tokens);
+        let usual = Shape::usual(model).reread;
+        let read = reading_seconds(scene, model, entry, held.len(), usual);
         let others = scene.neighbours * rng.random_range(0.0..1.0) * read;
         let slowness = entry.slowness(scene.now);
         let event = f64::from(model.event_tokens) * PASSES;
-        let layer = work_seconds(model, entry, load, event, f64::from(tokens));
+        let reread = f64::from(self.shape.reread);
+        let layer = work_seconds(model, entry, load, event, reread);
         (others + HOP_SECONDS, layer * slowness)
     }
+
+    /// Seconds that the request loses where its chain changes data centre: the
+    /// activations of what is read in the pipe, and the delay of each token. A pipe
+    /// that is used up may not be used.
+    pub(crate) fn crossing_seconds(&self, from: &Arc<str>, to: &Arc<str>) -> f64 {
+        let (scene, model) = (self.scene, self.model);
+        let delays = f64::from(self.shape.answer) * AWAY_SECONDS;
+        if model.pipe_mb <= 0.0 {
+            return CROSSING_SECONDS + delays;
+        }
+        let used = scene.pipes.rate(scene.now, from, to) * scene.boxes / model.pipe_mb;
+        if used >= PIPE_SHARE {
+            return f64::INFINITY;
+        }
+        let prompt = f64::from(self.shape.prompt) * model.activation_mb;
+        (CROSSING_SECONDS + prompt / model.pipe_mb) / (1.0 - used) + delays
+    }
 }
 
 /// Memory of an engine for requests, in tokens times layers.
@@ -209,9 +232,9 @@
     whole * f64::from(layers) / f64::from(model.layers.max(1))
 }
 
-/// Seconds that one layer costs a usual request on an engine with this load.
-fn layer_seconds(model: &Model, entry: &Entry, load: f64) -> f64 {
-    let (answer, prompt) = (f64::from(model.answer), f64::from(model.prompt));
+/// Seconds that one layer costs a request of this shape on an engine with this load.
+fn layer_seconds(model: &Model, shape: Shape, entry: &Entry, load: f64) -> f64 {
+    let (answer, prompt) = (f64::from(shape.answer), f64::from(shape.prompt));
     work_seconds(model, entry, load, answer, prompt)
 }
 
@@ -227,27 +250,6 @@
     (writing + reading) / f64::from(model.layers.max(1))
 }
 
-/// Seconds that a usual request loses where its chain changes data centre:
-/// the prompt's activations in the pipe, and the delay of each token. A pipe
-/// that is used up may not be used.
-pub(crate) fn crossing_seconds(
-    scene: &Scene,
-    model: &Model,
-    from: &Arc<str>,
-    to: &Arc<str>,
-) -> f64 {
-    let delays = f64::from(model.answer) * AWAY_SECONDS;
-    if model.pipe_mb <= 0.0 {
-        return CROSSING_SECONDS + delays;
-    }
-    let used = scene.pipes.rate(scene.now, from, to) * scene.boxes / model.pipe_mb;
-    if used >= PIPE_SHARE {
-        return f64::INFINITY;
-    }
-    let prompt = f64::from(model.prompt) * model.activation_mb;
-    (CROSSING_SECONDS + prompt / model.pipe_mb) / (1.0 - used) + delays
-}
-
 /// Seconds that a chain in another data centre counts for.
 pub(crate) fn entry_seconds(scene: &Scene) -> f64 {
     let (least, most) = ENTRY_RANGE;
--- a/crates/ashgauge/src/lib.rs
+++ b/crates/ashgauge/src/lib.rs
@@ -41,7 +41,7 @@
 //! - [`member`], [`message`]: boxes and upstreams, and what boxes tell each
 //!   other.
 //! - [`clock`], [`record`]: the time line.
-//! - [`routing`], [`roster`], [`share`], [`hub`], [`scene`], [`pipes`], [`stay`], [`slack`], [`cost`], [`choice`], [`admission`],
+//! - [`routing`], [`roster`], [`share`], [`hub`], [`scene`], [`shape`], [`pipes`], [`stay`], [`slack`], [`cost`], [`choice`], [`admission`],
 //!   [`placement`], [`rate`], [`pending`],
 //!   [`handoff`], [`digest`], [`quarantine`], [`events`], [`fresh`], [`suspension`]: what a box decides where engines pass activations on among
 //!   themselves and a request is handed on whole.
@@ -99,6 +99,7 @@
 pub mod roster;
 pub mod routing;
 pub mod scene;
+pub mod shape;
 pub mod share;
 pub mod silence;
 pub mod slack;
--- a/crates/ashgauge/src/scene.rs
+++ b/crates/ashgauge/src/scene.rs
@@ -8,6 +8,7 @@
 use crate::entry::Entry;
 use crate::pipes::Pipes;
 use crate::roster::Roster;
+use crate::shape::Shape;
 use crate::share::Shares;
 
 /// Costs are spread by this share at random, so that boxes that know the same
@@ -42,6 +43,8 @@
     /// Whether the other boxes choose at the same moment for the same cause, such
     /// as the loss of an engine that all of them use.
     pub together: bool,
+    /// What the request has to read and to write; `None` for a usual one.
+    pub shape: Option<Shape>,
     /// Time of the choice.
     pub now: Duration,
 }
--- a/crates/ashgauge/tests/engines/mod.rs
+++ b/crates/ashgauge/tests/engines/mod.rs
@@ -133,6 +133,7 @@
         boxes: BOXES,
         neighbours: BOXES / 3.0,
         together: false,
+        shape: None,
         now: Duration::from_secs(100),
     }
 }
--- /dev/null
+++ b/crates/ashgauge/tests/shape.rs
@@ -0,0 +1,490 @@
+//! Which chain a request goes to by its own prompt and answer.
+
+mod engines;
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ashgauge::chain::Stage;
+use ashgauge::choice;
+use ashgauge::cost;
+use ashgauge::member::UpstreamId;
+use ashgauge::pipes::Pipes;
+use ashgauge::placement::plan;
+use ashgauge::roster::Roster;
+use ashgauge::routing::{Card, Model};
+use ashgauge::scene::Scene;
+use ashgauge::shape::Shape;
+use ashgauge::share::{self, Scope, Shares, Word};
+use ashgauge::upstream::Span;
+use engines::{BOXES, apply, fleet, model, roster, scene};
+use rand::rngs::SmallRng;
+use rand::{Rng, RngCore, SeedableRng};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Digest of the chains that were chosen for usual requests before requests had shapes.
+const CHOSEN_BEFORE: u64 = 14884158596742459701;
+
+/// Draws the same number each time, so that a choice does not depend on the order in
+/// which the engines are looked at.
+struct Fixed(u64);
+
+impl RngCore for Fixed {
+    fn next_u32(&mut self) -> u32 {
+        (self.0 >> 32) as u32
+    }
+
+    fn next_u64(&mut self) -> u64 {
+        self.0
+    }
+
+    fn fill_bytes(&mut self, bytes: &mut [u8]) {
+        bytes.fill(self.0 as u8);
+    }
+}
+
+/// The engines of a fleet, each with its own load, some of them lost.
+fn loaded(rng: &mut SmallRng) -> Roster {
+    let now = Duration::from_secs(100);
+    let mut seats = fleet();
+    let assignments = plan(&model(), &seats);
+    apply(&mut seats, &assignments);
+    let mut roster = roster(&seats);
+    for seat in &seats {
+        for _ in 0..rng.random_range(1..8) {
+            roster.begin(&seat.id, rng.random_range(1..20_000));
+        }
+        roster.note_reading(now, &seat.id, rng.random_range(0.0..0.05));
+        match rng.random_range(0..10) {
+            0 => roster.remove(now, &seat.id),
+            1 => roster.lead(&seat.id),
+            _ => {}
+        }
+    }
+    roster
+}
+
+/// Pipes between three data centres, of which some are used.
+fn used_pipes(rng: &mut SmallRng) -> Pipes {
+    let now = Duration::from_secs(100);
+    let places = ["a", "b", "c"].map(Arc::from);
+    let mut pipes = Pipes::default();
+    for (n, from) in places.iter().enumerate() {
+        for to in &places[n + 1..] {
+            pipes.note(now, from, to, rng.random_range(0.0..150.0 / BOXES));
+        }
+    }
+    pipes
+}
+
+/// One of many choices, each with other engines, loads and used pipes, for a request that
+/// begins or a stream that goes on.
+fn choose(seed: u64, together: bool, shape: Option<Shape>) -> Option<Vec<Stage>> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let (roster, pipes, shares) = (loaded(&mut rng), used_pipes(&mut rng), Shares::default());
+    let place = ["a", "b", "c"][seed as usize % 3].into();
+    let scene = Scene {
+        together,
+        shape,
+        ..scene(&roster, &pipes, &shares, &place)
+    };
+    let mut draws = Fixed(rng.random());
+    choice::chain(&scene, &model(), choice::whole(80), &[], None, &mut draws)
+}
+
+/// A chain by its engines and cuts.
+fn text(chain: Option<Vec<Stage>>) -> String {
+    let stages = chain.into_iter().flatten();
+    let stages = stages.map(|s| format!("{} {}..{}", s.upstream, s.first, s.end));
+    stages.collect::<Vec<_>>().join(", ")
+}
+
+/// Guards against another choice where shedding is off: usual requests go where they went
+/// before requests had shapes, whether the usual shape is given or none.
+#[test]
+fn usual_request_goes_where_it_went_before_shapes() {
+    let model = model();
+    let usual = Shape::usual(&model);
+    assert_eq!(Shape::of(model.prompt, model.answer, &model), usual);
+    let mut chains = String::new();
+    for seed in 0..400 {
+        for together in [false, true] {
+            let chain = text(choose(seed, together, None));
+            assert_eq!(text(choose(seed, together, Some(usual))), chain);
+            chains += &chain;
+            chains += "\n";
+        }
+    }
+    assert_eq!(xxh3_64(chains.as_bytes()), CHOSEN_BEFORE);
+}
+
+/// Guards against the test above comparing chains that no shape changes.
+#[test]
+fn other_shapes_change_many_choices() {
+    let model = model();
+    let long = Shape::of(model.prompt * 8, model.answer / 8, &model);
+    let differs = |seed: &u64| choose(*seed, false, Some(long)) != choose(*seed, false, None);
+    let changed = (0..100).filter(differs).count();
+    assert!(changed >= 20, "{changed} of 100");
+}
+
+/// A model of ten layers, and two kinds of engines of which one reads four times as fast
+/// and the other writes 2.4 times as fast.
+fn reader_and_writer() -> (Model, Roster) {
+    let mut model = model();
+    model.layers = 10;
+    model.read_rate = 40_000.0;
+    let mut roster = Roster::default();
+    let kinds = [("reader", 2.4, 1.0), ("writer", 1.0, 4.0)];
+    for (n, (name, step_factor, read_factor)) in kinds.into_iter().enumerate() {
+        let card = Card {
+            memory_mb: 72_000.0,
+            step_factor,
+            read_factor,
+        };
+        model.cards.insert(name.into(), card);
+        let all = Some(choice::whole(model.layers));
+        roster.put(engines::upstream(name, "a", name, all, n));
+    }
+    (model, roster)
+}
+
+/// The first engine for a request of this shape, where requests stay for 8 s.
+fn first(
+    model: &Model,
+    roster: &Roster,
+    together: bool,
+    shape: Option<Shape>,
+    seed: u64,
+) -> UpstreamId {
+    let (pipes, shares, place) = (Pipes::default(), Shares::default(), Arc::from("a"));
+    let scene = Scene {
+        together,
+        shape,
+        stay: Duration::from_secs(8),
+        ..scene(roster, &pipes, &shares, &place)
+    };
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let all = choice::whole(model.layers);
+    let chain = choice::chain(&scene, model, all, &[], None, &mut rng);
+    chain.expect("a chain")[0].upstream.clone()
+}
+
+/// Asserts that long prompts go to the reader and long answers to the writer.
+fn assert_apart(model: &Model, roster: &Roster) {
+    let prompt = Shape::of(model.prompt * 8, model.answer, model);
+    let answer = Shape::of(model.prompt, model.answer * 8, model);
+    for seed in 0..20 {
+        assert_eq!(&*first(model, roster, false, Some(prompt), seed), "reader");
+        assert_eq!(&*first(model, roster, false, Some(answer), seed), "writer");
+    }
+}
+
+/// Guards against choosing by a typical request on idle engines: a long prompt held up an
+/// engine that reads slowly, a long answer took its time on one that writes slowly.
+#[test]
+fn long_prompts_go_to_readers_and_long_answers_to_writers() {
+    let (model, roster) = reader_and_writer();
+    assert_apart(&model, &roster);
+}
+
+/// The same on engines that are half full, with a dozen requests and prompts to read.
+#[test]
+fn shapes_count_under_load() {
+    let (model, mut roster) = reader_and_writer();
+    let all = choice::whole(model.layers);
+    for id in ["reader", "writer"] {
+        let room = cost::memory(&model, roster.get(id).expect("an engine"), all);
+        let requests = (12.0 * 3.0 / BOXES) as u32;
+        let each = room / 2.0 / (BOXES / 3.0) / f64::from(requests);
+        (0..requests).for_each(|_| roster.begin(id, each as u64));
+        roster.note_reading(Duration::from_secs(100), id, 0.05);
+    }
+    assert_apart(&model, &roster);
+}
+
+/// Guards against a stream of a lost engine with much to read anew that goes on over an
+/// engine that reads slowly, and pauses for as long.
+#[test]
+fn stream_with_much_to_read_anew_goes_on_over_a_reader() {
+    let (model, roster) = reader_and_writer();
+    let begun = Shape::of(model.prompt * 4, model.answer * 8, &model);
+    let rest = begun.after(model.answer * 7, &model);
+    for seed in 0..20 {
+        assert_eq!(&*first(&model, &roster, true, Some(rest), seed), "reader");
+    }
+    let writers = (0..100).filter(|seed| &*first(&model, &roster, true, None, *seed) == "writer");
+    assert!(
+        writers.count() > 0,
+        "usual streams go to the reader as well"
+    );
+}
+
+/// What a stream that goes on has to read and to write.
+#[test]
+fn rest_of_a_stream_is_read_and_written() {
+    let model = model();
+    let begun = Shape::of(1000, 400, &model);
+    let rest = begun.after(300, &model);
+    assert_eq!((rest.prompt, rest.answer), (1300, 100));
+    let unbegun = begun.after(0, &model);
+    assert_eq!((unbegun.prompt, unbegun.answer), (1000, 400));
+}
+
+/// The engine of the second half of the layers for a prompt of so many tokens, where that
+/// of the own data centre is full and the pipe to the other one is narrow.
+fn second_half(prompt: u32, seed: u64) -> UpstreamId {
+    let mut model = model();
+    model.layers = 10;
+    model.pipe_mb = 10.0;
+    let (head, tail) = (Span { first: 0, end: 5 }, Span { first: 5, end: 10 });
+    let mut roster = Roster::default();
+    for (n, (id, place, span)) in [("a1", "a", head), ("a2", "a", tail), ("b2", "b", tail)]
+        .into_iter()
+        .enumerate()
+    {
+        roster.put(engines::upstream(id, place, "large", Some(span), n));
+    }
+    roster.note_full(Duration::from_secs(100), "a2");
+    let (pipes, shares, place) = (Pipes::default(), Shares::default(), Arc::from("a"));
+    let scene = Scene {
+        shape: Some(Shape::of(prompt, model.answer, &model)),
+        ..scene(&roster, &pipes, &shares, &place)
+    };
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let chain = choice::chain(&scene, &model, choice::whole(10), &[], None, &mut rng);
+    chain.expect("a chain")[1].upstream.clone()
+}
+
+/// Guards against long prompts whose activations fill a narrow pipe between data centres.
+#[test]
+fn long_prompts_do_not_cross_narrow_pipes() {
+    for seed in 0..20 {
+        assert_eq!(&*second_half(700, seed), "b2");
+        assert_eq!(&*second_half(6000, seed), "a2");
+    }
+}
+
+/// Guards against callers' figures that are absurd, zero or missing, and models without
+/// usual ones: they give a bounded shape, and a chain.
+#[test]
+fn bad_figures_give_a_bounded_guess() {
+    let (mut model, mut roster) = reader_and_writer();
+    let all = Some(choice::whole(model.layers));
+    roster.put(engines::upstream("unknown", "a", "no such card", all, 3));
+    let usual = Shape::usual(&model);
+    assert_eq!(Shape::of(0, 0, &model), usual);
+    let bounds = |usual: u32| usual / 8..=usual * 8;
+    let figures = [0, 1, 500, 1_000_000_000, u32::MAX];
+    for (prompt, answer) in figures.iter().flat_map(|p| figures.map(|a| (*p, a))) {
+        let shape = Shape::of(prompt, answer, &model);
+        assert!(bounds(usual.prompt).contains(&shape.prompt), "{shape:?}");
+        assert!(bounds(usual.answer).contains(&shape.answer), "{shape:?}");
+        let rest = shape.after(answer, &model);
+        assert!(rest.prompt <= shape.prompt + usual.answer * 8, "{rest:?}");
+        assert!(bounds(usual.answer).contains(&rest.answer), "{rest:?}");
+        for together in [false, true] {
+            first(&model, &roster, together, Some(rest), 1);
+        }
+    }
+    (model.prompt, model.answer, model.read_rate) = (0, 0, 0.0);
+    let shape = Shape::of(u32::MAX, u32::MAX, &model).after(u32::MAX, &model);
+    assert_eq!((shape.prompt, shape.answer), (0, 0));
+    first(&model, &roster, false, Some(shape), 1);
+    (model.prompt, model.answer) = (u32::MAX, u32::MAX);
+    let shape = Shape::of(1, 1, &model).after(u32::MAX, &model);
+    assert_eq!(shape.prompt, u32::MAX);
+}
+
+/// Boxes of a data centre.
+const HERD: usize = 24;
+
+/// Age of the words that they have of each other.
+const AGE: Duration = Duration::from_millis(500);
+
+/// Step of the virtual time; boxes tell each other what they have at each tenth one.
+const TICK: Duration = Duration::from_millis(10);
+
+/// Virtual time of a test.
+const RUN: Duration = Duration::from_secs(20);
+
+/// A data centre whose boxes choose engines for long prompts.
+struct World {
+    model: Model,
+    shape: Shape,
+    boxes: Vec<(Roster, Shares)>,
+    /// Words on their way: when they arrive, from which box.
+    words: VecDeque<(Duration, usize, Word)>,
+    /// When requests end, of which box, on which engine.
+    ends: VecDeque<(Duration, usize, UpstreamId)>,
+    /// Seconds for which each engine has prompts to read.
+    queues: Vec<f64>,
+    /// Requests that each engine got.
+    taken: Vec<usize>,
+    rng: SmallRng,
+    now: Duration,
+}
+
+impl World {
+    /// Boxes before engines of these kinds, each of which holds the whole model.
+    fn new(cards: &[&str], seed: u64) -> Self {
+        let mut model = model();
+        model.layers = 10;
+        let mut roster = Roster::default();
+        for (n, card) in cards.iter().enumerate() {
+            let all = Some(choice::whole(model.layers));
+            roster.put(engines::upstream(&n.to_string(), "a", card, all, n));
+        }
+        World {
+            shape: Shape::of(model.prompt * 8, model.answer, &model),
+            model,
+            boxes: (0..HERD)
+                .map(|_| (roster.clone(), Shares::default()))
+                .collect(),
+            words: VecDeque::new(),
+            ends: VecDeque::new(),
+            queues: vec![0.0; cards.len()],
+            taken: vec![0; cards.len()],
+            rng: SmallRng::seed_from_u64(seed),
+            now: Duration::from_secs(100),
+        }
+    }
+
+    /// Memory that a request holds.
+    fn tokens(&self) -> u64 {
+        u64::from((self.shape.prompt + self.shape.answer / 2) * self.model.layers)
+    }
+
+    /// Lets a box choose for a request that arrives there.
+    fn arrive(&mut self, at: usize) {
+        let tokens = self.tokens();
+        let (roster, shares) = &mut self.boxes[at];
+        let (pipes, place) = (Pipes::default(), Arc::from("a"));
+        let scene = Scene {
+            lag: AGE,
+            boxes: HERD as f64,
+            neighbours: HERD as f64,
+            shape: Some(self.shape),
+            now: self.now,
+            ..scene(roster, &pipes, shares, &place)
+        };
+        let (model, all) = (&self.model, choice::whole(self.model.layers));
+        let chain = choice::chain(&scene, model, all, &[], None, &mut self.rng);
+        let id = chain.expect("a chain")[0].upstream.clone();
+        let engine = roster.get(&id).expect("an engine");
+        let read = cost::reading_seconds(&scene, model, engine, all.len(), self.shape.prompt);
+        roster.note_reading(self.now, &id, read);
+        roster.begin(&id, tokens);
+        roster.lead(&id);
+        let n: usize = id.parse().expect("a number");
+        self.queues[n] += read;
+        self.taken[n] += 1;
+        self.ends
+            .push_back((self.now + Duration::from_secs(2), at, id));
+    }
+
+    /// Lets what is due happen: requests end, and words arrive.
+    fn settle(&mut self) {
+        let (now, tokens) = (self.now, self.tokens());
+        while let Some((_, at, id)) = self.ends.pop_front_if(|(due, ..)| *due <= now) {
+            self.boxes[at].0.end(&id, tokens);
+            self.boxes[at].0.end_lead(&id);
+        }
+        while let Some((_, from, word)) = self.words.pop_front_if(|(due, ..)| *due <= now) {
+            let others = self.boxes.iter_mut().enumerate();
+            for (_, (_, shares)) in others.filter(|(at, _)| *at != from) {
+                shares.hear(now, word.clone());
+            }
+        }
+    }
+
+    /// Lets all boxes tell what they have.
+    fn tell(&mut self) {
+        for (n, (roster, _)) in self.boxes.iter().enumerate() {
+            let used = |e: &ashgauge::entry::Entry| (share::key(&e.upstream.id), e.used(self.now));
+            let word = Word {
+                from: format!("box-{n}").into(),
+                boot: 1,
+                number: self.now.as_millis() as u64,
+                scope: Scope::Own,
+                boxes: 1,
+                uses: roster.all().map(used).collect(),
+                suspects: Vec::new(),
+                limits: Vec::new(),
+                flows: Default::default(),
+            };
+            self.words.push_back((self.now + AGE, n, word));
+        }
+    }
+
+    /// Plays `rate` long prompts a second at boxes drawn at random; returns the longest
+    /// time that an engine had to read for.
+    fn play(&mut self, rate: f64) -> f64 {
+        let (mut due, mut longest) = (0.0, 0.0f64);
+        let ticks = (RUN.as_millis() / TICK.as_millis()) as usize;
+        for tick in 0..ticks {
+            self.settle();
+            due += rate * TICK.as_secs_f64();
+            while due >= 1.0 {
+                due -= 1.0;
+                let at = self.rng.random_range(0..HERD);
+                self.arrive(at);
+            }
+            if tick % 10 == 0 {
+                self.tell();
+            }
+            for queue in &mut self.queues {
+                longest = longest.max(*queue);
+                *queue = (*queue - TICK.as_secs_f64()).max(0.0);
+            }
+            self.now += TICK;
+        }
+        longest
+    }
+
+    /// Long prompts a second that keep the engines reading for half of their time.
+    fn half_rate(&self) -> f64 {
+        let roster = &self.boxes[0].0;
+        let factor = |e: &ashgauge::entry::Entry| {
+            let card = e.upstream.card.as_deref().expect("a card");
+            1.0 / self.model.cards[card].read_factor
+        };
+        let rate: f64 = roster.all().map(factor).sum();
+        0.5 * rate * self.model.read_rate / f64::from(self.shape.prompt)
+    }
+
+    /// Part of the requests that the busiest engine got.
+    fn busiest(&self) -> f64 {
+        let most = self.taken.iter().max().copied().unwrap_or(0);
+        most as f64 / self.taken.iter().sum::<usize>() as f64
+    }
+}
+
+/// Guards against a herd: 24 boxes with words of 0.5 s age all send long prompts to the
+/// engine that reads fastest, until they hear of it.
+#[test]
+fn long_prompts_of_many_boxes_spread() {
+    for seed in 0..3 {
+        let mut alike = World::new(&["large"; 4], seed);
+        let longest = alike.play(alike.half_rate());
+        let busiest = alike.busiest();
+        assert!(busiest <= 0.35, "{busiest} of them on one of four alike");
+        assert!(longest <= 1.5, "{longest} s to read");
+        let mut mixed = World::new(&["large", "medium", "medium", "medium"], seed);
+        let longest = mixed.play(mixed.half_rate());
+        let busiest = mixed.busiest();
+        assert!(busiest <= 0.55, "{busiest} of them on the fastest");
+        assert!(longest <= 2.5, "{longest} s to read");
+    }
+}
+
+/// Guards against a burst that no word tells of yet: one long prompt at each of 24 boxes
+/// at once is spread over like engines by the jitter alone.
+#[test]
+fn burst_of_long_prompts_spreads_over_like_engines() {
+    let mut world = World::new(&["large"; 4], 1);
+    (0..HERD).for_each(|at| world.arrive(at));
+    let busiest = world.busiest();
+    assert!(busiest <= 0.6, "{busiest} of them on one of four alike");
+}
--- a/crates/ashgauged/src/relay/pick.rs
+++ b/crates/ashgauged/src/relay/pick.rs
@@ -6,6 +6,8 @@
 use ashgauge::choice::{Need, whole as whole_model};
 use ashgauge::handoff::Handoff;
 use ashgauge::member::UpstreamId;
+use ashgauge::routing::Model;
+use ashgauge::shape::Shape;
 use ashgauge::slack::Slack;
 use tokio::time::sleep;
 
@@ -146,7 +148,8 @@
             let span = whole_model(model.layers);
             let slack = need.map_or(Slack::Short, |_| a.slack());
             let wish = Wish { need, slack };
-            let stages = desk.choose_chain(&a.service.name, model, span, avoid, wish)?;
+            let shape = shape(a, model);
+            let stages = desk.choose_shaped(&a.service.name, model, span, avoid, wish, shape)?;
             if !chain::covers(0, model.layers, &stages) {
                 return None;
             }
@@ -173,6 +176,28 @@
     }
 }
 
+/// What a request has to read and to write, if its service lets streams in by class.
+///
+/// A stream that goes on is taken to be in the middle of what its caller did not have
+/// when it came.
+fn shape(a: &Admitted, model: &Model) -> Option<Shape> {
+    a.class?;
+    let whole = Shape::of(a.ask.prompt, a.ask.answer, model);
+    let had = tokens_of(a.ask.last_event.unwrap_or(0), model);
+    let rest = whole.answer.saturating_sub(had);
+    let written = match a.record.first {
+        Some(_) => had.saturating_add(rest / 2),
+        None => had,
+    };
+    Some(whole.after(written, model))
+}
+
+/// Tokens of so many events.
+fn tokens_of(events: u64, model: &Model) -> u32 {
+    let tokens = events.saturating_mul(u64::from(model.event_tokens));
+    tokens.try_into().unwrap_or(u32::MAX)
+}
+
 /// The room that a request needs, if it goes over a chain.
 fn need(desk: &Desk, a: &Admitted) -> Option<Need> {
     a.service.model.as_ref().filter(|m| m.layers > 0)?;
--- a/crates/ashgauged/src/relay/select.rs
+++ b/crates/ashgauged/src/relay/select.rs
@@ -13,6 +13,7 @@
 use ashgauge::roster::Roster;
 use ashgauge::routing::{Model, Service};
 use ashgauge::scene::Scene;
+use ashgauge::shape::Shape;
 use ashgauge::share::Shares;
 use ashgauge::slack::Slack;
 use ashgauge::upstream::Span;
@@ -54,6 +55,19 @@
         span: Span,
         avoid: &[UpstreamId],
         wish: Wish,
+    ) -> Option<Vec<Stage>> {
+        self.choose_shaped(service, model, span, avoid, wish, None)
+    }
+
+    /// The same for a request of this shape; `None` stands for a usual one.
+    pub fn choose_shaped(
+        &self,
+        service: &str,
+        model: &Model,
+        span: Span,
+        avoid: &[UpstreamId],
+        wish: Wish,
+        shape: Option<Shape>,
     ) -> Option<Vec<Stage>> {
         let roster = self.roster.borrow();
         let (pipes, shares) = (self.pipes.borrow(), self.shares.borrow());
@@ -63,7 +77,11 @@
             Slack::Late => choice::filled_near(&scene, model) < ROOM_TOGETHER,
             Slack::Ample => false,
         };
-        let scene = Scene { together, ..scene };
+        let scene = Scene {
+            together,
+            shape,
+            ..scene
+        };
         choice::chain(&scene, model, span, avoid, wish.need, &mut *self.rng())
     }
 
@@ -205,6 +223,7 @@
             neighbours: self.neighbours(roster),
             stay: self.stay(service),
             together: false,
+            shape: None,
             now: self.now(),
         }
     }
--- a/crates/bench/src/decision.rs
+++ b/crates/bench/src/decision.rs
@@ -89,6 +89,7 @@
         boxes: 1000.0,
         neighbours: 200.0,
         together: false,
+        shape: None,
         now: Duration::from_secs(100),
     };
     let (all, mut rng) = (choice::whole(model.layers), SmallRng::seed_from_u64(1));
