Tests of shapes: herds of long prompts that memory does not spread

Cause: in the test of herds memory was full, and spread the prompts even without the factor for reading; a stream's choice rested on the random order of engines, and failed once.

Change: memory holds what comes; 0.8 of what four engines can read comes at boxes with words of 0.5 s age. The stream's choice has margins for any order.

--- a/crates/ashgauge/tests/shape.rs
+++ b/crates/ashgauge/tests/shape.rs
@@ -9,6 +9,7 @@
 use ashgauge::chain::Stage;
 use ashgauge::choice;
 use ashgauge::cost;
+use ashgauge::entry::Entry;
 use ashgauge::member::UpstreamId;
 use ashgauge::pipes::Pipes;
 use ashgauge::placement::plan;
@@ -150,34 +151,29 @@
     (model, roster)
 }
 
-/// The first engine for a request of this shape, where requests stay for 8 s.
-fn first(
-    model: &Model,
-    roster: &Roster,
-    together: bool,
-    shape: Option<Shape>,
-    seed: u64,
-) -> UpstreamId {
-    let (pipes, shares, place) = (Pipes::default(), Shares::default(), Arc::from("a"));
-    let scene = Scene {
-        together,
-        shape,
-        stay: Duration::from_secs(8),
-        ..scene(roster, &pipes, &shares, &place)
-    };
+/// The first engine that is chosen.
+fn first(scene: &Scene, model: &Model, seed: u64) -> UpstreamId {
     let mut rng = SmallRng::seed_from_u64(seed);
     let all = choice::whole(model.layers);
-    let chain = choice::chain(&scene, model, all, &[], None, &mut rng);
+    let chain = choice::chain(scene, model, all, &[], None, &mut rng);
     chain.expect("a chain")[0].upstream.clone()
 }
 
-/// Asserts that long prompts go to the reader and long answers to the writer.
+/// Asserts that long prompts go to the reader and long answers to the writer, where
+/// requests stay for 8 s.
 fn assert_apart(model: &Model, roster: &Roster) {
+    let (pipes, shares, place) = (Pipes::default(), Shares::default(), Arc::from("a"));
     let prompt = Shape::of(model.prompt * 8, model.answer, model);
     let answer = Shape::of(model.prompt, model.answer * 8, model);
-    for seed in 0..20 {
-        assert_eq!(&*first(model, roster, false, Some(prompt), seed), "reader");
-        assert_eq!(&*first(model, roster, false, Some(answer), seed), "writer");
+    for (shape, wanted) in [(prompt, "reader"), (answer, "writer")] {
+        let scene = Scene {
+            shape: Some(shape),
+            stay: Duration::from_secs(8),
+            ..scene(roster, &pipes, &shares, &place)
+        };
+        for seed in 0..20 {
+            assert_eq!(&*first(&scene, model, seed), wanted);
+        }
     }
 }
 
@@ -205,20 +201,26 @@
 }
 
 /// Guards against a stream of a lost engine with much to read anew that goes on over an
-/// engine that reads slowly, and pauses for as long.
+/// engine that reads slowly, as one with little to read does, and pauses for as long.
 #[test]
 fn stream_with_much_to_read_anew_goes_on_over_a_reader() {
-    let (model, roster) = reader_and_writer();
-    let begun = Shape::of(model.prompt * 4, model.answer * 8, &model);
+    let (model, mut roster) = reader_and_writer();
+    roster.note_reading(Duration::from_secs(100), "reader", 0.12);
+    let (pipes, shares, place) = (Pipes::default(), Shares::default(), Arc::from("a"));
+    let begun = Shape::of(model.prompt * 8, model.answer * 8, &model);
     let rest = begun.after(model.answer * 7, &model);
-    for seed in 0..20 {
-        assert_eq!(&*first(&model, &roster, true, Some(rest), seed), "reader");
+    for (shape, wanted) in [(Some(rest), "reader"), (None, "writer")] {
+        let scene = Scene {
+            together: true,
+            shape,
+            // No other box leads streams here at the same moment.
+            neighbours: 0.0,
+            ..scene(&roster, &pipes, &shares, &place)
+        };
+        for seed in 0..20 {
+            assert_eq!(&*first(&scene, &model, seed), wanted);
+        }
     }
-    let writers = (0..100).filter(|seed| &*first(&model, &roster, true, None, *seed) == "writer");
-    assert!(
-        writers.count() > 0,
-        "usual streams go to the reader as well"
-    );
 }
 
 /// What a stream that goes on has to read and to write.
@@ -266,6 +268,19 @@
     }
 }
 
+/// Asserts that there is a chain for a request of this shape.
+fn assert_found(model: &Model, roster: &Roster, shape: Shape) {
+    let (pipes, shares, place) = (Pipes::default(), Shares::default(), Arc::from("a"));
+    for together in [false, true] {
+        let scene = Scene {
+            together,
+            shape: Some(shape),
+            ..scene(roster, &pipes, &shares, &place)
+        };
+        first(&scene, model, 1);
+    }
+}
+
 /// Guards against callers' figures that are absurd, zero or missing, and models without
 /// usual ones: they give a bounded shape, and a chain.
 #[test]
@@ -284,14 +299,12 @@
         let rest = shape.after(answer, &model);
         assert!(rest.prompt <= shape.prompt + usual.answer * 8, "{rest:?}");
         assert!(bounds(usual.answer).contains(&rest.answer), "{rest:?}");
-        for together in [false, true] {
-            first(&model, &roster, together, Some(rest), 1);
-        }
+        assert_found(&model, &roster, rest);
     }
     (model.prompt, model.answer, model.read_rate) = (0, 0, 0.0);
     let shape = Shape::of(u32::MAX, u32::MAX, &model).after(u32::MAX, &model);
     assert_eq!((shape.prompt, shape.answer), (0, 0));
-    first(&model, &roster, false, Some(shape), 1);
+    assert_found(&model, &roster, shape);
     (model.prompt, model.answer) = (u32::MAX, u32::MAX);
     let shape = Shape::of(1, 1, &model).after(u32::MAX, &model);
     assert_eq!(shape.prompt, u32::MAX);
@@ -322,6 +335,8 @@
     queues: Vec<f64>,
     /// Requests that each engine got.
     taken: Vec<usize>,
+    /// Seconds of reading that each engine got.
+    given: Vec<f64>,
     rng: SmallRng,
     now: Duration,
 }
@@ -331,6 +346,8 @@
     fn new(cards: &[&str], seed: u64) -> Self {
         let mut model = model();
         model.layers = 10;
+        // Memory is not what spreads them.
+        model.token_mb = 0.02;
         let mut roster = Roster::default();
         for (n, card) in cards.iter().enumerate() {
             let all = Some(choice::whole(model.layers));
@@ -346,6 +363,7 @@
             ends: VecDeque::new(),
             queues: vec![0.0; cards.len()],
             taken: vec![0; cards.len()],
+            given: vec![0.0; cards.len()],
             rng: SmallRng::seed_from_u64(seed),
             now: Duration::from_secs(100),
         }
@@ -379,6 +397,7 @@
         roster.lead(&id);
         let n: usize = id.parse().expect("a number");
         self.queues[n] += read;
+        self.given[n] += read;
         self.taken[n] += 1;
         self.ends
             .push_back((self.now + Duration::from_secs(2), at, id));
@@ -402,7 +421,7 @@
     /// Lets all boxes tell what they have.
     fn tell(&mut self) {
         for (n, (roster, _)) in self.boxes.iter().enumerate() {
-            let used = |e: &ashgauge::entry::Entry| (share::key(&e.upstream.id), e.used(self.now));
+            let used = |e: &Entry| (share::key(&e.upstream.id), e.used(self.now));
             let word = Word {
                 from: format!("box-{n}").into(),
                 boot: 1,
@@ -443,15 +462,15 @@
         longest
     }
 
-    /// Long prompts a second that keep the engines reading for half of their time.
-    fn half_rate(&self) -> f64 {
+    /// Long prompts a second that keep the engines reading for this part of their time.
+    fn rate(&self, part: f64) -> f64 {
         let roster = &self.boxes[0].0;
-        let factor = |e: &ashgauge::entry::Entry| {
+        let factor = |e: &Entry| {
             let card = e.upstream.card.as_deref().expect("a card");
             1.0 / self.model.cards[card].read_factor
         };
         let rate: f64 = roster.all().map(factor).sum();
-        0.5 * rate * self.model.read_rate / f64::from(self.shape.prompt)
+        part * rate * self.model.read_rate / f64::from(self.shape.prompt)
     }
 
     /// Part of the requests that the busiest engine got.
@@ -461,21 +480,29 @@
     }
 }
 
-/// Guards against a herd: 24 boxes with words of 0.5 s age all send long prompts to the
-/// engine that reads fastest, until they hear of it.
+/// Guards against a herd: 24 boxes with words of 0.5 s age all send long prompts to one
+/// of the engines that read fastest, until they hear of it.
 #[test]
 fn long_prompts_of_many_boxes_spread() {
     for seed in 0..3 {
-        let mut alike = World::new(&["large"; 4], seed);
-        let longest = alike.play(alike.half_rate());
-        let busiest = alike.busiest();
+        let mut world = World::new(&["large"; 4], seed);
+        let longest = world.play(world.rate(0.5));
+        let busiest = world.busiest();
         assert!(busiest <= 0.35, "{busiest} of them on one of four alike");
         assert!(longest <= 1.5, "{longest} s to read");
-        let mut mixed = World::new(&["large", "medium", "medium", "medium"], seed);
-        let longest = mixed.play(mixed.half_rate());
-        let busiest = mixed.busiest();
-        assert!(busiest <= 0.55, "{busiest} of them on the fastest");
-        assert!(longest <= 2.5, "{longest} s to read");
+    }
+}
+
+/// The same where one engine reads fastest, and 1.55 times as much comes as it can read:
+/// without a factor for reading it alone got nearly all.
+#[test]
+fn long_prompts_of_many_boxes_leave_the_fastest_reader() {
+    for seed in 0..3 {
+        let mut world = World::new(&["large", "medium", "medium", "medium"], seed);
+        let longest = world.play(world.rate(0.8));
+        let reads = world.given[0] / RUN.as_secs_f64();
+        assert!(reads <= 1.25, "{reads} of its time to read");
+        assert!(longest <= 3.5, "{longest} s to read");
     }
 }
 
