--- a/crates/ashgauge/tests/shape.rs
+++ b/crates/ashgauge/tests/shape.rs
@@ -328,9 +328,9 @@
     shape: Shape,
     boxes: Vec<(Roster, Shares)>,
     /// Words on their way: when they arrive, from which box.
-    words: VecDeque<(Duration, usize, Word)>,
+    words: VecDeque<(Duration, (usize, Word))>,
     /// When requests end, of which box, on which engine.
-    ends: VecDeque<(Duration, usize, UpstreamId)>,
+    ends: VecDeque<(Duration, (usize, UpstreamId))>,
     /// Seconds for which each engine has prompts to read.
     queues: Vec<f64>,
     /// Requests that each engine got.
@@ -341,6 +341,12 @@
     now: Duration,
 }
 
+/// What is due of a queue in the order of time.
+fn take_due<T>(queue: &mut VecDeque<(Duration, T)>, now: Duration) -> Vec<T> {
+    let due = queue.partition_point(|(at, _)| *at <= now);
+    queue.drain(..due).map(|(_, item)| item).collect()
+}
+
 impl World {
     /// Boxes before engines of these kinds, each of which holds the whole model.
     fn new(cards: &[&str], seed: u64) -> Self {
@@ -399,18 +405,18 @@
         self.queues[n] += read;
         self.given[n] += read;
         self.taken[n] += 1;
-        self.ends
-            .push_back((self.now + Duration::from_secs(2), at, id));
+        let end = self.now + Duration::from_secs(2);
+        self.ends.push_back((end, (at, id)));
     }
 
     /// Lets what is due happen: requests end, and words arrive.
     fn settle(&mut self) {
         let (now, tokens) = (self.now, self.tokens());
-        while let Some((_, at, id)) = self.ends.pop_front_if(|(due, ..)| *due <= now) {
+        for (at, id) in take_due(&mut self.ends, now) {
             self.boxes[at].0.end(&id, tokens);
             self.boxes[at].0.end_lead(&id);
         }
-        while let Some((_, from, word)) = self.words.pop_front_if(|(due, ..)| *due <= now) {
+        for (from, word) in take_due(&mut self.words, now) {
             let others = self.boxes.iter_mut().enumerate();
             for (_, (_, shares)) in others.filter(|(at, _)| *at != from) {
                 shares.hear(now, word.clone());
@@ -433,7 +439,7 @@
                 limits: Vec::new(),
                 flows: Default::default(),
             };
-            self.words.push_back((self.now + AGE, n, word));
+            self.words.push_back((self.now + AGE, (n, word)));
         }
     }
 
--- a/crates/bench/src/bin/slopes.rs
+++ b/crates/bench/src/bin/slopes.rs
@@ -38,7 +38,9 @@
         let (first, rest) = decision::plans();
         print("first plan, milliseconds, by engines", &first);
         print("plan at rest, milliseconds, by engines", &rest);
-        print("chain, milliseconds, by engines", &decision::chains());
+        let (usual, shaped) = decision::chains();
+        print("chain, milliseconds, by engines", &usual);
+        print("chain by shape, milliseconds, by engines", &shaped);
     }
     if want("memory") {
         print("request, bytes, by requests in flight", &request_memory());
--- a/crates/bench/src/decision.rs
+++ b/crates/bench/src/decision.rs
@@ -10,6 +10,7 @@
 use ashgauge::roster::Roster;
 use ashgauge::routing::{Card, Model};
 use ashgauge::scene::Scene;
+use ashgauge::shape::Shape;
 use ashgauge::share::Shares;
 use ashgauge::upstream::Upstream;
 use rand::SeedableRng;
@@ -51,15 +52,20 @@
     (first, rest)
 }
 
-/// Milliseconds of choosing a chain over the whole model.
-pub fn chains() -> Vec<Point> {
+/// Milliseconds of choosing a chain over the whole model for a usual request, and for
+/// one with a long prompt, by its own shape.
+pub fn chains() -> (Vec<Point>, Vec<Point>) {
     let model = model();
-    ENGINES
-        .map(|engines| (engines as f64, chain(&model, engines)))
-        .to_vec()
+    let long = Shape::of(4 * model.prompt, model.answer, &model);
+    let (mut usual, mut shaped) = (Vec::new(), Vec::new());
+    for engines in ENGINES {
+        usual.push((engines as f64, chain(&model, engines, None)));
+        shaped.push((engines as f64, chain(&model, engines, Some(long))));
+    }
+    (usual, shaped)
 }
 
-fn chain(model: &Model, engines: usize) -> f64 {
+fn chain(model: &Model, engines: usize, shape: Option<Shape>) -> f64 {
     let seats = seats(engines);
     let ranges = sorted(placement::plan(model, &seats));
     let mut roster = Roster::default();
@@ -89,7 +95,7 @@
         boxes: 1000.0,
         neighbours: 200.0,
         together: false,
-        shape: None,
+        shape,
         now: Duration::from_secs(100),
     };
     let (all, mut rng) = (choice::whole(model.layers), SmallRng::seed_from_u64(1));
