Split the weighing and choice of engines into shorter functions

Cause, by reading: 'weigh' and 'chain' were longer than a screen; the engines near and the factors of a card were looked up in two places each; two comments told of the past.

Change: moved, same arithmetic in the same order.

--- a/crates/ashgauge/src/choice.rs
+++ b/crates/ashgauge/src/choice.rs
@@ -64,11 +64,8 @@
     let mut places: Vec<&Arc<str>> = vec![scene.place];
     let mut edges = Vec::new();
     let scale = Scale::new(scene, model);
-    for entry in scene.roster.of(scene.service) {
-        let (Some(held), true) = (entry.upstream.layers, entry.takes_requests(scene.now)) else {
-            continue;
-        };
-        if avoid.contains(&entry.upstream.id) || !held.overlaps(&span) {
+    for (entry, held) in holders(scene, span) {
+        if avoid.contains(&entry.upstream.id) {
             continue;
         }
         if need.is_some_and(|n| !n.fits(scene, model, entry)) {
@@ -78,12 +75,6 @@
         if leads && entry.closed(scene.now).is_some() {
             continue;
         }
-        let name = &entry.upstream.place;
-        let place = places.iter().position(|p| *p == name);
-        let place = place.unwrap_or_else(|| {
-            places.push(name);
-            places.len() - 1
-        });
         let (fixed, layer) = scale.weigh(entry, held, leads, rng);
         edges.push(Edge {
             upstream: entry.upstream.id.clone(),
@@ -91,7 +82,7 @@
             end: held.end,
             fixed,
             layer,
-            place,
+            place: number_of(&mut places, &entry.upstream.place),
         });
     }
     chain::cheapest_across(span.first, span.end, &edges, |from, to| match from {
@@ -102,6 +93,23 @@
     })
 }
 
+/// Engines that take requests and hold some of these layers, with what they hold.
+fn holders<'a>(scene: &'a Scene, span: Span) -> impl Iterator<Item = (&'a Entry, Span)> {
+    let entries = scene.roster.of(scene.service);
+    let open = entries.filter(|e| e.takes_requests(scene.now));
+    let holders = open.filter_map(|e| Some((e, e.upstream.layers?)));
+    holders.filter(move |(_, held)| held.overlaps(&span))
+}
+
+/// Number of a data centre among those that were met, as which it is added if it is new.
+fn number_of<'a>(places: &mut Vec<&'a Arc<str>>, name: &'a Arc<str>) -> usize {
+    let known = places.iter().position(|p| *p == name);
+    known.unwrap_or_else(|| {
+        places.push(name);
+        places.len() - 1
+    })
+}
+
 /// How long until something may be sent to an upstream: one that wants rest turns away
 /// whatever comes meanwhile, one that takes no more is to get nothing.
 fn opens(scene: &Scene, entry: &Entry) -> Option<Duration> {
@@ -154,10 +162,8 @@
 /// Share of their memory for requests that the engines of the box's data centre
 /// have given away, as far as this box knows; 1 if they have none.
 pub fn filled_near(scene: &Scene, model: &Model) -> f64 {
-    let entries = scene.roster.of(scene.service);
-    let near = entries.filter(|e| e.upstream.place == *scene.place && e.is_usable(scene.now));
     let (mut used, mut room) = (0.0, 0.0);
-    for entry in near {
+    for entry in scene.near() {
         let Some(held) = entry.upstream.layers else {
             continue;
         };
--- a/crates/ashgauge/src/cost.rs
+++ b/crates/ashgauge/src/cost.rs
@@ -72,8 +72,7 @@
 /// Share of a pipe that may be used; past it what crosses waits for seconds.
 const PIPE_SHARE: f64 = 0.75;
 
-/// Delay of one message between two data centres, in seconds; the users'
-/// figure for theirs, in one region.
+/// Delay of one message between two data centres of a region, in seconds.
 const AWAY_SECONDS: f64 = 0.0005;
 
 /// Delay of one message within a data centre, in seconds.
@@ -110,33 +109,18 @@
         leads: bool,
         rng: &mut impl Rng,
     ) -> (f64, f64) {
-        let (scene, model) = (self.scene, self.model);
+        let scene = self.scene;
         let jitter = scene.jitter(rng);
         let total = Total::of(scene, entry);
-        // A slow engine gets through less; its room counts for as much less.
         let slowness = entry.slowness(scene.now);
-        let mut full = match entry.is_full(scene.now) {
-            true => 1.0,
-            false => total.tokens * slowness / memory(model, entry, held).max(1.0),
-        };
-        let mut fixed = total.reading;
-        if leads {
-            full = full.max(total.leads / f64::from(entry.upstream.slots.max(1)));
-            fixed += FAILING_SECONDS * entry.failures(scene.now);
-        }
-        if full >= FULL {
-            fixed += FULL_SECONDS * full;
-        }
-        if entry.is_rumoured(scene.now) {
-            fixed += RUMOUR_SECONDS;
-        }
+        let full = self.full(entry, held, leads, &total);
+        let fixed = self.fixed(entry, leads, full, &total);
         let power = if self.spare { FILLING_SPARE } else { 1 };
         let filling = jitter / (1.0 - full.min(FULL).powi(power));
         let filling = filling * self.reading_factor(entry, held, total.requests);
-        let engine = ENGINE_SECONDS + f64::from(self.shape.answer) * HOP_SECONDS;
         // A request waits at one engine of its chain at a time.
         let there = match self.spare {
-            true => f64::from(held.len()) / f64::from(model.layers.max(1)),
+            true => part_of(self.model, held.len()),
             false => 1.0,
         };
         let load = total.requests * there * slowness;
@@ -144,10 +128,44 @@
             let (wait, layer) = self.weigh_next(entry, held, load, rng);
             return (fixed + wait, layer * filling);
         }
-        let layer = layer_seconds(model, self.shape, entry, load) * slowness * filling;
+        let engine = ENGINE_SECONDS + f64::from(self.shape.answer) * HOP_SECONDS;
+        let layer = layer_seconds(self.model, self.shape, entry, load) * slowness * filling;
         (fixed + engine * filling, layer)
     }
 
+    /// Share of an engine's memory, or of its slots if it `leads`, that is used.
+    fn full(&self, entry: &Entry, held: Span, leads: bool, total: &Total) -> f64 {
+        let now = self.scene.now;
+        let full = match entry.is_full(now) {
+            true => 1.0,
+            // A slow engine gets through less; its room counts for as much less.
+            false => {
+                let memory = memory(self.model, entry, held).max(1.0);
+                total.tokens * entry.slowness(now) / memory
+            }
+        };
+        match leads {
+            true => full.max(total.leads / f64::from(entry.upstream.slots.max(1))),
+            false => full,
+        }
+    }
+
+    /// Seconds that any use of an engine costs that is `full` to a share.
+    fn fixed(&self, entry: &Entry, leads: bool, full: f64, total: &Total) -> f64 {
+        let now = self.scene.now;
+        let mut fixed = total.reading;
+        if leads {
+            fixed += FAILING_SECONDS * entry.failures(now);
+        }
+        if full >= FULL {
+            fixed += FULL_SECONDS * full;
+        }
+        if entry.is_rumoured(now) {
+            fixed += RUMOUR_SECONDS;
+        }
+        fixed
+    }
+
     /// Factor on the cost of an engine that spends a part of its time on reading:
     /// its steps take longer by that part, for the request and for all others
     /// that are there. Without it a few engines lead most of the requests, and the loss
@@ -208,15 +226,24 @@
 
 /// Copies of the model that the engines of the box's data centre hold.
 fn copies_near(scene: &Scene, model: &Model) -> f64 {
-    let entries = scene.roster.of(scene.service);
-    let near = entries.filter(|e| e.upstream.place == *scene.place && e.is_usable(scene.now));
-    let layers: Layer = near
-        .filter_map(|e| e.upstream.layers)
-        .map(|l| l.len())
-        .sum();
+    let held = scene.near().filter_map(|e| e.upstream.layers);
+    let layers: Layer = held.map(|l| l.len()).sum();
+    part_of(model, layers)
+}
+
+/// So many layers as a part of the model.
+fn part_of(model: &Model, layers: Layer) -> f64 {
     f64::from(layers) / f64::from(model.layers.max(1))
 }
 
+/// Factors of an engine's card on the time of a step and of reading, 1 for one that the
+/// configuration does not tell.
+fn factors(model: &Model, entry: &Entry) -> (f64, f64) {
+    let card = entry.upstream.card.as_ref();
+    let card = card.and_then(|c| model.cards.get(c));
+    card.map_or((1.0, 1.0), |c| (c.step_factor, c.read_factor))
+}
+
 /// Seconds that an engine needs to read `tokens` through some of its layers.
 pub fn reading_seconds(
     scene: &Scene,
@@ -225,9 +252,8 @@
     layers: Layer,
     tokens: u32,
 ) -> f64 {
-    let card = entry.upstream.card.as_ref();
-    let factor = card.and_then(|c| model.cards.get(c));
-    let factor = factor.map_or(1.0, |c| c.read_factor) * entry.slowness(scene.now);
+    let (_, read) = factors(model, entry);
+    let factor = read * entry.slowness(scene.now);
     let whole = f64::from(tokens) / model.read_rate.max(1.0) * factor;
     whole * f64::from(layers) / f64::from(model.layers.max(1))
 }
@@ -241,9 +267,7 @@
 /// Seconds that an engine with this load needs for one layer of so many steps
 /// and of reading so many tokens.
 fn work_seconds(model: &Model, entry: &Entry, load: f64, steps: f64, tokens: f64) -> f64 {
-    let card = entry.upstream.card.as_ref();
-    let card = card.and_then(|c| model.cards.get(c));
-    let (step, read) = card.map_or((1.0, 1.0), |c| (c.step_factor, c.read_factor));
+    let (step, read) = factors(model, entry);
     let own = model.step + model.step_request.mul_f64(load);
     let writing = steps * own.as_secs_f64() * step;
     let reading = tokens / model.read_rate.max(1.0) * read;
--- a/crates/ashgauge/src/scene.rs
+++ b/crates/ashgauge/src/scene.rs
@@ -16,7 +16,7 @@
 const SPREAD: f64 = 0.08;
 
 /// The same where boxes choose together: what they choose now is in no word of
-/// theirs yet, and all streams of a lost engine were read anew by the same two.
+/// theirs yet, and the same two would read all streams of a lost engine anew.
 const SPREAD_TOGETHER: f64 = 0.4;
 
 /// What is chosen from, and by whom.
@@ -50,6 +50,12 @@
 }
 
 impl Scene<'_> {
+    /// The service's upstreams in the box's data centre that may be used.
+    pub(crate) fn near(&self) -> impl Iterator<Item = &Entry> {
+        let all = self.roster.of(self.service);
+        all.filter(|e| e.upstream.place == *self.place && e.is_usable(self.now))
+    }
+
     /// A factor on a cost, so that boxes do not all choose the same.
     pub(crate) fn jitter(&self, rng: &mut impl Rng) -> f64 {
         let spread = if self.together {
