--- a/crates/ashgauge/src/scene.rs
+++ b/crates/ashgauge/src/scene.rs
@@ -8,6 +8,7 @@
 use crate::entry::Entry;
 use crate::pipes::Pipes;
 use crate::roster::Roster;
+use crate::shape::Shape;
 use crate::share::Shares;
 
 /// Costs are spread by this share at random, so that boxes that know the same
@@ -15,7 +16,7 @@
 const SPREAD: f64 = 0.08;
 
 /// The same where boxes choose together: what they choose now is in no word of
-/// theirs yet, and all streams of a lost engine were read anew by the same two.
+/// theirs yet, and the same two would read all streams of a lost engine anew.
 const SPREAD_TOGETHER: f64 = 0.4;
 
 /// What is chosen from, and by whom.
@@ -42,11 +43,19 @@
     /// Whether the other boxes choose at the same moment for the same cause, such
     /// as the loss of an engine that all of them use.
     pub together: bool,
+    /// What the request has to read and to write; `None` for a usual one.
+    pub shape: Option<Shape>,
     /// Time of the choice.
     pub now: Duration,
 }
 
 impl Scene<'_> {
+    /// The service's upstreams in the box's data centre that may be used.
+    pub(crate) fn near(&self) -> impl Iterator<Item = &Entry> {
+        let all = self.roster.of(self.service);
+        all.filter(|e| e.upstream.place == *self.place && e.is_usable(self.now))
+    }
+
     /// A factor on a cost, so that boxes do not all choose the same.
     pub(crate) fn jitter(&self, rng: &mut impl Rng) -> f64 {
         let spread = if self.together {
--- a/crates/ashgauge/tests/fleet/mod.rs
+++ b/crates/ashgauge/tests/fleet/mod.rs
@@ -351,15 +351,6 @@
         work / CAPACITY / (span.end - span.start)
     }
 
-    /// Seconds in which nothing was let in at the longest, within a span.
-    pub fn longest_stop(&self, span: Range<f64>) -> f64 {
-        let begun = self.seen.iter().filter(|s| s.is_in && span.contains(&s.at));
-        let mut times = vec![span.start];
-        times.extend(begun.map(|s| s.at));
-        times.push(span.end);
-        times.windows(2).map(|w| w[1] - w[0]).fold(0.0, f64::max)
-    }
-
     /// Part of the requests with a property that were served in time, of those asked
     /// within a span.
     pub fn served(&self, span: Range<f64>, of: impl Fn(&Seen) -> bool) -> f64 {
--- a/crates/bench/src/decision.rs
+++ b/crates/bench/src/decision.rs
@@ -14,6 +14,7 @@
 use ashgauge::roster::Roster;
 use ashgauge::routing::{Card, Model};
 use ashgauge::scene::Scene;
+use ashgauge::shape::Shape;
 use ashgauge::share::{self, Scope, Shares, Use, Uses, Word};
 use ashgauge::upstream::Upstream;
 use rand::SeedableRng;
@@ -61,18 +62,26 @@
     (first, rest)
 }
 
-/// Milliseconds of choosing a chain over the whole model.
-pub fn chains() -> Vec<Point> {
+/// Milliseconds of choosing a chain over the whole model for a usual request, and for
+/// one with a long prompt, by its own shape.
+pub fn chains() -> (Vec<Point>, Vec<Point>) {
     let model = model();
-    ENGINES
-        .map(|engines| (engines as f64, chain(&model, engines)))
-        .to_vec()
+    let long = Shape::of(4 * model.prompt, model.answer, &model);
+    let (mut usual, mut shaped) = (Vec::new(), Vec::new());
+    for engines in ENGINES {
+        usual.push((engines as f64, chain(&model, engines, None)));
+        shaped.push((engines as f64, chain(&model, engines, Some(long))));
+    }
+    (usual, shaped)
 }
 
-fn chain(model: &Model, engines: usize) -> f64 {
+fn chain(model: &Model, engines: usize, shape: Option<Shape>) -> f64 {
     let (pipes, shares, place) = (Pipes::default(), Shares::default(), Arc::from("place-0"));
     let roster = roster(model, engines);
-    let scene = scene(&roster, &pipes, &shares, &place);
+    let scene = Scene {
+        shape,
+        ..scene(&roster, &pipes, &shares, &place)
+    };
     let (all, mut rng) = (choice::whole(model.layers), SmallRng::seed_from_u64(1));
     let began = Instant::now();
     for _ in 0..CHOICES {
@@ -101,7 +110,7 @@
         let pressure = Pressure::of(&scene, model);
         let flows = shares.flows(&own);
         let service = demand::key(MODEL);
-        let allowed = level::allowed(&pressure, flows.ends_of(service));
+        let allowed = level::allowed(&pressure, flows.ends_of(service), Duration::ZERO);
         black_box(Level::new(&flows.demands_of(service), allowed));
     }
     millis(began) / f64::from(CHOICES)
@@ -187,6 +196,7 @@
         boxes: 1000.0,
         neighbours: 200.0,
         together: false,
+        shape: None,
         now: Duration::from_secs(100),
     }
 }
