--- a/crates/ashgauged/src/relay/open.rs
+++ b/crates/ashgauged/src/relay/open.rs
@@ -172,7 +172,7 @@
 /// Notes what a request will put on its chain.
 fn note_chosen(desk: &Desk, a: &Admitted, stages: &[Stage]) {
     if let Some(model) = a.service.model.as_ref().filter(|m| m.layers > 0) {
-        desk.note_crossings(model, stages, a.ask.prompt + a.ask.answer);
+        desk.note_crossings(model, stages, a.most_tokens());
         desk.note_reading(model, &a.service.name, stages.iter(), a.ask.prompt);
     }
 }
--- a/crates/ashgauged/src/relay/pump/mend.rs
+++ b/crates/ashgauged/src/relay/pump/mend.rs
@@ -270,7 +270,7 @@
             return false;
         }
         if let Some(model) = &self.a.service.model {
-            let tokens = self.a.ask.prompt + self.a.ask.answer;
+            let tokens = self.a.most_tokens();
             self.desk.note_crossings(model, &stages, tokens);
             let new = stages.iter().filter(|s| !self.run.stages.contains(s));
             let service = &self.a.service.name;
--- a/crates/ashgauged/src/relay/request.rs
+++ b/crates/ashgauged/src/relay/request.rs
@@ -105,10 +105,15 @@
         Slack::of(patience, timeout, self.route.aim)
     }
 
+    /// Tokens that the request holds at its end.
+    pub fn most_tokens(&self) -> u32 {
+        self.ask.prompt.saturating_add(self.ask.answer)
+    }
+
     /// Tokens that the request holds on the average of its time: its prompt and
     /// half of its answer.
     pub fn usual_tokens(&self) -> u32 {
-        self.ask.prompt + self.ask.answer / 2
+        self.ask.prompt.saturating_add(self.ask.answer / 2)
     }
 }
 
