Mend what a newcomer stumbled on; wait for room as before

Cause: comments and pages contradicted the code; a pressure was forgotten for 100 ms of each 500 where no streams arrived; a level could be reckoned from no work and no bound.

Change: comments, pages; the watch of levels comes each 0.3 s; no level without a bound.

--- a/crates/ashgauge/src/class.rs
+++ b/crates/ashgauge/src/class.rs
@@ -6,7 +6,7 @@
 const ORDER_MOST: u32 = 8;
 
 /// The priority class of a request, the most urgent first: by its team, then by its
-/// route, then those that are made for the first time.
+/// route; of the same ranks, first attempts go ahead.
 ///
 /// One that comes back is late already. If it went first, an overload that lasts would
 /// make each new request late as well, as each that is refused comes back.
@@ -24,11 +24,11 @@
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
 pub struct Class {
-    /// Rank of its team, 0 first.
+    /// Rank of its team, or of its route if the team has none; 0 first.
     pub team: u8,
     /// Rank of its route, 0 first.
     pub route: u8,
-    /// Whether it was refused before.
+    /// Whether its caller made it before.
     pub back: bool,
 }
 
--- a/crates/ashgauge/src/demand.rs
+++ b/crates/ashgauge/src/demand.rs
@@ -29,8 +29,8 @@
 /// Demands in one word at most; with more teams the smallest are told together.
 const TOLD_MOST: usize = 64;
 
-/// Demand of a team that is too little to be told, in thousandths of a mean request a
-/// second: a tenth of one request, ten seconds ago.
+/// Demand of a team up to which it is not told, in thousandths of a request a second:
+/// what is left of one request after two seconds.
 const TOLD_LEAST: u32 = 1;
 
 /// Most that a box is taken to be asked for, or to end, in thousandths of a request a
--- a/crates/ashgauge/src/forecast.rs
+++ b/crates/ashgauge/src/forecast.rs
@@ -70,7 +70,7 @@
 /// engines.
 ///
 /// At each engine the prompt waits for those that are queued there and is read, and the
-/// first token takes as long as each later one. A prompt of 0 tokens counts as the usual
+/// first event takes as long as each later one. A prompt of 0 tokens counts as the usual
 /// one, as its caller did not say how long it is. Engines that are not known any more add
 /// nothing.
 pub fn forecast(scene: &Scene, model: &Model, stages: &[Stage], prompt: u32) -> Forecast {
--- a/crates/ashgauge/src/level.rs
+++ b/crates/ashgauge/src/level.rs
@@ -109,6 +109,9 @@
     ///
     /// Room is shared by work, which requests of one team may have more of than others.
     pub fn new(demands: &Demands, allowed: f64) -> Option<Self> {
+        if allowed.is_infinite() {
+            return None;
+        }
         let sum = |of: fn(&Demand) -> f64| demands.iter().map(|(_, d)| of(d)).sum::<f64>();
         let mean = sum(Demand::work) / sum(Demand::rate).max(f64::MIN_POSITIVE);
         let mut left = allowed * mean;
--- a/crates/ashgauge/src/pressure.rs
+++ b/crates/ashgauge/src/pressure.rs
@@ -7,7 +7,7 @@
 /// What all boxes have on the engines of a service, as shares of what these can take.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Pressure {
-    /// Requests under way.
+    /// Requests under way, also on engines that take no more.
     pub requests: f64,
     /// Share of the memory for requests that is used, of the layers that are shortest
     /// of it.
@@ -17,7 +17,8 @@
 }
 
 impl Pressure {
-    /// What a box knows of the engines that take requests.
+    /// What a box knows of the engines: the shares of those that take requests, and the
+    /// requests on all of them, as those on engines that take no more still run.
     pub fn of(scene: &Scene, model: &Model) -> Self {
         let layers = model.layers as usize;
         let (mut used, mut room) = (vec![0.0; layers], vec![0.0; layers]);
--- a/crates/ashgauge/src/recovery.rs
+++ b/crates/ashgauge/src/recovery.rs
@@ -32,8 +32,8 @@
 /// which an account is full once the load has gone.
 const SAVED_TIME: Duration = Duration::from_millis(600);
 
-/// Time for which a pressure counts. It is reckoned when requests come; a box with five
-/// a second seldom has a longer pause.
+/// Time for which a pressure counts. It is reckoned when requests come, and by a watch
+/// without them.
 const PRESSURE_TIME: Duration = Duration::from_millis(400);
 
 /// Parts of what is earned: for repairs only, for repairs and resends, for all uses.
--- a/crates/ashgauged/src/relay/gate.rs
+++ b/crates/ashgauged/src/relay/gate.rs
@@ -20,8 +20,9 @@
 /// Time between two reckonings of a level: words of other boxes come no faster.
 const RECKON_EVERY: Duration = Duration::from_millis(50);
 
-/// Time between two reckonings while no streams arrive, for operators only.
-const WATCH_EVERY: Duration = Duration::from_millis(500);
+/// Time between two reckonings while no streams arrive: for operators, and for the
+/// account of streams that are held up, for which a pressure counts a little longer.
+const WATCH_EVERY: Duration = Duration::from_millis(300);
 
 /// Whether streams of a service are let in by the level.
 pub fn is_on(desk: &Desk, service: &Service) -> bool {
@@ -29,7 +30,7 @@
     has_engines && is_shed(desk, &service.name)
 }
 
-/// Whether streams of a service compete by rank, as configuration and settings have it.
+/// Whether shedding is switched on for a service, by its routes' ranks and the setting.
 pub fn is_shed(desk: &Desk, service: &str) -> bool {
     let routing = desk.routing();
     let ranks = routing.ranks(service);
--- a/crates/ashgauged/src/relay/levels.rs
+++ b/crates/ashgauged/src/relay/levels.rs
@@ -24,7 +24,7 @@
     service: String,
     /// Class at which the allowance is used up; nothing if all are admitted.
     class: Option<Class>,
-    /// Requests a second that each team of this class may begin.
+    /// Work a second that each team of this class may begin, in usual requests.
     team_rate: Option<f64>,
     /// Time since that class last changed, in milliseconds.
     since_ms: u64,
--- a/crates/ashgauged/src/relay/pump/mend.rs
+++ b/crates/ashgauged/src/relay/pump/mend.rs
@@ -41,7 +41,7 @@
         self.a
             .record
             .step("stream broke", json!({"cause": cause, "last": self.last}));
-        // What was heard before it broke says nothing.
+        // What was heard longer ago than a moment before it broke says nothing.
         let since = self.desk.now();
         let dead = find_dead(&self.desk, &self.a, &self.run.stages, since).await;
         dead.iter()
--- a/crates/ashgauged/src/relay/recovery.rs
+++ b/crates/ashgauged/src/relay/recovery.rs
@@ -36,12 +36,13 @@
     }
 }
 
-/// Takes one turn of a stream to be led elsewhere; returns false if none is left.
+/// Takes one use out of the account for a stream that is led elsewhere; returns false if
+/// none is left.
 pub fn take(desk: &Desk, a: &Admitted) -> bool {
     a.class.is_none() || take_from(desk, &a.service.name, use_of(a))
 }
 
-/// Whether [`take`] would find a turn.
+/// Whether [`take`] would find a use.
 pub fn has(desk: &Desk, a: &Admitted) -> bool {
     let (now, what) = (desk.now(), use_of(a));
     let service = &a.service.name;
@@ -79,7 +80,7 @@
     }
     let is_tight = pressure(desk, a) >= TIGHT;
     if is_tight && !pick::has_room(desk, a, handoff, avoid) {
-        count(desk, Use::Resend, "no room");
+        count(desk, use_of(a), "no room");
         return false;
     }
     take(desk, a) || !is_tight
--- a/crates/ashgauged/src/relay/turn.rs
+++ b/crates/ashgauged/src/relay/turn.rs
@@ -20,10 +20,6 @@
 /// another refusal is the last word. Callers leave after two seconds.
 const WAIT_BACK: Duration = Duration::from_millis(1200);
 
-/// Part of its aim for which a stream that is let in by class waits at the most: a caller
-/// that is refused is to know it while it can still turn elsewhere.
-const WAIT_PART: f64 = 0.125;
-
 /// Part of the expected wait that must fit: the expectation is rough, and one
 /// that is refused may have been let in.
 const WAIT_SURE: f64 = 0.5;
@@ -46,11 +42,7 @@
     /// A request that does not wait yet.
     pub fn new(desk: &Rc<Desk>, a: &Admitted) -> Self {
         let first = !a.is_back();
-        let most = match a.class {
-            Some(_) => a.route.aim.mul_f64(WAIT_PART),
-            None if first => WAIT_MOST,
-            None => WAIT_BACK,
-        };
+        let most = if first { WAIT_MOST } else { WAIT_BACK };
         Turn {
             desk: desk.clone(),
             service: a.service.name.clone(),
