--- a/crates/ashgauge/src/slack.rs
+++ b/crates/ashgauge/src/slack.rs
@@ -42,9 +42,7 @@
 ///
 /// Who is late already waits behind those of its rank who are not, level with the
 /// next rank, and who goes on before them: what is late loses nothing more by
-/// waiting. At 2.2 times the usual load with nine of 86 engines dark six plays
-/// earned 0.581 in the mean so, 0.575 by rank alone (worth, without processor
-/// time).
+/// waiting, and what waits for its next event is late after a short pause.
 ///
 /// # Example
 ///
