Hold a request back while its upstreams are checked for a loss

An upstream that is still there after a run broke off was looked at once more after 40 ms. On a busy machine a process takes longer to end than that, so its loss was laid to nobody, and the request was sent on meanwhile. Ruled out: load alone; 96 runs at 24 a time and 48 beside 32 busy processes passed.

Change: three more looks, after 40, 120 and 280 ms. While those under way could hold a request back, it is sent nowhere (Quarantine::is_in_doubt), so that a loss that is found late costs no further engine. Checks end within some 0.3 s, and so does the wait.

--- a/crates/ashgauge/src/quarantine.rs
+++ b/crates/ashgauge/src/quarantine.rs
@@ -105,6 +105,8 @@
     held: HashMap<Digest, Duration>,
     /// Losses that this box tells others.
     told: Vec<Told>,
+    /// Losses that may be found any moment, one for each check of an upstream.
+    checks: Vec<Lost>,
 }
 
 /// A loss that is told to others.
@@ -145,6 +147,45 @@
         self.add(now, lost)
     }
 
+    /// Notes that a check of an upstream began: a run of the request broke off on it.
+    pub fn begin_check(&mut self, lost: Lost) {
+        self.checks.push(lost);
+    }
+
+    /// Notes that the check ended, whatever it found.
+    pub fn end_check(&mut self, lost: Lost) {
+        if let Some(at) = self.checks.iter().position(|check| *check == lost) {
+            self.checks.swap_remove(at);
+        }
+    }
+
+    /// Whether a request would be held back if all checks of its upstreams found them
+    /// lost. Until they end it is sent nowhere: a process takes its time to end, and each
+    /// send meanwhile may cost another one.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use ashgauge::quarantine::{start_key, Lost, Quarantine};
+    ///
+    /// let lost = ["a", "b", "c"].map(|id| Lost { digest: 7, start: start_key(id, None) });
+    /// let mut quarantine = Quarantine::default();
+    /// lost.iter().for_each(|lost| quarantine.begin_check(*lost));
+    /// assert!(quarantine.is_in_doubt(7) && !quarantine.is_in_doubt(8));
+    /// quarantine.end_check(lost[0]);
+    /// assert!(!quarantine.is_in_doubt(7));
+    /// ```
+    pub fn is_in_doubt(&self, digest: Digest) -> bool {
+        let found = self.suspects.get(&digest);
+        let mut starts = found.map_or_else(Vec::new, |s| s.starts.clone());
+        for check in self.checks.iter().filter(|check| check.digest == digest) {
+            if !starts.contains(&check.start) {
+                starts.push(check.start);
+            }
+        }
+        starts.len() >= LOST_MOST
+    }
+
     /// Tells others what another box has told, as they do not hear it; returns
     /// whether there is something new to tell.
     pub fn hand_on(&mut self, now: Duration, report: &Report, to: Audience) -> bool {
--- a/crates/ashgauge/tests/quarantine.rs
+++ b/crates/ashgauge/tests/quarantine.rs
@@ -55,6 +55,21 @@
     assert!(own.note(SECOND, lost(7, 3)));
 }
 
+/// While upstreams are checked, others would be lost to sends of the same request.
+#[test]
+fn checks_count_until_they_end() {
+    let mut own = Quarantine::default();
+    own.note(SECOND, lost(7, 1));
+    // Streams that break together check one engine at the same time.
+    (0..3).for_each(|_| own.begin_check(lost(7, 2)));
+    own.begin_check(lost(7, 1));
+    assert!(!own.is_in_doubt(7));
+    own.begin_check(lost(7, 3));
+    assert!(own.is_in_doubt(7) && !own.is_in_doubt(8));
+    own.end_check(lost(7, 3));
+    assert!(!own.is_in_doubt(7));
+}
+
 /// An engine that starts again under its id is lost once more.
 #[test]
 fn each_start_of_an_engine_counts() {
--- a/crates/ashgauged/src/relay/desk.rs
+++ b/crates/ashgauged/src/relay/desk.rs
@@ -143,6 +143,8 @@
     pub trials: RefCell<Vec<UpstreamId>>,
     /// Tells that the other boxes are to know of another loss.
     pub lost: Notify,
+    /// Tells that a check of an upstream that may be lost has ended.
+    pub checked: Notify,
     /// Address on which this box hears the others, if it does.
     pub heard_at: Cell<Option<SocketAddr>>,
     /// The other boxes, by name.
@@ -201,6 +203,7 @@
             quarantine: RefCell::default(),
             trials: RefCell::default(),
             lost: Notify::new(),
+            checked: Notify::new(),
             heard_at: Cell::new(None),
             peers: RefCell::default(),
             askers: RefCell::default(),
--- a/crates/ashgauged/src/relay/forward.rs
+++ b/crates/ashgauged/src/relay/forward.rs
@@ -28,6 +28,7 @@
 use super::notice;
 use super::permit;
 use super::pick::PICKS_MOST;
+use super::quarantine;
 use super::record::Record;
 use super::request::{
     Admitted, BACK_FULL, BACK_UNSURE, Hold, Whole, finish, held_back, is_allowed, is_held, lost,
@@ -91,6 +92,7 @@
     };
     admitted.class = gate::class_of(&desk, &admitted);
     admitted.record.class = admitted.class;
+    quarantine::settle(&desk, digest).await;
     if is_held(&desk, &admitted) {
         return held_back(&desk, admitted, false);
     }
@@ -181,6 +183,7 @@
         if !is_allowed(desk, &a) {
             return finish(desk, a, End::NotRun);
         }
+        quarantine::settle(desk, a.digest).await;
         if is_held(desk, &a) {
             return held_back(desk, a, handoff.may_have_run());
         }
--- a/crates/ashgauged/src/relay/loss.rs
+++ b/crates/ashgauged/src/relay/loss.rs
@@ -14,9 +14,14 @@
 use super::request::Admitted;
 use super::{log, probe, quarantine};
 
-/// When an upstream that was still there is looked at once more: a process that ends
-/// closes its sockets one after the other, within milliseconds.
-const AGAIN_AFTER: Duration = Duration::from_millis(40);
+/// Pauses before an upstream that was still there is looked at once more. A process that
+/// ends closes its sockets one after the other: within milliseconds, but on a busy machine
+/// later than 40 ms.
+const AGAIN_AFTER: [Duration; 3] = [
+    Duration::from_millis(40),
+    Duration::from_millis(80),
+    Duration::from_millis(160),
+];
 
 /// A run that broke off, as its upstream may have been lost.
 pub struct Loss {
@@ -83,20 +88,46 @@
     loss: Loss,
     /// The start that is laid to the request, if it is.
     start: Option<StartKey>,
+    /// Holds other sends of the request up while it is looked into.
+    _check: Option<Check>,
+}
+
+/// A check of an upstream that is laid to a request, until it is dropped.
+struct Check {
+    desk: Rc<Desk>,
+    lost: Lost,
+}
+
+impl Check {
+    fn begin(desk: &Rc<Desk>, lost: Lost) -> Self {
+        desk.quarantine.borrow_mut().begin_check(lost);
+        let desk = desk.clone();
+        Check { desk, lost }
+    }
+}
+
+impl Drop for Check {
+    fn drop(&mut self) {
+        self.desk.quarantine.borrow_mut().end_check(self.lost);
+        self.desk.checked.notify_waiters();
+    }
 }
 
 /// Looks whether the upstream of a run that broke off is lost, and notes it; returns
 /// whether it is. A lost upstream takes no attempt away: those that a request cut off
 /// twice by ending their engines would break though others could go on with them.
 ///
-/// One that is still there is looked at once more, while the request goes on.
+/// One that is still there is looked at some more times, while the request goes on.
 pub async fn look(desk: &Rc<Desk>, a: &Admitted, loss: Loss) -> bool {
+    let digest = a.digest;
+    // Its entry may be gone after the look.
+    let start = blamed(desk, &loss);
     let suspicion = Suspicion {
         id: a.ask.id.clone(),
-        digest: a.digest,
-        // Its entry may be gone after the look.
-        start: blamed(desk, &loss),
+        digest,
         loss,
+        start,
+        _check: start.map(|start| Check::begin(desk, Lost { digest, start })),
     };
     if probe::is_lost(desk, &suspicion.loss.upstream).await {
         suspicion.confirm(desk);
@@ -104,9 +135,11 @@
     }
     let desk = desk.clone();
     tokio::task::spawn_local(async move {
-        sleep(AGAIN_AFTER).await;
-        if probe::is_lost(&desk, &suspicion.loss.upstream).await {
-            suspicion.confirm(&desk);
+        for pause in AGAIN_AFTER {
+            sleep(pause).await;
+            if probe::is_lost(&desk, &suspicion.loss.upstream).await {
+                return suspicion.confirm(&desk);
+            }
         }
     });
     false
--- a/crates/ashgauged/src/relay/pick.rs
+++ b/crates/ashgauged/src/relay/pick.rs
@@ -13,6 +13,7 @@
 
 use super::desk::Desk;
 use super::permit;
+use super::quarantine;
 use super::request::{Admitted, is_allowed, is_held};
 use super::select::Wish;
 
@@ -87,6 +88,7 @@
     goes_on: bool,
 ) -> Result<Chosen, NoWay> {
     for _ in 0..PICKS_MOST {
+        quarantine::settle(desk, a.digest).await;
         let chosen = pick(desk, a, handoff, avoid, goes_on)?;
         if permit::take(desk, &chosen.stages[0].upstream).await {
             return Ok(chosen);
--- a/crates/ashgauged/src/relay/quarantine.rs
+++ b/crates/ashgauged/src/relay/quarantine.rs
@@ -52,6 +52,17 @@
     desk.lost.notify_one();
 }
 
+/// Waits while a request may be held back by what is being looked into.
+pub async fn settle(desk: &Desk, digest: Digest) {
+    loop {
+        let checked = desk.checked.notified();
+        if !desk.quarantine.borrow().is_in_doubt(digest) {
+            return;
+        }
+        checked.await;
+    }
+}
+
 /// Takes what another box told; a hub hands it on to those that do not hear it.
 pub fn hear(desk: &Desk, from: &str, report: &Report) {
     let now = desk.now();
