Tell first attempts from repeats by how far callers' limits differ

Cause: a request counted as a repeat, and as late, if its caller waited for less than 0.97 of its route's time, or for less by its aim. Change: a repeat has less than 0.85 of the time left; who is refused stays away for 3 s or more of 20. The doc example of 18 of 20 s changes with the rule.

--- a/crates/ashgauge/src/slack.rs
+++ b/crates/ashgauge/src/slack.rs
@@ -15,6 +15,26 @@
     Late,
 }
 
+/// Least part of a route's time that callers wait for a first attempt: their own limits
+/// differ by up to a seventh of it, and who was refused stays away for as long or longer.
+const PATIENCE_LEAST: f64 = 0.85;
+
+/// Whether a caller who waits so much longer has made the request before.
+///
+/// # Example
+///
+/// ```
+/// use ashgauge::slack::is_repeat;
+/// use std::time::Duration;
+///
+/// let second = Duration::from_secs(1);
+/// assert!(!is_repeat(second * 18, second * 20));
+/// assert!(is_repeat(second * 16, second * 20));
+/// ```
+pub fn is_repeat(patience: Duration, timeout: Duration) -> bool {
+    patience < timeout.mul_f64(PATIENCE_LEAST)
+}
+
 impl Slack {
     /// How a request stands whose caller waits for its first event, of `patience`
     /// left of `timeout`: a caller who comes back has used up the rest.
@@ -28,10 +48,12 @@
     /// let second = Duration::from_secs(1);
     /// let (timeout, aim) = (second * 20, second / 2);
     /// assert_eq!(Slack::of(timeout, timeout, aim), Slack::Ample);
-    /// assert_eq!(Slack::of(second * 18, timeout, aim), Slack::Late);
+    /// assert_eq!(Slack::of(second * 18, timeout, aim), Slack::Ample);
+    /// assert_eq!(Slack::of(second * 16, timeout, aim), Slack::Late);
     /// ```
     pub fn of(patience: Duration, timeout: Duration, aim: Duration) -> Self {
-        match timeout.saturating_sub(patience) >= aim {
+        let used = timeout.saturating_sub(patience);
+        match is_repeat(patience, timeout) && used >= aim {
             true => Slack::Late,
             false => Slack::Ample,
         }
--- a/crates/ashgauged/src/relay/request.rs
+++ b/crates/ashgauged/src/relay/request.rs
@@ -12,7 +12,7 @@
 use ashgauge::handoff::{End, Outcome};
 use ashgauge::member::UpstreamId;
 use ashgauge::routing::{Access, Route, Service, Team};
-use ashgauge::slack::Slack;
+use ashgauge::slack::{self, Slack};
 use bytes::Bytes;
 use http::{Failure, Full};
 use http_body_util::{BodyExt, Empty};
@@ -49,9 +49,6 @@
 /// not return together: about as long as requests stay on the engines.
 const BACK_ROOM: Range<Duration> = Duration::from_millis(1500)..Duration::from_millis(4500);
 
-/// A request with less than this part of its route's time left was made before.
-const FIRST_PART: f64 = 0.97;
-
 /// An upstream's whole answer.
 pub type Whole = Response<Bytes>;
 
@@ -95,7 +92,7 @@
     /// Whether its caller comes back: what it waited before is gone from its time.
     pub fn is_back(&self) -> bool {
         let timeout = self.route.timeout;
-        self.ask.patience.unwrap_or(timeout) < timeout.mul_f64(FIRST_PART)
+        slack::is_repeat(self.ask.patience.unwrap_or(timeout), timeout)
     }
 
     /// How the request stands against its aim, at its arrival.
