Slack goes by a caller's time as before; classes know repeats

Change: Slack and the line at a box as before; only the class of a request goes by slack::is_repeat, where services let streams in by class.

--- a/crates/ashgauge/src/slack.rs
+++ b/crates/ashgauge/src/slack.rs
@@ -48,12 +48,10 @@
     /// let second = Duration::from_secs(1);
     /// let (timeout, aim) = (second * 20, second / 2);
     /// assert_eq!(Slack::of(timeout, timeout, aim), Slack::Ample);
-    /// assert_eq!(Slack::of(second * 18, timeout, aim), Slack::Ample);
-    /// assert_eq!(Slack::of(second * 16, timeout, aim), Slack::Late);
+    /// assert_eq!(Slack::of(second * 18, timeout, aim), Slack::Late);
     /// ```
     pub fn of(patience: Duration, timeout: Duration, aim: Duration) -> Self {
-        let used = timeout.saturating_sub(patience);
-        match is_repeat(patience, timeout) && used >= aim {
+        match timeout.saturating_sub(patience) >= aim {
             true => Slack::Late,
             false => Slack::Ample,
         }
--- a/crates/ashgauged/src/relay/gate.rs
+++ b/crates/ashgauged/src/relay/gate.rs
@@ -43,7 +43,7 @@
         return None;
     }
     let team = a.team.as_ref().and_then(|t| t.rank);
-    Some(Class::new(team, a.route.rank, a.is_back()))
+    Some(Class::new(team, a.route.rank, a.is_repeat()))
 }
 
 /// Notes a stream that wants to begin, and decides whether it may; if not, says when its
--- a/crates/ashgauged/src/relay/request.rs
+++ b/crates/ashgauged/src/relay/request.rs
@@ -49,6 +49,9 @@
 /// not return together: about as long as requests stay on the engines.
 const BACK_ROOM: Range<Duration> = Duration::from_millis(1500)..Duration::from_millis(4500);
 
+/// A request with less than this part of its route's time left may have been made before.
+const FIRST_PART: f64 = 0.97;
+
 /// An upstream's whole answer.
 pub type Whole = Response<Bytes>;
 
@@ -89,8 +92,14 @@
         team.unwrap_or(self.route.rank)
     }
 
-    /// Whether its caller comes back: what it waited before is gone from its time.
+    /// Whether its caller may come back: a part of the route's time is gone.
     pub fn is_back(&self) -> bool {
+        let timeout = self.route.timeout;
+        self.ask.patience.unwrap_or(timeout) < timeout.mul_f64(FIRST_PART)
+    }
+
+    /// Whether its caller made it before: more time is gone than callers' own limits take.
+    pub fn is_repeat(&self) -> bool {
         let timeout = self.route.timeout;
         slack::is_repeat(self.ask.patience.unwrap_or(timeout), timeout)
     }
