Notify all boxes of an engine that accepts no connection

Cause: each box found a lost engine by its own streams only. With 86 boxes and nine engines lost at one moment, the first box suspected each engine after 30 to 107 ms, the median after 127 to 253 ms, the last after 350 to 790 ms.

Change: a box that suspects an engine after its own connection to it failed sends Datagram::Suspects, gathered for 5 ms, to the boxes that it tells its load; hubs forward it. Boxes with streams on the engine check it with a connection of their own, drawn from the recovery account, and suspect it only if that fails. What is sent, forwarded and checked is bounded by the new module suspicion. Metric ashgauge_suspects_heard_total, log line roster/told.

The check does not go by what streams heard less than 60 ms ago, as the other checks do: most reports come sooner after the loss than that.

--- a/crates/ashgauge/src/lib.rs
+++ b/crates/ashgauge/src/lib.rs
@@ -50,6 +50,7 @@
 //! - [`forecast`]: when a chain brings the first event of a stream, and how far apart the
 //!   next are.
 //! - [`recovery`]: how much is done for streams that are held up.
+//! - [`suspicion`]: what boxes tell each other of engines that accept no connections.
 //! - [`permit`]: limits that upstreams name for all boxes together, and who may send.
 //! - [`mirror`], [`revision`], [`reader`], [`question`], [`asker`]: a store that few boxes
 //!   read and all know, also where it comes back from a copy.
@@ -111,6 +112,7 @@
 pub mod slack;
 pub mod stay;
 pub mod suspension;
+pub mod suspicion;
 pub mod table;
 pub mod upstream;
 
--- a/crates/ashgauge/src/question.rs
+++ b/crates/ashgauge/src/question.rs
@@ -15,7 +15,7 @@
 use crate::member::BoxId;
 use crate::mirror::{Revision, Update};
 use crate::permit;
-use crate::quarantine::Report;
+use crate::quarantine::{Report, StartKey};
 use crate::share::Word;
 
 /// Number of a question, chosen at random.
@@ -38,6 +38,9 @@
     AskPermit(permit::Ask),
     /// Whether it may.
     Permit(permit::Reply),
+    /// Engines that accept no connections, as the box with this name found or was told; at
+    /// most [`crate::suspicion::SUSPECTS_TOLD`].
+    Suspects(BoxId, Vec<StartKey>),
 }
 
 /// Asks what another box knows.
@@ -116,7 +119,7 @@
             Datagram::Answer(answer) => &answer.from,
             Datagram::AskPermit(ask) => &ask.from,
             Datagram::Permit(reply) => &reply.from,
-            Datagram::News(from) | Datagram::Losses(from, _) => from,
+            Datagram::News(from) | Datagram::Losses(from, _) | Datagram::Suspects(from, _) => from,
         }
     }
 }
--- /dev/null
+++ b/crates/ashgauge/src/suspicion.rs
@@ -0,0 +1,166 @@
+//! Engines that accept no connections, and what boxes tell each other of them.
+//!
+//! A box that finds such an engine notifies the others, which check it with connections of
+//! their own. Nothing here makes an engine suspect: a box that is cut off from an engine
+//! must not make others abandon it.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::quarantine::{Audience, StartKey};
+
+/// How long an engine that was told of is not told of again, and one that was checked is
+/// not checked again for another box's report. Each box thus connects at most twice a
+/// second to an engine that others falsely report.
+pub const REPEAT_TIME: Duration = Duration::from_millis(500);
+
+/// Engines in one notification: 170 bytes or so.
+pub const SUSPECTS_TOLD: usize = 32;
+
+/// Engines of which something is kept, at 40 bytes or so each.
+pub const ENTRIES_MOST: usize = 256;
+
+/// Checks of reported engines that are under way at one time.
+pub const CHECKS_MOST: usize = 8;
+
+/// What a box has sent, forwarded and checked a moment ago, by engine.
+///
+/// # Example
+///
+/// ```
+/// use std::time::Duration;
+/// use ashgauge::quarantine::{start_key, Audience};
+/// use ashgauge::suspicion::Suspicions;
+///
+/// let now = Duration::from_secs(1);
+/// let lost = start_key("e1", None);
+/// let mut suspicions = Suspicions::default();
+/// assert!(suspicions.note(now, lost));
+/// assert_eq!(suspicions.take(now), [(lost, Audience::All)]);
+/// // It was told.
+/// assert!(!suspicions.note(now, lost));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Suspicions {
+    entries: HashMap<StartKey, Entry>,
+    checks: usize,
+}
+
+/// What was done about one start of an engine.
+#[derive(Clone, Copy, Debug, Default)]
+struct Entry {
+    /// When this box found it, or first heard of it from another.
+    told: Option<Duration>,
+    /// Whom to tell of it, until that is done.
+    pending: Option<Audience>,
+    /// When it was last checked for another box's report.
+    checked: Option<Duration>,
+}
+
+impl Suspicions {
+    /// Notes an engine that this box found to accept no connections; returns whether there
+    /// is something to send. One that another box has just told of is known to all.
+    pub fn note(&mut self, now: Duration, start: StartKey) -> bool {
+        self.tell(now, start, Some(Audience::All))
+    }
+
+    /// Notes that another box has told of an engine; returns whether there is something to
+    /// forward to `audience`.
+    pub fn hear(&mut self, now: Duration, start: StartKey, audience: Option<Audience>) -> bool {
+        self.tell(now, start, audience)
+    }
+
+    /// Takes out what is to be sent now, the oldest first; at most [`SUSPECTS_TOLD`].
+    pub fn take(&mut self, now: Duration) -> Vec<(StartKey, Audience)> {
+        self.expire(now);
+        let waiting = self.entries.iter();
+        let waiting = waiting.filter_map(|(start, e)| Some((e.told?, *start, e.pending?)));
+        let mut waiting: Vec<_> = waiting.collect();
+        waiting.sort_unstable_by_key(|(told, start, _)| (*told, *start));
+        waiting.truncate(SUSPECTS_TOLD);
+        let told = waiting.into_iter().map(|(_, start, to)| (start, to));
+        let told: Vec<_> = told.collect();
+        for (start, _) in &told {
+            if let Some(entry) = self.entries.get_mut(start) {
+                entry.pending = None;
+            }
+        }
+        told
+    }
+
+    /// Begins a check of an engine that another box has told of, if there was none for
+    /// [`REPEAT_TIME`], few others are under way and `has_budget`, which is asked last.
+    /// Each check that begins must be ended by [`Suspicions::end_check`].
+    pub fn begin_check(
+        &mut self,
+        now: Duration,
+        start: StartKey,
+        has_budget: impl FnOnce() -> bool,
+    ) -> bool {
+        if self.checks >= CHECKS_MOST {
+            return false;
+        }
+        let Some(entry) = self.entry(now, start) else {
+            return false;
+        };
+        if is_recent(now, entry.checked) || !has_budget() {
+            return false;
+        }
+        entry.checked = Some(now);
+        self.checks += 1;
+        true
+    }
+
+    /// Notes that a check has ended.
+    pub fn end_check(&mut self) {
+        self.checks = self.checks.saturating_sub(1);
+    }
+
+    /// Checks that are under way.
+    pub fn checks(&self) -> usize {
+        self.checks
+    }
+
+    /// Engines of which something is kept.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether nothing is kept.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    fn tell(&mut self, now: Duration, start: StartKey, audience: Option<Audience>) -> bool {
+        let Some(entry) = self.entry(now, start) else {
+            return false;
+        };
+        if is_recent(now, entry.told) {
+            return false;
+        }
+        entry.told = Some(now);
+        entry.pending = audience;
+        audience.is_some()
+    }
+
+    /// The entry of an engine; none if there are too many others. Those that are there are
+    /// not dropped for it: whoever reports many engines would have each told of anew.
+    fn entry(&mut self, now: Duration, start: StartKey) -> Option<&mut Entry> {
+        self.expire(now);
+        if self.entries.len() >= ENTRIES_MOST && !self.entries.contains_key(&start) {
+            return None;
+        }
+        Some(self.entries.entry(start).or_default())
+    }
+
+    /// Drops what was done too long ago to count. What is still to be sent by then comes
+    /// too late to be of use.
+    fn expire(&mut self, now: Duration) {
+        self.entries
+            .retain(|_, e| is_recent(now, e.told) || is_recent(now, e.checked));
+    }
+}
+
+fn is_recent(now: Duration, at: Option<Duration>) -> bool {
+    at.is_some_and(|at| now < at + REPEAT_TIME)
+}
--- a/crates/ashgauged/src/relay/desk.rs
+++ b/crates/ashgauged/src/relay/desk.rs
@@ -24,6 +24,7 @@
 use ashgauge::routing::{Routing, ServiceId};
 use ashgauge::share::{self, Shares};
 use ashgauge::stay::Stay;
+use ashgauge::suspicion::Suspicions;
 use http::Client;
 use platform::{Fault, Store};
 use rand::SeedableRng;
@@ -33,10 +34,10 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::timeout;
 
-use super::log;
 use super::metrics::Metrics;
 use super::settings::Settings;
 use super::state::{Budgets, Clock, Gates, Permits, Probes, boot_time};
+use super::{log, suspicion};
 
 /// Boxes assumed by choices of upstreams before their number is known.
 const BOXES_ASSUMED: u32 = 16;
@@ -143,6 +144,10 @@
     pub trials: RefCell<Vec<UpstreamId>>,
     /// Tells that the other boxes are to know of another loss.
     pub lost: Notify,
+    /// Engines that accept no connections, as this box found and others told it.
+    pub suspicions: RefCell<Suspicions>,
+    /// Tells that the other boxes are to be notified of such engines.
+    pub suspected: Notify,
     /// Address on which this box hears the others, if it does.
     pub heard_at: Cell<Option<SocketAddr>>,
     /// The other boxes, by name.
@@ -201,6 +206,8 @@
             quarantine: RefCell::default(),
             trials: RefCell::default(),
             lost: Notify::new(),
+            suspicions: RefCell::default(),
+            suspected: Notify::new(),
             heard_at: Cell::new(None),
             peers: RefCell::default(),
             askers: RefCell::default(),
@@ -397,7 +404,8 @@
         self.suspects.send_modify(|n| *n += 1);
     }
 
-    /// Notes that an upstream does not answer and tells the streams on it.
+    /// Notes that an upstream does not answer and tells the streams on it; the other boxes as
+    /// well if it just accepted no connection of this box.
     pub fn suspect(&self, id: &str, why: &str) {
         let new = self.roster.borrow_mut().suspect(self.now(), id);
         if new {
@@ -409,6 +417,7 @@
                 json!({"upstream": id, "why": why}),
             );
             self.wake_streams();
+            suspicion::note(self, id);
         }
     }
 }
--- a/crates/ashgauged/src/relay/metrics.rs
+++ b/crates/ashgauged/src/relay/metrics.rs
@@ -53,6 +53,8 @@
     pub pressure: GaugeVec,
     /// Upstreams that became suspect.
     pub suspects: IntCounter,
+    /// Engines that other boxes reported, by what came of it.
+    pub heard: IntCounterVec,
     /// Time to the first byte of an answer.
     pub first: Histogram,
     /// Time to the end of an answer.
@@ -164,6 +166,11 @@
             )?,
             pressure,
             suspects: counter("ashgauge_suspects_total", "Upstreams that became suspect")?,
+            heard: counters(
+                "ashgauge_suspects_heard_total",
+                "Engines that other boxes reported, by result",
+                "result",
+            )?,
             registry,
         })
     }
--- a/crates/ashgauged/src/relay/mod.rs
+++ b/crates/ashgauged/src/relay/mod.rs
@@ -40,6 +40,7 @@
 mod state;
 mod status;
 mod stream;
+mod suspicion;
 mod tell;
 mod turn;
 
@@ -115,6 +116,7 @@
     if let Some((peers, _)) = &peers {
         tokio::task::spawn_local(tell::tell(desk.clone(), peers.clone()));
         tokio::task::spawn_local(quarantine::tell(desk.clone(), peers.clone()));
+        tokio::task::spawn_local(suspicion::tell(desk.clone(), peers.clone()));
     }
     Follower::start(desk.clone(), peers);
     Placer::start(desk.clone());
--- a/crates/ashgauged/src/relay/peers.rs
+++ b/crates/ashgauged/src/relay/peers.rs
@@ -31,7 +31,7 @@
 
 use super::desk::{Asked, Desk};
 use super::fetch::{self, ANSWER_PATH, Fetch};
-use super::{census, log, pack, permit, quarantine};
+use super::{census, log, pack, permit, quarantine, suspicion};
 
 /// Largest datagram that is read; a word on 860 engines takes 12 kB.
 const DATAGRAM_MOST: usize = 60_000;
@@ -256,6 +256,10 @@
                 quarantine::hear(&self.desk, &from, &report);
                 Taken::Heard
             }
+            Datagram::Suspects(from, starts) => {
+                suspicion::hear(&self.desk, &from, &starts);
+                Taken::Heard
+            }
             Datagram::AskPermit(ask) => {
                 permit::answer(&self.desk, ask, addr);
                 Taken::Question
--- a/crates/ashgauged/src/relay/probe.rs
+++ b/crates/ashgauged/src/relay/probe.rs
@@ -212,6 +212,42 @@
     is_on && !may_look(desk, &service, &desk.probes.alive, id, SHARED_TIME)
 }
 
+/// What a check of an engine that another box reports found.
+pub enum Found {
+    /// It accepts connections.
+    Alive,
+    /// It does not.
+    Lost,
+    /// It is not listed any more.
+    Gone,
+}
+
+/// Whether the account of a service allows the check of an engine that another box
+/// reports. The connection then stands for all that ask meanwhile.
+pub fn may_check(desk: &Desk, service: &ServiceId, id: &str) -> bool {
+    may_look(desk, service, &desk.probes.alive, id, LOST_SHARED)
+}
+
+/// Connects to an engine that another box reports, which [`may_check`] allowed.
+///
+/// What streams heard and what was found a moment ago is from before the other box's
+/// connection failed, or may be: streams hear an engine up to 60 ms after such an event.
+pub async fn check_reported(desk: &Desk, id: &str) -> Found {
+    match takes_connection(desk, id, LOST_SHARED).await {
+        true => Found::Alive,
+        false if address(desk, id).is_none() => Found::Gone,
+        false => Found::Lost,
+    }
+}
+
+/// Whether a connection of this box to an address has just failed.
+pub fn has_failed(desk: &Desk, addr: &str) -> bool {
+    let alive = desk.probes.alive.borrow();
+    let recent = alive.get(addr);
+    let recent = recent.filter(|(at, _)| desk.now() < *at + SHARED_TIME);
+    recent.is_some_and(|(_, cell)| cell.get() == Some(&false))
+}
+
 /// Whether an upstream whose connection just broke takes no other one.
 ///
 /// That streams heard it a moment ago says nothing here. It takes nothing out of the
