Cost: bound step times from the configuration

A per_seq_ms of about 1e20 or more was decoded to a Duration whose product with the number of requests on an engine overflows, and Duration::mul_f64 panics then: cost::work_seconds ended the box at the next choice of a chain, rate::chain_rate at the next plan.

Model::step_seconds computes the time of a step and saturates; both callers use it. The same operations in the same order are done for figures that fit, so choices do not change.

--- a/crates/ashgauge/src/cost.rs
+++ b/crates/ashgauge/src/cost.rs
@@ -274,8 +274,7 @@
     tokens: f64,
 ) -> f64 {
     let (step, read) = factors(model, entry);
-    let own = model.step + model.step_request.mul_f64(load);
-    let writing = steps * own.as_secs_f64() * step;
+    let writing = steps * model.step_seconds(load) * step;
     let reading = tokens / model.read_rate.max(1.0) * read;
     (writing + reading) / f64::from(model.layers.max(1))
 }
--- a/crates/ashgauge/src/rate.rs
+++ b/crates/ashgauge/src/rate.rs
@@ -35,8 +35,7 @@
         return f64::INFINITY;
     };
     let share = f64::from(*layers) / f64::from(model.layers.max(1));
-    let step = (model.step + model.step_request.mul_f64(LOAD)).as_secs_f64();
-    let writing = f64::from(model.answer) * step * card.step_factor;
+    let writing = f64::from(model.answer) * model.step_seconds(LOAD) * card.step_factor;
     let reading = f64::from(model.prompt) / model.read_rate.max(1.0) * card.read_factor;
     PASSES * share * (writing + reading)
 }
--- a/crates/ashgauge/src/routing.rs
+++ b/crates/ashgauge/src/routing.rs
@@ -264,6 +264,16 @@
             f64::INFINITY
         }
     }
+
+    /// Seconds of a step with `load` requests in it, at speed 1.
+    ///
+    /// Any times may stand in a configuration: what does not fit into a [`Duration`]
+    /// counts as the longest one, as the plain operators panic then.
+    pub(crate) fn step_seconds(&self, load: f64) -> f64 {
+        let requests = Duration::try_from_secs_f64(load * self.step_request.as_secs_f64());
+        let requests = requests.unwrap_or(Duration::MAX);
+        self.step.saturating_add(requests).as_secs_f64()
+    }
 }
 
 impl Route {
--- /dev/null
+++ b/crates/ashgauge/tests/cost.rs
@@ -0,0 +1,69 @@
+//! What a request costs on an engine, with figures that no engine has.
+
+mod engines;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ashgauge::choice;
+use ashgauge::forecast::forecast;
+use ashgauge::pipes::Pipes;
+use ashgauge::placement::plan;
+use ashgauge::routing::Model;
+use ashgauge::scene::Scene;
+use ashgauge::share::Shares;
+use engines::{fleet, model, scene, twins};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+/// Times that the configuration's `per_seq_ms` may become: what is negative or no number
+/// is decoded as none, and a `Duration` holds up to 2^64 s.
+fn absurd_times() -> impl Iterator<Item = Duration> {
+    [0, 1, u64::MAX / 100, u64::MAX / 2, u64::MAX]
+        .into_iter()
+        .map(Duration::from_secs)
+        .chain([Duration::from_nanos(1), Duration::MAX])
+}
+
+fn absurd_models() -> impl Iterator<Item = Model> {
+    absurd_times().flat_map(|step_request| {
+        absurd_times().map(move |step| Model {
+            step,
+            step_request,
+            ..model()
+        })
+    })
+}
+
+/// The product of a step's time and the requests in it does not fit into a `Duration`:
+/// one such figure in a configuration ended every box at its next request.
+#[test]
+fn absurd_step_times_end_no_choice() {
+    let mut roster = twins();
+    for id in ["a1", "a2", "b1", "b2"] {
+        (0..100).for_each(|_| roster.begin(id, 900 * 40));
+    }
+    let (pipes, shares, place) = (Pipes::default(), Shares::default(), Arc::from("a"));
+    let mut rng = SmallRng::seed_from_u64(1);
+    for model in absurd_models() {
+        for together in [false, true] {
+            let scene = Scene {
+                together,
+                ..scene(&roster, &pipes, &shares, &place)
+            };
+            let span = choice::whole(model.layers);
+            let stages = choice::chain(&scene, &model, span, &[], None, &mut rng);
+            let (step, request) = (model.step, model.step_request);
+            let stages = stages.unwrap_or_else(|| panic!("no chain: {step:?}, {request:?}"));
+            forecast(&scene, &model, &stages, 0);
+        }
+    }
+}
+
+/// As above, where layers are planned before any request comes.
+#[test]
+fn absurd_step_times_end_no_plan() {
+    for model in absurd_models() {
+        plan(&model, &fleet());
+    }
+}
