Census: boxes that do not read ask half a second after the readers look

boxes_wait_for_the_first_configuration_without_reading failed because the product was wrong. A reader answers only boxes that it knows, and a question of an unknown box only makes it read the list of boxes. In a fleet that starts for the first time, each box ends its search 3 s after its own start. The box that is next in rank after the readers (box-4 in the test) therefore asked a reader that had started a moment later, got no answer within 150 ms, took the reader for lost and read the store in its place for a second. The traces of all failed runs that were looked at show this: a fourth box logs role reads=true some 200 ms after the readers and reads=false 1.1 s later; no box logs "read alone".

READERS_TIME (500 ms) existed for this, but only boxes behind the first page of the list waited. Now every box that is no reader does. Boxes that join a running fleet ask at once as before.

Readers that start more than half a second after a box that asks them are still replaced for a second; that costs calls of the store, never safety.

--- a/crates/ashgauged/src/relay/census.rs
+++ b/crates/ashgauged/src/relay/census.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ashgauge::reader;
+use ashgauge::reader::{self, Fleet, Silences};
 use platform::Fault;
 use platform::store::{Object, Revision};
 use rand::Rng;
@@ -45,8 +45,10 @@
 /// asked before, so looks before are in vain there.
 const SEARCH_TIME: Duration = Duration::from_millis(3000);
 
-/// How much later boxes ask whom the readers may not know: only those read the whole
-/// list, and begin to when they find that they are readers.
+/// How much later boxes ask that are not readers. Readers answer only boxes that they
+/// know, and learn of most when they find that they are readers; those that started
+/// later find out later. A reader that was asked too early counts as silent, and the
+/// next box in rank reads the store in its place.
 const READERS_TIME: Duration = Duration::from_millis(500);
 
 /// Time between two looks at the boxes.
@@ -131,6 +133,30 @@
     }
 }
 
+/// This box, and what it knows of the fleet.
+pub fn known(desk: &Desk) -> (reader::Member, Fleet) {
+    let settings = desk.settings();
+    let own = reader::Member {
+        id: settings.id.as_str().into(),
+        place: settings.data_centre.as_str().into(),
+        link: settings.link_mbps(),
+    };
+    let peers = desk.peers.borrow();
+    let others = peers.iter().filter(|(_, peer)| peer.is_candidate);
+    let others = others.map(|(id, peer)| reader::Member {
+        id: id.clone(),
+        place: peer.place.clone(),
+        link: peer.link,
+    });
+    let listed = desk.is_candidate.get().then(|| own.clone());
+    let fleet = Fleet {
+        candidates: others.chain(listed).collect(),
+        boxes: (peers.len() + 1).max(desk.counted_boxes() as usize),
+        readers: settings.readers,
+    };
+    (own, fleet)
+}
+
 /// Whether this box is to know all others: it reads for them, or they are few.
 fn knows_all(desk: &Desk) -> bool {
     *desk.reads.borrow() || !desk.is_partial.get()
@@ -138,7 +164,9 @@
 
 /// Lets this box ask others from now on, or read for them.
 async fn end_search(desk: &Desk) {
-    if desk.is_partial.get() && !desk.is_candidate.get() {
+    let (own, fleet) = known(desk);
+    let readers = reader::choose(&own, &fleet, &Silences::default(), desk.now());
+    if !readers.is_own {
         sleep(READERS_TIME).await;
     }
     desk.searched.set(Some(desk.now()));
--- a/crates/ashgauged/src/relay/follow/ask.rs
+++ b/crates/ashgauged/src/relay/follow/ask.rs
@@ -115,25 +115,7 @@
             return desk.readers.borrow().clone();
         }
         self.chosen.set(now);
-        let settings = desk.settings();
-        let me = Member {
-            id: settings.id.as_str().into(),
-            place: settings.data_centre.as_str().into(),
-            link: settings.link_mbps(),
-        };
-        let peers = desk.peers.borrow();
-        let others = peers.iter().filter(|(_, peer)| peer.is_candidate);
-        let others = others.map(|(id, peer)| Member {
-            id: id.clone(),
-            place: peer.place.clone(),
-            link: peer.link,
-        });
-        let own = desk.is_candidate.get().then(|| me.clone());
-        let fleet = Fleet {
-            candidates: others.chain(own).collect(),
-            boxes: (peers.len() + 1).max(desk.counted_boxes() as usize),
-            readers: settings.readers,
-        };
+        let (me, fleet) = census::known(desk);
         *desk.permits.givers.borrow_mut() = Rc::new(givers(&me, &fleet, now));
         let readers = reader::choose(&me, &fleet, &self.asker.borrow().silences, now);
         *desk.readers.borrow_mut() = Rc::new(readers);
