Names and numbers of boxes, upstreams and layers in a module of their own

Two pairs of library modules used each other: permit took UpstreamKey and key from share, and share takes Told from permit; member took Layer from chain, and chain takes UpstreamId from member. The four types and key move to the new module ident, which uses no other module. member, chain and share re-export what they had, so that no user of the library changes.

A count of the modules' references to each other finds these two circles before the change and none after it. Behaviour does not change.

--- a/crates/ashgauge/src/chain.rs
+++ b/crates/ashgauge/src/chain.rs
@@ -2,10 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::member::UpstreamId;
-
-/// A layer's number, from 0.
-pub type Layer = u32;
+pub use crate::ident::Layer;
+use crate::ident::UpstreamId;
 
 /// One stage of a chain: layers `first..end` on one upstream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/ashgauge/src/lib.rs
+++ b/crates/ashgauge/src/lib.rs
@@ -38,7 +38,7 @@
 //!   budget.
 //! - [`chain`], [`load`]: which stages serve a request, and what was learned.
 //! - [`claim`], [`lease`], [`order`]: at most once, one doer, fenced orders.
-//! - [`member`], [`message`]: boxes and upstreams, and what boxes tell each
+//! - [`ident`], [`member`], [`message`]: boxes and upstreams, and what boxes tell each
 //!   other.
 //! - [`clock`], [`record`]: the time line.
 //! - [`routing`], [`roster`], [`share`], [`hub`], [`scene`], [`shape`], [`pipes`], [`stay`], [`slack`], [`cost`], [`choice`], [`admission`],
@@ -75,6 +75,7 @@
 pub mod fresh;
 pub mod handoff;
 pub mod hub;
+pub mod ident;
 pub mod lease;
 pub mod level;
 pub mod limit;
--- a/crates/ashgauge/src/member.rs
+++ b/crates/ashgauge/src/member.rs
@@ -1,19 +1,13 @@
 //! Boxes and upstreams: who is live, leaving or suspected.
 
 use std::collections::{BTreeMap, HashMap};
-use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::chain::Layer;
-
-/// Name of a box.
-pub type BoxId = Arc<str>;
-
-/// Name of an upstream.
-pub type UpstreamId = Arc<str>;
+use crate::ident::Layer;
+pub use crate::ident::{BoxId, UpstreamId};
 
 /// How long a failed call keeps a peer out of the live set; each further one
 /// without a word from the peer doubles it.
--- a/crates/ashgauge/src/permit/grants.rs
+++ b/crates/ashgauge/src/permit/grants.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::{Limits, Told, Verdict};
-use crate::share::UpstreamKey;
+use crate::ident::UpstreamKey;
 
 /// Time since an upstream first named a limit before which nothing is given: what was sent
 /// before it was heard of counts against it, and is often more than it takes.
--- a/crates/ashgauge/src/permit/limits.rs
+++ b/crates/ashgauge/src/permit/limits.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::share::{self, UpstreamKey};
+use crate::ident::{self, UpstreamKey};
 
 /// Least rate that is kept to, in requests a second. Only an answer tells that an
 /// upstream takes more, so one that takes nothing is still asked now and then.
@@ -89,7 +89,7 @@
     /// Notes what an upstream's answer to a request sent at `sent` says; returns whether
     /// that is news.
     pub fn note(&mut self, now: Duration, id: &str, sent: Duration, rate: Option<f64>) -> bool {
-        let key = share::key(id);
+        let key = ident::key(id);
         let rate = rate.map(|r| r.max(RATE_LEAST));
         let before = self.known.get(&key).copied();
         if rate.is_none() && before.is_none() {
@@ -141,7 +141,7 @@
 
     /// Requests a second that an upstream takes from all boxes, if it names a limit.
     pub fn rate(&self, id: &str) -> Option<f64> {
-        self.rate_of(share::key(id))
+        self.rate_of(ident::key(id))
     }
 
     /// The same by its key.
--- a/crates/ashgauge/src/permit/mod.rs
+++ b/crates/ashgauge/src/permit/mod.rs
@@ -22,8 +22,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::member::BoxId;
-use crate::share::UpstreamKey;
+use crate::ident::{BoxId, UpstreamKey};
 
 /// Least and most time for which an upstream is left alone once no permit was given.
 const CLOSED_RANGE: (Duration, Duration) = (Duration::from_millis(10), Duration::from_secs(5));
--- a/crates/ashgauge/src/permit/passed.rs
+++ b/crates/ashgauge/src/permit/passed.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use crate::member::BoxId;
+use crate::ident::BoxId;
 
 /// Asks in a row without an answer after which a box is passed over: one datagram may be
 /// lost, and a box that is only slow must not count as gone.
--- a/crates/ashgauge/src/share.rs
+++ b/crates/ashgauge/src/share.rs
@@ -14,10 +14,10 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::demand::Flows;
-use crate::member::BoxId;
+use crate::ident::BoxId;
+pub use crate::ident::{UpstreamKey, key};
 use crate::permit::Told;
 
 /// Least time that a box's last word counts. Its streams end with it if it
@@ -49,9 +49,6 @@
 /// their own requests in a second or two.
 const SUSPECTS_TIME: Duration = Duration::from_millis(350);
 
-/// Number that stands for an upstream's id in a word.
-pub type UpstreamKey = u32;
-
 /// What one box, or all of them, have on an upstream.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Use {
@@ -150,11 +147,6 @@
     time <= SUSPECTS_TIME
 }
 
-/// The number that stands for an upstream.
-pub fn key(id: &str) -> UpstreamKey {
-    xxh3_64(id.as_bytes()) as UpstreamKey
-}
-
 /// Times between two words to the own data centre, with so many `near` boxes,
 /// and to those elsewhere, in a fleet with so many `others`.
 ///
