--- a/crates/ashgauge/tests/common/mod.rs
+++ b/crates/ashgauge/tests/common/mod.rs
@@ -1,5 +1,9 @@
-//! What the property tests share.
+//! What several tests share.
 
+// Each test uses a part of it.
+#![allow(dead_code)]
+
+use ashgauge::share::{Scope, Uses, Word};
 use proptest::test_runner::{Config, RngSeed};
 
 /// The same cases every run.
@@ -11,3 +15,19 @@
         ..Config::default()
     }
 }
+
+/// The first word of a box, which tells its own uses of upstreams and nothing else.
+pub fn word(from: &str, uses: Uses) -> Word {
+    Word {
+        from: from.into(),
+        boot: 1,
+        number: 1,
+        scope: Scope::Own,
+        boxes: 1,
+        uses,
+        suspects: Vec::new(),
+        limits: Vec::new(),
+        flows: Default::default(),
+        slow: Vec::new(),
+    }
+}
--- a/crates/ashgauge/tests/forecast.rs
+++ b/crates/ashgauge/tests/forecast.rs
@@ -1,5 +1,6 @@
 //! What is forecast for a chain, and what is learned from what came.
 
+mod common;
 mod engines;
 
 use std::sync::Arc;
@@ -11,7 +12,7 @@
 use ashgauge::roster::Roster;
 use ashgauge::routing::{Card, Model};
 use ashgauge::scene::Scene;
-use ashgauge::share::{Shares, Use, Word, key};
+use ashgauge::share::{Shares, Use, key};
 use ashgauge::upstream::Span;
 use engines::{model, scene, twins, upstream};
 use proptest::prelude::*;
@@ -90,19 +91,7 @@
         };
         (key(id), used)
     });
-    let word = Word {
-        from: "box-2".into(),
-        boot: 1,
-        number: 1,
-        scope: Default::default(),
-        boxes: 1,
-        uses: uses.into(),
-        suspects: Vec::new(),
-        limits: Vec::new(),
-        flows: Default::default(),
-        slow: Vec::new(),
-    };
-    assert!(shares.hear(NOW, word));
+    assert!(shares.hear(NOW, common::word("box-2", uses.into())));
     let scene = scene(&roster, &pipes, &shares, &place);
     let scene = Scene {
         boxes: 2.0,
@@ -308,19 +297,7 @@
         let (pipes, mut shares, place) = (Pipes::default(), Shares::default(), Arc::from("a"));
         let (requests, reading) = used;
         let uses = vec![(key("a1"), Use { requests, reading, ..Use::default() })];
-        let word = Word {
-            from: "box-2".into(),
-            boot: 1,
-            number: 1,
-            scope: Default::default(),
-            boxes: 1,
-            uses,
-            suspects: Vec::new(),
-            limits: Vec::new(),
-            flows: Default::default(),
-            slow: Vec::new(),
-        };
-        shares.hear(NOW, word);
+        shares.hear(NOW, common::word("box-2", uses));
         let scene = scene(&roster, &pipes, &shares, &place);
         let scene = Scene { boxes, neighbours, ..scene };
         let stages: Vec<_> = spans.iter().map(|(id, from, to)| stage(id, *from, *to)).collect();
--- a/crates/ashgauge/tests/hub.rs
+++ b/crates/ashgauge/tests/hub.rs
@@ -71,16 +71,10 @@
 
 fn word(from: &BoxId, scope: Scope, sum: Sum) -> Word {
     Word {
-        from: from.clone(),
-        boot: 1,
-        number: 1,
         scope,
         boxes: sum.boxes,
-        uses: sum.uses,
         suspects: sum.suspects,
-        limits: Vec::new(),
-        flows: Default::default(),
-        slow: Vec::new(),
+        ..common::word(from, sum.uses)
     }
 }
 
--- a/crates/ashgauge/tests/share.rs
+++ b/crates/ashgauge/tests/share.rs
@@ -5,7 +5,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use ashgauge::share::{self, Scope, Shares, Use, Word, tell_times};
+use ashgauge::share::{self, Shares, Use, Word, tell_times};
 use proptest::prelude::*;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -18,16 +18,9 @@
         reading: requests,
     };
     Word {
-        from: format!("box-{from}").into(),
         boot,
         number,
-        scope: Scope::Own,
-        boxes: 1,
-        uses: vec![(share::key("e1"), used)],
-        suspects: Vec::new(),
-        limits: Vec::new(),
-        flows: Default::default(),
-        slow: Vec::new(),
+        ..common::word(&format!("box-{from}"), vec![(share::key("e1"), used)])
     }
 }
 
--- a/crates/ashgauge/tests/slow.rs
+++ b/crates/ashgauge/tests/slow.rs
@@ -1,10 +1,11 @@
 //! Engines that say that they are slow, as boxes tell each other.
 
+mod common;
 mod engines;
 
 use std::time::Duration;
 
-use ashgauge::share::{self, Scope, Shares, Sum, Word};
+use ashgauge::share::{self, Shares, Sum, Word};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -42,16 +43,8 @@
     let key = share::key("a1");
     for (n, factor) in [30, 120].into_iter().enumerate() {
         let word = Word {
-            from: format!("box-{n}").into(),
-            boot: 1,
-            number: 1,
-            scope: Scope::Own,
-            boxes: 1,
-            uses: Vec::new(),
-            suspects: Vec::new(),
-            limits: Vec::new(),
-            flows: Default::default(),
             slow: vec![(key, factor)],
+            ..common::word(&format!("box-{n}"), Vec::new())
         };
         assert!(shares.hear(SECOND, word));
     }
--- a/crates/ashgauge/tests/worst_load.rs
+++ b/crates/ashgauge/tests/worst_load.rs
@@ -1,6 +1,7 @@
 //! Choices at the worst load: herds after a loss, engines that fill up or read
 //! all the time.
 
+mod common;
 mod engines;
 
 use std::sync::Arc;
@@ -14,7 +15,7 @@
 use ashgauge::roster::Roster;
 use ashgauge::routing::Card;
 use ashgauge::scene::Scene;
-use ashgauge::share::{Scope, Shares, Word};
+use ashgauge::share::Shares;
 use ashgauge::upstream::Span;
 use engines::{BOXES, model, scene, twins};
 use rand::SeedableRng;
@@ -25,18 +26,7 @@
 fn heard_before() -> Shares {
     let mut shares = Shares::default();
     for n in 0..72 {
-        let word = Word {
-            from: format!("box-{n}").into(),
-            boot: 1,
-            number: 1,
-            scope: Scope::Own,
-            boxes: 1,
-            uses: Vec::new(),
-            suspects: Vec::new(),
-            limits: Vec::new(),
-            flows: Default::default(),
-            slow: Vec::new(),
-        };
+        let word = common::word(&format!("box-{n}"), Vec::new());
         assert!(shares.hear(Duration::from_secs(100), word));
     }
     shares
