Choose resumed streams and detours by the work that remains

Cause: a stream that resumes on another chain was taken to be halfway through its answer, and the part of a chain that replaces a lost engine was chosen for a usual request. A stream that had brought a few events of a long answer went on over an engine with fast prefill and slow decode; a stream with a long prompt was led over an engine with slow prefill.

Change: the id of the last event that was forwarded is passed to the choice, and `Shape::after_events` gives what remains: the prompt and the tokens generated so far need prefill, the rest of the answer needs decode, bounded as before. The shape is part of `Wish`, so `choose_shaped` and `choose_chain` are one function. Without event ids a detour goes by the events that the run has brought; such a stream has no second run. Where the overload components are disabled the shape is `None`, as before.

--- a/crates/ashgauge/src/shape.rs
+++ b/crates/ashgauge/src/shape.rs
@@ -44,6 +44,12 @@
         }
     }
 
+    /// The shape of the rest of a request after so many events of its answer.
+    pub fn after_events(self, events: u64, model: &Model) -> Self {
+        let tokens = events.saturating_mul(u64::from(model.event_tokens));
+        self.after(tokens.try_into().unwrap_or(u32::MAX), model)
+    }
+
     /// A stream that goes on is in the middle of its answer, if nothing else is known.
     fn new(prompt: u32, answer: u32) -> Self {
         Shape {
--- a/crates/ashgauge/tests/shape.rs
+++ b/crates/ashgauge/tests/shape.rs
@@ -234,6 +234,23 @@
     assert_eq!((unbegun.prompt, unbegun.answer), (1000, 400));
 }
 
+/// Guards against streams that go on being taken to be in the middle of their answer, against
+/// events that are taken for one token each, and against an absurd id of the last event.
+#[test]
+fn rest_of_a_stream_follows_from_its_last_event() {
+    let mut model = model();
+    model.event_tokens = 5;
+    let begun = Shape::of(1000, 400, &model);
+    assert_eq!(begun.after_events(0, &model), begun.after(0, &model));
+    assert_eq!(begun.after_events(3, &model), begun.after(15, &model));
+    assert_eq!(begun.after_events(60, &model), begun.after(300, &model));
+    for events in [1_000_000_000, u64::from(u32::MAX) + 1, u64::MAX] {
+        let rest = begun.after_events(events, &model);
+        assert_eq!(rest.prompt, 1000 + model.answer * 8, "{events}");
+        assert_eq!(rest.answer, model.answer / 8, "{events}");
+    }
+}
+
 /// The engine of the second half of the layers for a prompt of so many tokens, where that
 /// of the own data centre is full and the pipe to the other one is narrow.
 fn second_half(prompt: u32, seed: u64) -> UpstreamId {
--- a/crates/ashgauged/src/relay/pick.rs
+++ b/crates/ashgauged/src/relay/pick.rs
@@ -48,13 +48,14 @@
 /// Chooses a chain for the request, of which the first engine may need a permit.
 ///
 /// An answer that goes on elsewhere is not held up for want of room: its caller
-/// has a part of it already.
+/// has a part of it already, up to event `last`.
 fn pick(
     desk: &Desk,
     a: &Admitted,
     handoff: &Handoff,
     avoid: &[UpstreamId],
     goes_on: bool,
+    last: Option<u64>,
 ) -> Result<Chosen, NoWay> {
     if !is_allowed(desk, a) {
         return Err(NoWay::Denied);
@@ -63,13 +64,13 @@
         return Err(NoWay::Held);
     }
     let need = need(desk, a).filter(|_| !goes_on);
-    if let Some(chosen) = choose_apart(desk, a, handoff, avoid, need) {
+    if let Some(chosen) = choose_apart(desk, a, handoff, avoid, need, last) {
         return Ok(chosen);
     }
-    if let Some(chosen) = choose(desk, a, handoff, avoid, need) {
+    if let Some(chosen) = choose(desk, a, handoff, avoid, need, last) {
         return Ok(chosen);
     }
-    if need.is_some() && choose(desk, a, handoff, avoid, None).is_some() {
+    if need.is_some() && choose(desk, a, handoff, avoid, None, last).is_some() {
         return Err(NoWay::Crowded);
     }
     match permit::time_left(desk, &a.service) {
@@ -85,9 +86,10 @@
     handoff: &Handoff,
     avoid: &[UpstreamId],
     goes_on: bool,
+    last: Option<u64>,
 ) -> Result<Chosen, NoWay> {
     for _ in 0..PICKS_MOST {
-        let chosen = pick(desk, a, handoff, avoid, goes_on)?;
+        let chosen = pick(desk, a, handoff, avoid, goes_on, last)?;
         if permit::take(desk, &chosen.stages[0].upstream).await {
             return Ok(chosen);
         }
@@ -102,10 +104,11 @@
     a: &Admitted,
     handoff: &Handoff,
     avoid: &[UpstreamId],
+    last: Option<u64>,
 ) -> Result<Chosen, NoWay> {
     let until = desk.now() + LATE_MOST.min(handoff.left(desk.now()));
     loop {
-        match pick_open(desk, a, handoff, avoid, true).await {
+        match pick_open(desk, a, handoff, avoid, true, last).await {
             Err(NoWay::Closed(_)) if desk.now() < until => sleep(LOOK_EVERY).await,
             picked => return picked,
         }
@@ -130,13 +133,14 @@
     handoff: &Handoff,
     avoid: &[UpstreamId],
     need: Option<Need>,
+    last: Option<u64>,
 ) -> Option<Chosen> {
     if !desk.quarantine.borrow().is_suspect(a.digest) {
         return None;
     }
     let mut avoid = avoid.to_vec();
     avoid.extend(desk.trials.borrow().iter().cloned());
-    choose(desk, a, handoff, &avoid, need)
+    choose(desk, a, handoff, &avoid, need, last)
 }
 
 /// Chooses a chain, or one engine if each holds the whole model.
@@ -146,14 +150,15 @@
     handoff: &Handoff,
     avoid: &[UpstreamId],
     need: Option<Need>,
+    last: Option<u64>,
 ) -> Option<Chosen> {
     match a.service.model.as_ref().filter(|m| m.layers > 0) {
         Some(model) => {
             let span = whole_model(model.layers);
             let slack = need.map_or(Slack::Short, |_| a.slack());
-            let wish = Wish { need, slack };
-            let shape = shape(a, model);
-            let stages = desk.choose_shaped(&a.service.name, model, span, avoid, wish, shape)?;
+            let shape = shape(a, model, last);
+            let wish = Wish { need, slack, shape };
+            let stages = desk.choose_chain(&a.service.name, model, span, avoid, wish)?;
             if !chain::covers(0, model.layers, &stages) {
                 return None;
             }
@@ -182,29 +187,17 @@
 
 /// Whether there is a chain with room for a request without the engines to `avoid`.
 pub fn has_room(desk: &Desk, a: &Admitted, handoff: &Handoff, avoid: &[UpstreamId]) -> bool {
-    choose(desk, a, handoff, avoid, need(desk, a)).is_some()
+    choose(desk, a, handoff, avoid, need(desk, a), a.ask.last_event).is_some()
 }
 
-/// What a request has to read and to write, if its service lets streams in by class.
+/// What a request has to read and to write after event `last`, if its service lets streams
+/// in by class.
 ///
-/// A stream that goes on is taken to be in the middle of what its caller did not have
-/// when it came.
-fn shape(a: &Admitted, model: &Model) -> Option<Shape> {
+/// The answer that its caller expects is the whole one, also of a caller that has a part of it.
+pub fn shape(a: &Admitted, model: &Model, last: Option<u64>) -> Option<Shape> {
     a.class?;
     let whole = Shape::of(a.ask.prompt, a.ask.answer, model);
-    let had = tokens_of(a.ask.last_event.unwrap_or(0), model);
-    let rest = whole.answer.saturating_sub(had);
-    let written = match a.record.first {
-        Some(_) => had.saturating_add(rest / 2),
-        None => had,
-    };
-    Some(whole.after(written, model))
-}
-
-/// Tokens of so many events.
-fn tokens_of(events: u64, model: &Model) -> u32 {
-    let tokens = events.saturating_mul(u64::from(model.event_tokens));
-    tokens.try_into().unwrap_or(u32::MAX)
+    Some(whole.after_events(last.unwrap_or(0), model))
 }
 
 /// The room that a request needs, if it goes over a chain.
--- a/crates/ashgauged/src/relay/pump/mend.rs
+++ b/crates/ashgauged/src/relay/pump/mend.rs
@@ -17,7 +17,7 @@
 
 use super::super::loss::{self, Loss};
 use super::super::open::{Run, SILENT_MOST, begin, id_at};
-use super::super::pick::pick_late;
+use super::super::pick::{self, pick_late};
 use super::super::probe::{ask_engines, find_dead};
 use super::super::recovery;
 use super::super::request::{Hold, note_outcome};
@@ -309,9 +309,12 @@
             first: stage.first,
             end: stage.end,
         };
+        // Without ids there was no other run, so this one brought all events.
+        let last = self.last.unwrap_or(self.run.events);
         let wish = Wish {
             need: None,
             slack: Slack::Short,
+            shape: pick::shape(&self.a, model, Some(last)),
         };
         self.desk
             .choose_chain(&self.a.service.name, model, span, avoid, wish)
@@ -360,7 +363,7 @@
             }
             let (desk, a) = (&self.desk, &mut self.a);
             let began = desk.now();
-            let Ok(chosen) = pick_late(desk, a, &self.handoff, &avoid).await else {
+            let Ok(chosen) = pick_late(desk, a, &self.handoff, &avoid, self.last).await else {
                 return false;
             };
             match begin(desk, a, &mut self.handoff, &mut avoid, self.last, chosen).await {
--- a/crates/ashgauged/src/relay/select.rs
+++ b/crates/ashgauged/src/relay/select.rs
@@ -34,6 +34,8 @@
     pub need: Option<Need>,
     /// How the request stands against its aim.
     pub slack: Slack,
+    /// What it has to read and to write; `None` stands for a usual request.
+    pub shape: Option<Shape>,
 }
 
 impl Desk {
@@ -56,19 +58,6 @@
         span: Span,
         avoid: &[UpstreamId],
         wish: Wish,
-    ) -> Option<Vec<Stage>> {
-        self.choose_shaped(service, model, span, avoid, wish, None)
-    }
-
-    /// The same for a request of this shape; `None` stands for a usual one.
-    pub fn choose_shaped(
-        &self,
-        service: &str,
-        model: &Model,
-        span: Span,
-        avoid: &[UpstreamId],
-        wish: Wish,
-        shape: Option<Shape>,
     ) -> Option<Vec<Stage>> {
         let roster = self.roster.borrow();
         let (pipes, shares) = (self.pipes.borrow(), self.shares.borrow());
@@ -80,7 +69,7 @@
         };
         let scene = Scene {
             together,
-            shape,
+            shape: wish.shape,
             ..scene
         };
         choice::chain(&scene, model, span, avoid, wish.need, &mut *self.rng())
--- a/crates/ashgauged/src/relay/stream.rs
+++ b/crates/ashgauged/src/relay/stream.rs
@@ -41,9 +41,10 @@
         if !may_have_run && !turn.wait(&a).await {
             return no_room(&desk, a);
         }
+        let last = a.ask.last_event;
         let chosen = match may_have_run {
-            true => pick_late(&desk, &a, &handoff, &avoid).await,
-            false => pick_open(&desk, &a, &handoff, &avoid, false).await,
+            true => pick_late(&desk, &a, &handoff, &avoid, last).await,
+            false => pick_open(&desk, &a, &handoff, &avoid, false, last).await,
         };
         let chosen = match chosen {
             Ok(chosen) => chosen,
