Sums of load reports no longer lose other boxes' parts after an absurd one

Cause: Shares kept its sums in the 32-bit fields of Use, saturating on both addition and subtraction. When one box reported figures near u32::MAX and was then replaced or forgotten, the subtraction also removed what the other boxes had reported; the sum stayed too low for as long as they went on reporting.

Change: the sums are 64 bits wide and bounded only where they are read.

Measured: in the new test two boxes with 10 and 20 requests and a third that corrects its report to 5 give 35 requests; before, the sum was 5.

--- a/crates/ashgauge/src/share.rs
+++ b/crates/ashgauge/src/share.rs
@@ -128,7 +128,7 @@
 #[derive(Debug, Default)]
 pub struct Shares {
     heard: HashMap<(BoxId, Scope), Heard>,
-    sums: HashMap<UpstreamKey, Use>,
+    sums: HashMap<UpstreamKey, Total>,
     /// Most boxes that were heard lately, and when so many were heard last.
     most: (usize, Duration),
 }
@@ -226,7 +226,7 @@
 
     /// What all other boxes have on an upstream.
     pub fn others(&self, id: &str) -> Use {
-        self.sums.get(&key(id)).copied().unwrap_or_default()
+        self.sums.get(&key(id)).map(Total::used).unwrap_or_default()
     }
 
     /// Boxes of which something was heard a short while ago.
@@ -305,12 +305,12 @@
             for (key, less) in &old.uses {
                 if let Some(sum) = self.sums.get_mut(key) {
                     sum.take(less);
-                    emptied |= *sum == Use::default();
+                    emptied |= *sum == Total::default();
                 }
             }
         }
         if emptied {
-            self.sums.retain(|_, sum| *sum != Use::default());
+            self.sums.retain(|_, sum| *sum != Total::default());
         }
     }
 }
@@ -366,6 +366,42 @@
     }
 }
 
+/// A sum of uses. It is wider than its parts: what one box tells is taken out again when
+/// its next word comes, and a sum that had overflowed would lack what the others told.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct Total {
+    requests: u64,
+    leads: u64,
+    tokens: u64,
+    reading: u64,
+}
+
+impl Total {
+    fn add(&mut self, more: &Use) {
+        self.requests += u64::from(more.requests);
+        self.leads += u64::from(more.leads);
+        self.tokens += u64::from(more.tokens);
+        self.reading += u64::from(more.reading);
+    }
+
+    fn take(&mut self, less: &Use) {
+        self.requests -= u64::from(less.requests);
+        self.leads -= u64::from(less.leads);
+        self.tokens -= u64::from(less.tokens);
+        self.reading -= u64::from(less.reading);
+    }
+
+    fn used(&self) -> Use {
+        let bounded = |sum: u64| u32::try_from(sum).unwrap_or(u32::MAX);
+        Use {
+            requests: bounded(self.requests),
+            leads: bounded(self.leads),
+            tokens: bounded(self.tokens),
+            reading: bounded(self.reading),
+        }
+    }
+}
+
 impl Use {
     /// Adds another part of the load.
     pub fn add(&mut self, more: &Use) {
--- a/crates/ashgauge/tests/share.rs
+++ b/crates/ashgauge/tests/share.rs
@@ -135,3 +135,25 @@
     let sum = shares.all(share::Sum::default());
     assert_eq!(sum.boxes, u32::MAX);
 }
+
+/// Guards against sums that overflowed: once a box that told absurd figures was forgotten,
+/// the sums lacked what all others had told.
+#[test]
+fn largest_figures_of_one_box_leave_the_others_as_they_are() {
+    let mut shares = Shares::default();
+    shares.hear(SECOND, word(1, 7, 1, 10));
+    shares.hear(SECOND, word(2, 7, 1, 20));
+    let most = Use {
+        requests: u32::MAX,
+        leads: u32::MAX,
+        tokens: u32::MAX,
+        reading: u32::MAX,
+    };
+    let mut absurd = word(3, 7, 1, 0);
+    absurd.uses[0].1 = most;
+    shares.hear(SECOND, absurd);
+    assert_eq!(shares.others("e1"), most);
+    shares.hear(SECOND, word(3, 7, 2, 5));
+    let others = shares.others("e1");
+    assert_eq!((others.requests, others.tokens), (35, 35 * 900));
+}
