--- a/crates/ashgauge/src/share.rs
+++ b/crates/ashgauge/src/share.rs
@@ -377,10 +377,10 @@
     }
 
     fn take(&mut self, less: &Use) {
-        self.requests -= u64::from(less.requests);
-        self.leads -= u64::from(less.leads);
-        self.tokens -= u64::from(less.tokens);
-        self.reading -= u64::from(less.reading);
+        self.requests = self.requests.saturating_sub(less.requests.into());
+        self.leads = self.leads.saturating_sub(less.leads.into());
+        self.tokens = self.tokens.saturating_sub(less.tokens.into());
+        self.reading = self.reading.saturating_sub(less.reading.into());
     }
 
     fn used(&self) -> Use {
