--- a/crates/ashgauge/tests/common/mod.rs
+++ b/crates/ashgauge/tests/common/mod.rs
@@ -5,6 +5,7 @@
 
 use ashgauge::share::{Scope, Uses, Word};
 use proptest::test_runner::{Config, RngSeed};
+use rand::RngCore;
 
 /// The same cases every run.
 pub fn seeded(cases: u32) -> Config {
@@ -31,3 +32,21 @@
         slow: Vec::new(),
     }
 }
+
+/// Draws the same number each time, so that a choice does not depend on the order in
+/// which the engines are looked at.
+pub struct Fixed(pub u64);
+
+impl RngCore for Fixed {
+    fn next_u32(&mut self) -> u32 {
+        (self.0 >> 32) as u32
+    }
+
+    fn next_u64(&mut self) -> u64 {
+        self.0
+    }
+
+    fn fill_bytes(&mut self, bytes: &mut [u8]) {
+        bytes.fill(self.0 as u8);
+    }
+}
--- a/crates/ashgauge/tests/reserve.rs
+++ b/crates/ashgauge/tests/reserve.rs
@@ -1,5 +1,6 @@
 //! Room that a data centre's engines keep for the callers of its own boxes.
 
+mod common;
 mod engines;
 
 use std::collections::VecDeque;
@@ -15,33 +16,16 @@
 use ashgauge::roster::Roster;
 use ashgauge::routing::{Card, Model};
 use ashgauge::scene::Scene;
-use ashgauge::share::{self, Scope, Shares, Use, Word};
+use ashgauge::share::{self, Shares, Use, Uses, Word};
+use common::Fixed;
 use engines::{BOXES, apply, fleet, model, roster, scene};
 use rand::rngs::SmallRng;
-use rand::{Rng, RngCore, SeedableRng};
+use rand::{Rng, SeedableRng};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Digest of the chains that were chosen before there was a reserve.
 const CHOSEN_BEFORE: u64 = 9118701065628053531;
 
-/// Draws the same number each time, so that a choice does not depend on the order in
-/// which the engines are looked at.
-struct Constant(u64);
-
-impl RngCore for Constant {
-    fn next_u32(&mut self) -> u32 {
-        (self.0 >> 32) as u32
-    }
-
-    fn next_u64(&mut self) -> u64 {
-        self.0
-    }
-
-    fn fill_bytes(&mut self, bytes: &mut [u8]) {
-        bytes.fill(self.0 as u8);
-    }
-}
-
 /// The engines of a fleet, filled to different shares as a box of data centre `place` sees them.
 fn filled(place: &str, rng: &mut SmallRng) -> Roster {
     let model = model();
@@ -83,7 +67,7 @@
         let draw = rng.random();
         let choose = |reserved| {
             let need = Some(Need { reserved, ..need });
-            let mut draws = Constant(draw);
+            let mut draws = Fixed(draw);
             choice::chain(&scene, &model(), choice::whole(80), &[], need, &mut draws)
         };
         let chain = choose(0.0);
@@ -125,19 +109,11 @@
     (model, roster)
 }
 
-/// What a box tells of its use of the engines.
-fn word(from: &str, now: Duration, uses: Vec<(u32, Use)>) -> Word {
+/// What a box tells of its use of the engines at a time.
+fn word(from: &str, now: Duration, uses: Uses) -> Word {
     Word {
-        from: from.into(),
-        boot: 1,
         number: now.as_millis() as u64,
-        scope: Scope::Own,
-        boxes: 1,
-        uses,
-        suspects: Vec::new(),
-        limits: Vec::new(),
-        flows: Default::default(),
-        slow: Vec::new(),
+        ..common::word(from, uses)
     }
 }
 
--- a/crates/ashgauge/tests/shape.rs
+++ b/crates/ashgauge/tests/shape.rs
@@ -1,5 +1,6 @@
 //! Which chain a request goes to by its own prompt and answer.
 
+mod common;
 mod engines;
 
 use std::collections::VecDeque;
@@ -19,32 +20,15 @@
 use ashgauge::shape::Shape;
 use ashgauge::share::{self, Scope, Shares, Word};
 use ashgauge::upstream::Span;
+use common::Fixed;
 use engines::{BOXES, apply, fleet, model, roster, scene};
 use rand::rngs::SmallRng;
-use rand::{Rng, RngCore, SeedableRng};
+use rand::{Rng, SeedableRng};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Digest of the chains that were chosen for usual requests before requests had shapes.
 const CHOSEN_BEFORE: u64 = 14884158596742459701;
 
-/// Draws the same number each time, so that a choice does not depend on the order in
-/// which the engines are looked at.
-struct Fixed(u64);
-
-impl RngCore for Fixed {
-    fn next_u32(&mut self) -> u32 {
-        (self.0 >> 32) as u32
-    }
-
-    fn next_u64(&mut self) -> u64 {
-        self.0
-    }
-
-    fn fill_bytes(&mut self, bytes: &mut [u8]) {
-        bytes.fill(self.0 as u8);
-    }
-}
-
 /// The engines of a fleet, each with its own load, some of them lost.
 fn loaded(rng: &mut SmallRng) -> Roster {
     let now = Duration::from_secs(100);
