--- a/crates/ashgauge/src/entry.rs
+++ b/crates/ashgauge/src/entry.rs
@@ -160,7 +160,7 @@
         (seconds - now.saturating_sub(at).as_secs_f64()).max(0.0)
     }
 
-    /// Whether it had a part in something that came less than [`HEARD_TIME`] ago.
+    /// Whether it had a part in something that came less than `HEARD_TIME` ago.
     pub fn was_heard(&self, now: Duration) -> bool {
         self.heard.is_some_and(|at| now < at + HEARD_TIME)
     }
--- a/crates/ashgauge/src/lib.rs
+++ b/crates/ashgauge/src/lib.rs
@@ -41,12 +41,15 @@
 //! - [`ident`], [`member`], [`message`]: boxes and upstreams, and what boxes tell each
 //!   other.
 //! - [`clock`], [`record`]: the time line.
-//! - [`routing`], [`roster`], [`share`], [`hub`], [`scene`], [`shape`], [`pipes`], [`stay`], [`slack`], [`cost`], [`choice`], [`admission`],
-//!   [`placement`], [`rate`], [`pending`],
-//!   [`handoff`], [`digest`], [`quarantine`], [`events`], [`fresh`], [`suspension`]: what a box decides where engines pass activations on among
-//!   themselves and a request is handed on whole.
-//! - [`class`], [`demand`], [`pressure`], [`level`]: who is let in where callers ask for
-//!   more than engines can do in time.
+//! - [`routing`], [`roster`], [`share`], [`hub`], [`scene`]: what a box knows of services,
+//!   upstreams and other boxes.
+//! - [`choice`], [`cost`], [`shape`], [`pipes`], [`slack`], [`admission`], [`stay`]: where a
+//!   request goes, and whether there is room for it.
+//! - [`placement`], [`rate`], [`pending`]: which engines hold which layers.
+//! - [`handoff`], [`digest`], [`quarantine`], [`events`], [`fresh`], [`suspension`]: what
+//!   a box owes a request that it hands on whole.
+//! - [`class`], [`demand`], [`pressure`], [`estimate`], [`level`], [`report`]: who is let in
+//!   where callers ask for more than engines can do in time.
 //! - [`forecast`]: when a chain brings the first event of a stream, and how far apart the
 //!   next are.
 //! - [`recovery`]: how much is done for streams that are held up.
