--- a/crates/ashgauge/tests/choice.rs
+++ b/crates/ashgauge/tests/choice.rs
@@ -10,23 +10,15 @@
 use ashgauge::choice::{self, Need};
 use ashgauge::cost;
 use ashgauge::pipes::Pipes;
-use ashgauge::placement::plan;
 use ashgauge::roster::Roster;
 use ashgauge::routing::Model;
 use ashgauge::share::{self, Scope, Shares, Use, Word};
 use ashgauge::upstream::Span;
-use engines::{BOXES, apply, fleet, model, roster, scene, twins};
+use engines::{BOXES, model, placed, scene, twins};
 use proptest::prelude::*;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-fn placed() -> Roster {
-    let mut seats = fleet();
-    let assignments = plan(&model(), &seats);
-    apply(&mut seats, &assignments);
-    roster(&seats)
-}
-
 /// Memory of a usual request in so many layers, in tokens times layers.
 fn usual(model: &Model, layers: u64) -> u64 {
     u64::from(model.prompt + model.answer) * layers
@@ -416,91 +408,3 @@
     roster.miss(now, "second");
     assert!(choose(&roster, &[]).is_some());
 }
-
-/// Engines that asked for rest are in no chain, neither first nor behind, also not of a
-/// stream that goes on; where layers are left to such engines only, there is none.
-#[test]
-fn no_chain_has_an_engine_at_rest() {
-    let (pipes, shares, place) = (Pipes::default(), Shares::default(), Arc::from("a"));
-    let now = scene(&placed(), &pipes, &shares, &place).now;
-    let span = choice::whole(80);
-    for seed in 0..20 {
-        let mut roster = placed();
-        let mut rng = SmallRng::seed_from_u64(seed);
-        // Chain by chain, all engines of it rest, the last ones the longest.
-        let mut rest = Duration::from_secs(10);
-        let mut chosen = Vec::new();
-        loop {
-            let scene = scene(&roster, &pipes, &shares, &place);
-            let Some(stages) = choice::chain(&scene, &model(), span, &[], None, &mut rng) else {
-                break;
-            };
-            let again = stages.iter().find(|s| chosen.contains(&s.upstream));
-            assert!(again.is_none(), "{again:?} rests");
-            for stage in stages {
-                roster.note_rest(now, &stage.upstream, rest);
-                chosen.push(stage.upstream);
-            }
-            rest += Duration::from_secs(1);
-        }
-        let scene = scene(&roster, &pipes, &shares, &place);
-        let left = choice::rest_left(&scene, Some(&model()), &mut rng);
-        assert_eq!(left, Some(Duration::from_secs(10)));
-    }
-}
-
-/// An engine that takes no more requests leads no chain, and goes on to be led to; where
-/// nothing else leads, it is told when it takes the next one.
-#[test]
-fn closed_engine_leads_no_chain() {
-    let (pipes, shares, place) = (Pipes::default(), Shares::default(), Arc::from("a"));
-    let mut roster = placed();
-    let now = scene(&roster, &pipes, &shares, &place).now;
-    let (span, second) = (choice::whole(80), Duration::from_secs(1));
-    let mut rng = SmallRng::seed_from_u64(1);
-    let leads = |e: &ashgauge::entry::Entry| e.upstream.layers.is_some_and(|l| l.first == 0);
-    let all: Vec<_> = roster.all().cloned().collect();
-    let behind = all
-        .iter()
-        .filter(|e| e.upstream.layers.is_some() && !leads(e));
-    behind.for_each(|e| roster.close(now, &e.upstream.id, second * 9));
-    let mut led = 0;
-    loop {
-        let scene = scene(&roster, &pipes, &shares, &place);
-        let Some(stages) = choice::chain(&scene, &model(), span, &[], None, &mut rng) else {
-            break;
-        };
-        led += 1;
-        roster.close(now, &stages[0].upstream, second * (10 - led));
-    }
-    assert!(led >= 2, "{led}");
-    let scene = scene(&roster, &pipes, &shares, &place);
-    let left = choice::rest_left(&scene, Some(&model()), &mut rng);
-    assert_eq!(left, Some(second * (10 - led)));
-}
-
-/// The time to come back is told only if rest is what stands in the way.
-#[test]
-fn rest_is_not_told_while_there_is_a_way() {
-    let (pipes, shares, place) = (Pipes::default(), Shares::default(), Arc::from("a"));
-    let mut rng = SmallRng::seed_from_u64(1);
-    let mut roster = Roster::default();
-    let second = Duration::from_secs(1);
-    let left = |roster: &Roster, rng: &mut SmallRng| {
-        let scene = scene(roster, &pipes, &shares, &place);
-        choice::rest_left(&scene, None, rng)
-    };
-    assert_eq!(left(&roster, &mut rng), None);
-    let now = scene(&roster, &pipes, &shares, &place).now;
-    for id in ["e1", "e2"] {
-        roster.put(engines::upstream(id, "a", "small", None, 1));
-    }
-    roster.note_rest(now, "e1", second * 3);
-    assert_eq!(left(&roster, &mut rng), None);
-    roster.note_rest(now, "e2", second * 2);
-    assert_eq!(left(&roster, &mut rng), Some(second * 2));
-    assert_eq!(
-        choice::upstream(&scene(&roster, &pipes, &shares, &place), &[], &mut rng),
-        None
-    );
-}
--- a/crates/ashgauge/tests/engines/mod.rs
+++ b/crates/ashgauge/tests/engines/mod.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use ashgauge::pipes::Pipes;
-use ashgauge::placement::{Assignment, Seat};
+use ashgauge::placement::{Assignment, Seat, plan};
 use ashgauge::roster::Roster;
 use ashgauge::routing::{Card, Model};
 use ashgauge::scene::Scene;
@@ -151,3 +151,11 @@
     }
     roster
 }
+
+/// The engines of [`fleet`] as placement gives them layers.
+pub fn placed() -> Roster {
+    let mut seats = fleet();
+    let assignments = plan(&model(), &seats);
+    apply(&mut seats, &assignments);
+    roster(&seats)
+}
--- a/crates/proof/src/process.rs
+++ b/crates/proof/src/process.rs
@@ -67,6 +67,8 @@
         let mut command = Command::new(binary(name)?);
         command
             .args(args)
+            // Stand-ins break connections by a panic, which a backtrace holds up by 0.1 s.
+            .env("RUST_BACKTRACE", "0")
             .stdin(Stdio::null())
             .stdout(Stdio::piped());
         if std::env::var_os("PROOF_LOGS").is_none() {
