--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -150,8 +150,5 @@
     except (CannotRun, net.Broken, OSError, asyncio.TimeoutError) as e:
         deployment.say(f"cannot run: {type(e).__name__}: {e}")
     finally:
-        if os.environ.get("KEEP_LOGS"):
-            print("logs:", deployment.folder)
-            os.system(f"cp -r {deployment.folder} /tmp/kept-logs")
         deployment.close()
     sys.exit(code)
