--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -56,10 +56,10 @@
 
 
 class Deployment:
-    def __init__(self, case_folder):
+    def __init__(self, record):
         self.folder = tempfile.mkdtemp(prefix="ashgauge-review-")
         self.processes = []
-        self.record_file = open(os.path.join(case_folder, "record.txt"), "w")
+        self.record_file = open(record, "w")
         self.began = time.time()
         if not os.path.exists(BOX):
             raise CannotRun("target/release/ashgauged is not built")
@@ -133,12 +133,15 @@
         os.rmdir(self.folder)
 
 
-def run(case_folder, play):
-    """Runs `play(deployment, trouble)`, which returns the violations of the rule it found."""
+def run(record, play):
+    """Runs `play(deployment, trouble)`, which returns the violations of the rule that it found.
+
+    The file `record` gets what was sent, answered and run.
+    """
     trouble = os.environ.get("TROUBLE", "1") != "0"
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
-        deployment = Deployment(case_folder)
+        deployment = Deployment(record)
     except CannotRun as e:
         print(f"cannot run: {e}")
         sys.exit(2)
--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -83,6 +83,7 @@
             return True
         if path == "/order":
             status = await self.order(json.loads(body), headers)
+            self.record(what="answers order", status=status)
             writer.write(net.answer(status, b"{}"))
             return True
         if path == "/health":
