Show why no box makes an offer

Cause: a request of a box that reaches no upstream and finds no offer ends as not run, and nothing tells whether nobody was asked, nobody replied or all replies led to boxes that decline. Change: a line `no offer` with the box's role and the number of boxes that it asks; the results `offered` and `no reply` of ashgauge_egress_total count requests for offers. Result: lints pass; no change of what the box decides.

--- a/crates/ashgauged/src/relay/egress.rs
+++ b/crates/ashgauged/src/relay/egress.rs
@@ -16,13 +16,14 @@
 use rand::Rng;
 use rand::seq::{IndexedRandom, SliceRandom};
 use serde_json::json;
+use spdlog::Level;
 use tokio::time::timeout;
 
 use super::dial::{self, OpenResponse};
 use super::forward::MAX_ANSWER_BYTES;
 use super::request::{FullResponse, RoutedRequest, failure_outcome, is_authorized};
 use super::shared_state::{Peer, SharedState};
-use super::{messaging, open, retry};
+use super::{log, messaging, open, retry};
 
 /// Header with the token of an offer, on a request that another box sends.
 pub const TOKEN_HEADER: HeaderName = HeaderName::from_static("ashgauge-egress");
@@ -268,10 +269,18 @@
     if offer.is_none() {
         let until = shared.now() + UNOFFERED_TIME;
         shared.egress.unoffered_until.set(until);
+        log_unoffered(shared);
     }
     offer
 }
 
+/// Logs that no box made an offer, and how many were asked.
+fn log_unoffered(shared: &SharedState) {
+    let boxes = boxes_to_ask(shared).len();
+    let fields = json!({"boxes": boxes, "role": format!("{:?}", shared.role())});
+    log::event(Level::Warn, "egress", "no offer", fields);
+}
+
 /// Chooses an offer, and asks for more before they expire.
 fn choose_offer(shared: &SharedState) -> Option<(SocketAddr, Token)> {
     let now = shared.now();
@@ -329,8 +338,10 @@
 /// cut off itself does not reply.
 pub fn handle_request(shared: &SharedState, request: &OfferRequest, to: SocketAddr) {
     if !shared.is_ready() || shared.reach.is_cut_off() {
+        count(shared, "no reply");
         return;
     }
+    count(shared, "offered");
     let leaves = shared.leaves();
     let leaves = leaves.iter().filter(|(id, _)| *id != request.from);
     let leaves: Vec<SocketAddr> = leaves.map(|(_, peer)| peer.addr).collect();
@@ -399,7 +410,7 @@
     }
 }
 
-/// Counts a send through another box, or a request of another box.
+/// Counts a send through another box, or a request or message of another box.
 pub fn count(shared: &SharedState, result: &str) {
     shared.metrics.egress.with_label_values(&[result]).inc();
 }
