--- a/crates/standin/src/ends.rs
+++ b/crates/standin/src/ends.rs
@@ -35,15 +35,13 @@
 }
 
 impl Ends {
-    /// Returns whether a process has the socket at the far end.
-    pub fn belong_to(self, process: u32) -> bool {
+    /// Returns whether one of the processes has the socket at the far end.
+    pub fn belong_to_any(self, processes: &[u32]) -> bool {
         let Some(inode) = self.far_inode() else {
             return false;
         };
         let link = format!("socket:[{inode}]");
-        let files = std::fs::read_dir(format!("/proc/{process}/fd"));
-        let mut files = files.into_iter().flatten().flatten();
-        files.any(|file| std::fs::read_link(file.path()).is_ok_and(|to| to.to_str() == Some(&link)))
+        processes.iter().any(|process| has_file(*process, &link))
     }
 
     /// Asks the kernel for the inode of the socket at the far end.
@@ -70,6 +68,13 @@
     }
 }
 
+/// Returns whether a process has an open file whose link in `/proc` is `link`.
+fn has_file(process: u32, link: &str) -> bool {
+    let files = std::fs::read_dir(format!("/proc/{process}/fd"));
+    let mut files = files.into_iter().flatten().flatten();
+    files.any(|file| std::fs::read_link(file.path()).is_ok_and(|to| to.as_os_str() == link))
+}
+
 /// Builds the query for a TCP socket by its own and its peer's address.
 fn socket_query(own: SocketAddrV4, peer: SocketAddrV4) -> Vec<u8> {
     let mut query = Vec::with_capacity(QUERY_BYTES as usize);
--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -40,19 +40,21 @@
     pub refuse: bool,
     /// Ids of the processes whose connections the faults affect; empty for all connections.
     pub processes: Vec<u32>,
+    /// Ids of the processes whose connections the faults do not affect.
+    pub spared: Vec<u32>,
 }
 
 impl Mode {
     /// Returns whether every new connection is refused, whoever opens it.
     fn refuses_all(&self) -> bool {
-        self.refuse && self.processes.is_empty()
+        self.refuse && self.processes.is_empty() && self.spared.is_empty()
     }
 
     /// Returns the faults that affect a connection.
     fn on(&self, ends: Ends) -> Mode {
-        let is_affected =
-            self.processes.is_empty() || self.processes.iter().any(|id| ends.belong_to(*id));
-        match is_affected {
+        let is_listed = self.processes.is_empty() || ends.belong_to_any(&self.processes);
+        let is_spared = !self.spared.is_empty() && ends.belong_to_any(&self.spared);
+        match is_listed && !is_spared {
             true => self.clone(),
             false => Mode::default(),
         }
