Links tell boxes apart by address, and can drop packets

Cause: a link of the stand-in found the process of a connection by the files of all processes, which took most of the processor time with 48 boxes: connections waited past the boxes' time limits, and boxes that were not cut off took themselves for it. No test could cut a box off so that its connections hang before they are accepted, as in a network that is down. Change: the setting `source` names the address from which a box opens connections; a link's faults can be limited to such addresses, and a packet filter drops what opens connections.

--- a/crates/ashgauged/src/relay/dial.rs
+++ b/crates/ashgauged/src/relay/dial.rs
@@ -12,7 +12,6 @@
 use hyper::client::conn::http1;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
@@ -47,7 +46,7 @@
 /// Fails with [`Failure::NotSent`] if there is no connection within `limit`.
 pub async fn connect(addr: &str, limit: Duration) -> Result<Connection, Failure> {
     let not_sent = |cause: String| Failure::NotSent(cause);
-    let stream = match timeout(limit, TcpStream::connect(addr)).await {
+    let stream = match timeout(limit, http::connect(addr)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(e)) => return Err(not_sent(e.to_string())),
         Err(_) => return Err(not_sent("no connection in time".into())),
--- a/crates/ashgauged/src/relay/mod.rs
+++ b/crates/ashgauged/src/relay/mod.rs
@@ -94,6 +94,9 @@
 pub fn run(path: &Path) -> Result<()> {
     let settings = Settings::load(path)?;
     log::start(&settings.log, &settings.id)?;
+    if let Some(source) = settings.source {
+        http::set_source(source);
+    }
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
--- a/crates/ashgauged/src/relay/probe.rs
+++ b/crates/ashgauged/src/relay/probe.rs
@@ -17,7 +17,6 @@
 use rand::Rng;
 use serde_json::json;
 use spdlog::Level;
-use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
@@ -309,7 +308,7 @@
     let cell = cached_cell(&shared.probes.reachable, shared.now(), &addr, max_age);
     let probe = async {
         matches!(
-            timeout(PROBE_TIMEOUT, TcpStream::connect(&addr)).await,
+            timeout(PROBE_TIMEOUT, http::connect(&addr)).await,
             Ok(Ok(_))
         )
     };
--- a/crates/ashgauged/src/relay/settings.rs
+++ b/crates/ashgauged/src/relay/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of a relay box.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::Path;
 use std::time::Duration;
 
@@ -31,6 +31,10 @@
     /// each box only knows its own load.
     #[serde(default)]
     pub peer: Option<String>,
+    /// IP address from which connections to upstreams, the store and other boxes are opened;
+    /// without it the system chooses one.
+    #[serde(default)]
+    pub source: Option<IpAddr>,
     /// Address of the platform's store.
     pub store: String,
     /// Whether the whole fleet starts for the first time, so that boxes discover each
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -10,9 +10,10 @@
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::connect::connect;
+
 type Sender = SendRequest<Full<Bytes>>;
 
 /// Maximum number of idle connections for one address.
@@ -126,7 +127,7 @@
 
     async fn connect(&self, addr: &str) -> Result<Sender, Failure> {
         let not_sent = |e: &dyn fmt::Display| Failure::NotSent(e.to_string());
-        let stream = match timeout(self.connect_timeout, TcpStream::connect(addr)).await {
+        let stream = match timeout(self.connect_timeout, connect(addr)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(e)) => return Err(not_sent(&e)),
             Err(_) => return Err(Failure::NotSent("connecting took too long".into())),
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -7,10 +7,12 @@
 #![forbid(unsafe_code)]
 
 mod client;
+mod connect;
 mod headers;
 mod server;
 
 pub use client::{Client, Failure};
+pub use connect::{connect, set_source};
 pub use headers::retry_after;
 pub use http_body_util::Full;
 pub use server::{Body, Limits, empty, full, json, read_body, serve};
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod ends;
 pub mod engine;
+mod filter;
 pub mod link;
 pub mod model;
 pub mod platform;
