--- a/crates/ashgauge/src/egress.rs
+++ b/crates/ashgauge/src/egress.rs
@@ -1,11 +1,11 @@
-//! Requests sent through other boxes, for a box that reaches no upstream itself.
+//! Requests sent through other boxes, for a box that does not reach the upstreams itself.
 //!
-//! A box that is cut off asks others for an offer. An offer names a box that reaches upstreams
-//! and holds a token, without which that box accepts no request from another. A box in a large
-//! fleet knows only the hubs, which offer one of the boxes that report to them instead of
-//! themselves. Requests are spread over the offers by load.
+//! A box that is cut off from a service asks others for an offer. An offer comes from a box that
+//! reaches the service, and holds a token, without which that box accepts no request from
+//! another. A box in a large fleet may know few others, so hubs refer its request to boxes that
+//! report to them. Requests are spread over the offers by load.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -14,6 +14,7 @@
 
 use crate::member::BoxId;
 use crate::query::QueryId;
+use crate::routing::ServiceId;
 
 /// Number that authorizes a box to send requests through another one.
 pub type Token = u64;
@@ -31,6 +32,12 @@
 /// Maximum number of valid tokens of a box.
 const MAX_TOKENS: usize = 1024;
 
+/// How long a hub refers no request to a box that made no offer.
+const DECLINE_TTL: Duration = Duration::from_millis(500);
+
+/// Maximum number of boxes, each counted once for a service, that a hub refers no request to.
+const MAX_DECLINES: usize = 1024;
+
 /// Request of a box for an offer.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct OfferRequest {
@@ -38,9 +45,24 @@
     pub from: BoxId,
     /// Number of the request.
     pub id: QueryId,
+    /// Service that it is cut off from.
+    pub service: ServiceId,
+}
+
+/// Request for an offer that a hub passes on to a box that reports to it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Referral {
+    /// Name of the hub.
+    pub from: BoxId,
+    /// Number of the request.
+    pub id: QueryId,
+    /// Service that the requesting box is cut off from.
+    pub service: ServiceId,
+    /// Address of the requesting box, which the offer is sent to.
+    pub to: SocketAddr,
 }
 
-/// Offer to send requests through a box.
+/// Offer to send requests for a service through a box.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct OfferReply {
     /// Name of the box that replies.
@@ -51,17 +73,19 @@
     pub addr: SocketAddr,
     /// Token that this box accepts.
     pub token: Token,
-    /// Requests in flight at this box; 0 if the replying box does not know.
+    /// Requests in flight at this box.
     pub load: u32,
+    /// Whether the offer is to be used only if there are no others, as the box is a hub.
+    pub is_reserve: bool,
 }
 
-/// Tells a box that another one may send it requests with this token.
+/// Tells a hub that the box to which it referred a request makes no offer.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Introduction {
-    /// Name of the box that made the offer.
+pub struct Decline {
+    /// Name of the box that replies.
     pub from: BoxId,
-    /// Token in the offer.
-    pub token: Token,
+    /// Service that it does not reach either.
+    pub service: ServiceId,
 }
 
 /// An offer that a box may use.
@@ -71,6 +95,7 @@
     token: Token,
     /// Load of the offering box, and requests that were sent to it since.
     load: u32,
+    is_reserve: bool,
     received: Duration,
 }
 
@@ -86,7 +111,7 @@
 /// let (now, mut rng) = (Duration::from_secs(1), SmallRng::seed_from_u64(1));
 /// let addr = "10.0.0.2:7340".parse().unwrap();
 /// let mut offers = Offers::default();
-/// offers.add(now, &OfferReply { from: "b".into(), id: 1, addr, token: 7, load: 0 });
+/// offers.add(now, &OfferReply { from: "b".into(), id: 1, addr, token: 7, load: 0, is_reserve: false });
 /// assert_eq!(offers.choose(now, &mut rng), Some((addr, 7)));
 /// assert_eq!(offers.choose(now + OFFER_TTL, &mut rng), None);
 /// ```
@@ -107,6 +132,7 @@
             addr: reply.addr,
             token: reply.token,
             load: reply.load,
+            is_reserve: reply.is_reserve,
             received: now,
         });
     }
@@ -117,20 +143,22 @@
     }
 
     /// Chooses a box to send a request to: the one with less load of two at random. Counts the
-    /// request as load there.
+    /// request as load there. Offers in reserve are used only if there are no others.
     pub fn choose(&mut self, now: Duration, rng: &mut impl Rng) -> Option<(SocketAddr, Token)> {
         self.expire(now);
-        let count = self.offers.len();
-        if count == 0 {
+        let has_others = self.offers.iter().any(|offer| !offer.is_reserve);
+        let offers = self.offers.iter_mut();
+        let mut usable: Vec<_> = offers.filter(|o| !(o.is_reserve && has_others)).collect();
+        if usable.is_empty() {
             return None;
         }
-        let first = rng.random_range(0..count);
-        let second = rng.random_range(0..count);
-        let chosen = match self.offers[second].load < self.offers[first].load {
+        let first = rng.random_range(0..usable.len());
+        let second = rng.random_range(0..usable.len());
+        let chosen = match usable[second].load < usable[first].load {
             true => second,
             false => first,
         };
-        let offer = &mut self.offers[chosen];
+        let offer = &mut usable[chosen];
         offer.load = offer.load.saturating_add(1);
         Some((offer.addr, offer.token))
     }
@@ -165,3 +193,29 @@
             .is_some_and(|until| now < *until)
     }
 }
+
+/// Boxes that lately made no offer although a request was referred to them, as a hub knows them.
+///
+/// Where most boxes are cut off, the hub thus finds those that are not.
+#[derive(Clone, Debug, Default)]
+pub struct Declines {
+    until: HashMap<(BoxId, ServiceId), Duration>,
+}
+
+impl Declines {
+    /// Records that a box makes no offer for a service.
+    pub fn insert(&mut self, now: Duration, decline: Decline) {
+        self.until.retain(|_, until| now < *until);
+        if self.until.len() < MAX_DECLINES {
+            let until = now + DECLINE_TTL;
+            self.until.insert((decline.from, decline.service), until);
+        }
+    }
+
+    /// Returns the boxes that make no offer for a service.
+    pub fn of_service(&self, now: Duration, service: &str) -> HashSet<&BoxId> {
+        let valid = self.until.iter().filter(|(_, until)| now < **until);
+        let boxes = valid.filter(|((_, declined), _)| &**declined == service);
+        boxes.map(|((id, _), _)| id).collect()
+    }
+}
--- a/crates/ashgauge/src/query.rs
+++ b/crates/ashgauge/src/query.rs
@@ -12,7 +12,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::egress::{Introduction, OfferReply, OfferRequest};
+use crate::egress::{Decline, OfferReply, OfferRequest, Referral};
 use crate::load_report::LoadReport;
 use crate::member::BoxId;
 use crate::mirror::{Revision, Update};
@@ -48,10 +48,12 @@
     AskOffer(OfferRequest),
     /// Offer to send requests through a box.
     Offer(OfferReply),
-    /// Tells a box of an offer that was made in its name.
-    Introduction(Introduction),
+    /// Request for an offer that a hub passes on.
+    Referral(Referral),
     /// Report by the box with this name on parts of prompts that crash upstreams.
     Parts(BoxId, PartReport),
+    /// Reply to a referral by a box that makes no offer.
+    Decline(Decline),
 }
 
 /// Query for the changes that another box has.
@@ -139,7 +141,8 @@
             Datagram::Permit(reply) => &reply.from,
             Datagram::AskOffer(request) => &request.from,
             Datagram::Offer(offer) => &offer.from,
-            Datagram::Introduction(introduction) => &introduction.from,
+            Datagram::Referral(referral) => &referral.from,
+            Datagram::Decline(decline) => &decline.from,
             Datagram::Changed(from)
             | Datagram::Losses(from, _)
             | Datagram::Suspects(from, _)
--- a/crates/ashgauge/src/registry.rs
+++ b/crates/ashgauge/src/registry.rs
@@ -232,12 +232,12 @@
         self.update(id, |e| e.mark_suspect(now)).unwrap_or(false)
     }
 
-    /// Clears what was concluded from connections that failed at `since` or later, because
-    /// this box was cut off.
-    pub fn clear_suspects(&mut self, since: Duration) {
-        self.entries
-            .values_mut()
-            .for_each(|e| e.clear_suspect(since));
+    /// Clears what was concluded from connections to upstreams of a service that failed at
+    /// `since` or later, because this box was cut off from it.
+    pub fn clear_suspects(&mut self, service: &str, since: Duration) {
+        let entries = self.entries.values_mut();
+        let of_service = entries.filter(|e| &*e.upstream.service == service);
+        of_service.for_each(|e| e.clear_suspect(since));
     }
 
     /// Records that an upstream refused a connection right after an existing one broke. It
--- a/crates/ashgauge/src/routing.rs
+++ b/crates/ashgauge/src/routing.rs
@@ -76,6 +76,8 @@
     pub name: ServiceId,
     /// Maximum number of connections to one upstream from all boxes together.
     pub max_connections: u32,
+    /// Path of the upstreams' health check, if they have one.
+    pub health_path: Option<String>,
     /// Model, if the upstreams are model engines.
     pub model: Option<Model>,
 }
--- a/crates/ashgauge/tests/knowledge.rs
+++ b/crates/ashgauge/tests/knowledge.rs
@@ -421,7 +421,8 @@
     registry.mark_suspect(SECOND, "e1");
     registry.mark_suspect(SECOND * 2, "e2");
     registry.note_unreachable(SECOND * 2, "e2");
-    registry.clear_suspects(SECOND * 2);
+    registry.clear_suspects("another", SECOND);
+    registry.clear_suspects("model", SECOND * 2);
     let now = SECOND * 2;
     let accepts = |id| registry.get(id).is_some_and(|e| e.accepts_requests(now));
     assert!(!accepts("e1"), "it was marked before the box was cut off");
--- a/crates/ashgauged/src/relay/egress.rs
+++ b/crates/ashgauged/src/relay/egress.rs
@@ -1,29 +1,25 @@
-//! Sends requests through other boxes while this one reaches no upstream, and makes offers to
-//! boxes that ask for it.
+//! Sends requests through other boxes while this one does not reach the upstreams of their
+//! service.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use ashgauge::attempts::{Attempts, Decision, FailureKind, SendOutcome};
-use ashgauge::egress::{Introduction, OfferReply, OfferRequest, Token};
-use ashgauge::hub::Role;
-use ashgauge::query::Datagram;
+use ashgauge::egress::Token;
 use http_body_util::{BodyExt, Limited};
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{Response, StatusCode};
 use platform::engine;
-use rand::Rng;
-use rand::seq::{IndexedRandom, SliceRandom};
 use serde_json::json;
-use spdlog::Level;
-use tokio::time::timeout;
 
 use super::dial::{self, OpenResponse};
 use super::forward::MAX_ANSWER_BYTES;
-use super::request::{FullResponse, RoutedRequest, failure_outcome, is_authorized};
-use super::shared_state::{Peer, SharedState};
-use super::{log, messaging, open, retry};
+use super::request::{
+    DECLINED_HEADER, FullResponse, RoutedRequest, failure_outcome, is_authorized,
+};
+use super::shared_state::SharedState;
+use super::{offers, open, permit, retry};
 
 /// Header with the token of an offer, on a request that another box sends.
 pub const TOKEN_HEADER: HeaderName = HeaderName::from_static("ashgauge-egress");
@@ -31,33 +27,9 @@
 /// Header with the number of upstreams that the request may still run on.
 pub const RUNS_HEADER: HeaderName = HeaderName::from_static("ashgauge-runs-left");
 
-/// Header on the response of a box that cannot send the request either.
-pub const DECLINED_HEADER: HeaderName = HeaderName::from_static("ashgauge-declined");
-
-/// Maximum number of boxes asked for offers at a time, half of them in the same data centre.
-const MAX_ASKED: usize = 8;
-
-/// Number of leaves that a hub offers at a time.
-const LEAVES_OFFERED: usize = 2;
-
-/// Interval between two requests for offers.
-const ASK_INTERVAL: Duration = Duration::from_millis(50);
-
-/// Age of the last request for offers at which new ones are asked for, before the offers
-/// expire.
-const RENEW_INTERVAL: Duration = Duration::from_millis(700);
-
-/// Longest wait for an offer. A healthy box replies within 2 ms.
-const OFFER_TIMEOUT: Duration = Duration::from_millis(120);
-
-/// How long requests are refused at once after no offer came; offers are asked for meanwhile.
-const UNOFFERED_TIME: Duration = Duration::from_millis(250);
-
-/// Maximum number of boxes that one request is sent to without being accepted.
-const MAX_TRIES: usize = 4;
-
-/// Number of requests in flight from which on a box makes no offers.
-const MAX_INFLIGHT: usize = 512;
+/// Longest search for a box that accepts a request. A box that declines does so within
+/// milliseconds, and many may do so where they were cut off at the same moment.
+const MAX_SEARCH_TIME: Duration = Duration::from_millis(300);
 
 /// Silence after which a retryable request is sent elsewhere; the other box itself continues
 /// its streams elsewhere after [`open::MAX_SILENCE`].
@@ -104,14 +76,29 @@
     }
 }
 
-/// Whether a request goes through another box.
+/// Whether a request goes through another box, as this one is cut off from its service.
 pub fn is_needed(shared: &SharedState, request: &RoutedRequest) -> bool {
-    shared.reach.is_cut_off() && !request.is_forwarded
+    shared.reach.is_cut_off(&request.service.name) && !request.is_forwarded
+}
+
+/// Whether a lost run of a request says nothing about its upstream, as this box is isolated.
+pub fn is_isolated(shared: &SharedState, request: &RoutedRequest) -> bool {
+    let connections = shared.reach.connections.borrow();
+    connections.is_isolated(&request.service.name)
 }
 
-/// Returns whether a box makes an offer.
-pub async fn is_offered(shared: &Rc<SharedState>) -> bool {
-    await_offer(shared).await.is_some()
+/// Whether another box may serve a request for which this one finds no upstream: some do not
+/// accept its connections, which other boxes may reach.
+pub fn is_promising(shared: &SharedState, request: &RoutedRequest) -> bool {
+    let (now, registry) = (shared.now(), shared.registry.borrow());
+    let mut upstreams = registry.of_service(&request.service.name);
+    let has_suspect = upstreams.any(|e| e.is_suspect(now));
+    has_suspect && !request.is_forwarded && permit::limit_wait(shared, &request.service).is_none()
+}
+
+/// Returns whether a box makes an offer for a request.
+pub async fn is_offered(shared: &Rc<SharedState>, request: &RoutedRequest) -> bool {
+    offers::wait(shared, &request.service.name).await.is_some()
 }
 
 /// Sends a request through another box, and returns the response of an upstream, whose body is
@@ -122,8 +109,10 @@
     attempts: &mut Attempts,
     last_event: Option<u64>,
 ) -> Result<(SocketAddr, OpenResponse), Failure> {
-    for _ in 0..MAX_TRIES {
-        let Some((addr, token)) = await_offer(shared).await else {
+    let service = request.service.name.clone();
+    let until = shared.now() + MAX_SEARCH_TIME;
+    while shared.now() < until {
+        let Some((addr, token)) = offers::wait(shared, &service).await else {
             break;
         };
         attempts.record_send(addr.to_string().into());
@@ -135,7 +124,7 @@
             }
             Err(SendFailure::Declined(reason)) => {
                 attempts.retract_send();
-                shared.egress.offers.borrow_mut().remove(addr);
+                offers::withdraw(shared, &service, addr);
                 count(shared, "declined");
                 let fields = json!({"to": addr.to_string(), "why": reason});
                 request.record.log_step("offer withdrawn", fields);
@@ -146,7 +135,7 @@
                 return Err(Failure::Refused(response));
             }
             Err(SendFailure::Lost) => {
-                shared.egress.offers.borrow_mut().remove(addr);
+                offers::withdraw(shared, &service, addr);
                 count(shared, "lost");
                 return Err(Failure::Lost);
             }
@@ -226,7 +215,7 @@
     }
     let is_declined = headers.contains_key(DECLINED_HEADER);
     match status {
-        _ if is_declined => Err(SendFailure::Declined("cut off as well")),
+        _ if is_declined => Err(SendFailure::Declined("cannot serve it either")),
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
             let refusal = read_whole(response).await;
             Err(refusal.map_or(SendFailure::Lost, SendFailure::Refused))
@@ -247,169 +236,6 @@
     Some(whole)
 }
 
-/// Returns an offer. If there is none, waits for one, unless none came a moment ago.
-async fn await_offer(shared: &Rc<SharedState>) -> Option<(SocketAddr, Token)> {
-    if let Some(offer) = choose_offer(shared) {
-        return Some(offer);
-    }
-    if shared.now() < shared.egress.unoffered_until.get() {
-        return None;
-    }
-    let waiting = async {
-        loop {
-            let offered = shared.egress.offered.notified();
-            if let Some(offer) = choose_offer(shared) {
-                return offer;
-            }
-            // Those that do not reply are cut off themselves, so others are asked.
-            let _ = timeout(ASK_INTERVAL, offered).await;
-        }
-    };
-    let offer = timeout(OFFER_TIMEOUT, waiting).await.ok();
-    if offer.is_none() {
-        let until = shared.now() + UNOFFERED_TIME;
-        shared.egress.unoffered_until.set(until);
-        log_unoffered(shared);
-    }
-    offer
-}
-
-/// Logs that no box made an offer, and how many were asked.
-fn log_unoffered(shared: &SharedState) {
-    let boxes = boxes_to_ask(shared).len();
-    let fields = json!({"boxes": boxes, "role": format!("{:?}", shared.role())});
-    log::event(Level::Warn, "egress", "no offer", fields);
-}
-
-/// Chooses an offer, and asks for more before they expire.
-fn choose_offer(shared: &SharedState) -> Option<(SocketAddr, Token)> {
-    let now = shared.now();
-    let offer = shared
-        .egress
-        .offers
-        .borrow_mut()
-        .choose(now, &mut *shared.rng());
-    let interval = match offer {
-        Some(_) => RENEW_INTERVAL,
-        None => ASK_INTERVAL,
-    };
-    ask_for_offers(shared, interval);
-    offer
-}
-
-/// Asks some boxes for offers, unless that was done less than `interval` ago.
-fn ask_for_offers(shared: &SharedState, interval: Duration) {
-    let now = shared.now();
-    let last = shared.egress.asked.get();
-    if last.is_some_and(|(_, at)| now < at + interval) {
-        return;
-    }
-    let id = shared.rng().random();
-    shared.egress.asked.set(Some((id, now)));
-    let from = shared.settings().id.as_str().into();
-    let request = Datagram::AskOffer(OfferRequest { from, id });
-    for peer in boxes_to_ask(shared) {
-        messaging::send(shared, peer.addr, &request);
-    }
-}
-
-/// Chooses boxes at random, half of them in the same data centre if there are any.
-fn boxes_to_ask(shared: &SharedState) -> Vec<Peer> {
-    let mut known: Vec<Peer> = match shared.role() {
-        Role::Peer => shared.peers.borrow().values().cloned().collect(),
-        Role::Hub | Role::Leaf(_) => hubs(shared),
-    };
-    known.shuffle(&mut *shared.rng());
-    let (mut asked, mut others): (Vec<Peer>, Vec<Peer>) =
-        known.into_iter().partition(|peer| peer.is_local);
-    asked.truncate(MAX_ASKED.saturating_sub(others.len()).max(MAX_ASKED / 2));
-    others.truncate(MAX_ASKED - asked.len());
-    asked.append(&mut others);
-    asked
-}
-
-fn hubs(shared: &SharedState) -> Vec<Peer> {
-    let (peers, readers) = (shared.peers.borrow(), shared.readers.borrow());
-    let hubs = readers.ids.iter().filter_map(|id| peers.get(id));
-    hubs.cloned().collect()
-}
-
-/// Handles a box's request for offers: offers this box, or leaves of this hub. A box that is
-/// cut off itself does not reply.
-pub fn handle_request(shared: &SharedState, request: &OfferRequest, to: SocketAddr) {
-    if !shared.is_ready() || shared.reach.is_cut_off() {
-        count(shared, "no reply");
-        return;
-    }
-    count(shared, "offered");
-    let leaves = shared.leaves();
-    let leaves = leaves.iter().filter(|(id, _)| *id != request.from);
-    let leaves: Vec<SocketAddr> = leaves.map(|(_, peer)| peer.addr).collect();
-    match leaves.is_empty() {
-        true => offer_self(shared, request, to),
-        false => offer_leaves(shared, request, to, &leaves),
-    }
-}
-
-fn offer_self(shared: &SharedState, request: &OfferRequest, to: SocketAddr) {
-    let Some(addr) = shared.peer_addr.get() else {
-        return;
-    };
-    let load = shared.inflight.get();
-    let token = shared.rng().random();
-    if load < MAX_INFLIGHT && accept_token(shared, token) {
-        reply(shared, request, to, addr, token, load as u32);
-    }
-}
-
-fn offer_leaves(shared: &SharedState, request: &OfferRequest, to: SocketAddr, of: &[SocketAddr]) {
-    let chosen = of.choose_multiple(&mut *shared.rng(), LEAVES_OFFERED);
-    let chosen: Vec<SocketAddr> = chosen.copied().collect();
-    for addr in chosen {
-        let token = shared.rng().random();
-        let from = shared.settings().id.as_str().into();
-        let introduction = Datagram::Introduction(Introduction { from, token });
-        messaging::send(shared, addr, &introduction);
-        reply(shared, request, to, addr, token, 0);
-    }
-}
-
-fn reply(
-    shared: &SharedState,
-    request: &OfferRequest,
-    to: SocketAddr,
-    addr: SocketAddr,
-    token: Token,
-    load: u32,
-) {
-    let offer = OfferReply {
-        from: shared.settings().id.as_str().into(),
-        id: request.id,
-        addr,
-        token,
-        load,
-    };
-    messaging::send(shared, to, &Datagram::Offer(offer));
-}
-
-/// Makes a token valid here; returns `false` if there are too many.
-pub fn accept_token(shared: &SharedState, token: Token) -> bool {
-    shared
-        .egress
-        .tokens
-        .borrow_mut()
-        .insert(shared.now(), token)
-}
-
-/// Handles an offer, if it answers the last request for offers.
-pub fn handle_offer(shared: &SharedState, offer: &OfferReply) {
-    let asked = shared.egress.asked.get();
-    if asked.is_some_and(|(id, _)| id == offer.id) {
-        shared.egress.offers.borrow_mut().add(shared.now(), offer);
-        shared.egress.offered.notify_waiters();
-    }
-}
-
 /// Counts a send through another box, or a request or message of another box.
 pub fn count(shared: &SharedState, result: &str) {
     shared.metrics.egress.with_label_values(&[result]).inc();
--- a/crates/ashgauged/src/relay/event_forwarder/resume.rs
+++ b/crates/ashgauged/src/relay/event_forwarder/resume.rs
@@ -7,7 +7,7 @@
 use super::super::egress;
 use super::super::loss::{self, BrokenRun};
 use super::super::open::{Run, start_run, start_run_elsewhere};
-use super::super::pick::pick_or_wait;
+use super::super::pick::{PickError, pick_or_wait};
 use super::super::recovery;
 use super::super::request::note_outcome;
 use super::super::retry;
@@ -40,11 +40,12 @@
             return false;
         }
         if egress::is_needed(&self.shared, &self.request) {
-            if !egress::is_offered(&self.shared).await {
+            if !egress::is_offered(&self.shared, &self.request).await {
                 return false;
             }
-            // A run that the box is cut off from uses up no attempt.
-            if self.run.first_engine().is_some() {
+            // A run that the box is isolated from uses up no attempt.
+            let is_isolated = egress::is_isolated(&self.shared, &self.request);
+            if is_isolated && self.run.first_engine().is_some() {
                 self.attempts.record_lost();
             }
         }
@@ -63,10 +64,13 @@
             }
             let (shared, request) = (&self.shared, &mut self.request);
             let began = shared.now();
-            let Ok(chosen) =
-                pick_or_wait(shared, request, &self.attempts, &avoid, self.last_id).await
-            else {
-                return false;
+            let picked = pick_or_wait(shared, request, &self.attempts, &avoid, self.last_id).await;
+            let chosen = match picked {
+                Ok(chosen) => chosen,
+                Err(PickError::NoChain) if egress::is_promising(&self.shared, &self.request) => {
+                    return self.resume_elsewhere(reason).await == Some(true);
+                }
+                Err(_) => return false,
             };
             match start_run(
                 shared,
@@ -91,7 +95,7 @@
                     )
                     .await;
                     outcome = failed.outcome;
-                    if egress::is_needed(&self.shared, &self.request) {
+                    if egress::is_isolated(&self.shared, &self.request) {
                         self.attempts.record_lost();
                     }
                     if outcome == SendOutcome::Lost {
--- a/crates/ashgauged/src/relay/follow/mod.rs
+++ b/crates/ashgauged/src/relay/follow/mod.rs
@@ -28,7 +28,7 @@
 
 use super::peers::{PeerMessage, Peers};
 use super::shared_state::SharedState;
-use super::{log, membership, quarantine};
+use super::{log, membership, offers, quarantine, reach};
 
 /// How long after the store has become reachable again an entry may be missing although
 /// its upstream is alive. The users gave this figure.
@@ -177,6 +177,8 @@
         let version = routing.version;
         shared.metrics.config_version.set(version as i64);
         *shared.routing.borrow_mut() = Arc::new(routing);
+        reach::forget_services(shared);
+        offers::forget_services(shared);
         let fields = json!({"version": version, "before": old_version});
         log::event(Level::Info, "config", "in force", fields);
         Ok(())
--- a/crates/ashgauged/src/relay/forward.rs
+++ b/crates/ashgauged/src/relay/forward.rs
@@ -9,7 +9,7 @@
 use ashgauge::digest::{self, Digest};
 use ashgauge::freshness::startup_wait;
 use ashgauge::member::UpstreamId;
-use ashgauge::routing::{Access, Route, Service, Team};
+use ashgauge::routing::{Access, Route, Service, ServiceId, Team};
 use bytes::Bytes;
 use http::Full;
 use http_body_util::{BodyExt, Limited};
@@ -33,8 +33,8 @@
 use super::record::Record;
 use super::request::{
     FullResponse, LoadGuard, RETRY_AFTER_FULL, RETRY_AFTER_UNSYNCED, RoutedRequest, apply_refusal,
-    failure_outcome, finish, is_authorized, is_quarantined, note_outcome, own_response,
-    refuse_quarantined, unsynced_retry_after, upstream_response,
+    failure_outcome, finish, is_authorized, is_quarantined, mark_declined, note_outcome,
+    own_response, refuse_quarantined, unsynced_retry_after, upstream_response,
 };
 use super::retry;
 use super::serve::Body;
@@ -85,7 +85,13 @@
     shared.wait_synced(startup_wait(shared.uptime())).await;
     let (route, service, team) = match resolve(&shared, &client_request) {
         Ok(destination) => destination,
-        Err(refusal) => return refuse(&shared, &client_request, refusal, arrived),
+        Err(refusal) => {
+            let response = refuse(&shared, &client_request, refusal, arrived);
+            return match forwarded_runs {
+                Some(_) => mark_declined(response),
+                None => response,
+            };
+        }
     };
     let mut record = Record::new(&shared, &client_request, &route.name, arrived);
     let timeout = client_request
@@ -127,6 +133,9 @@
         is_forwarded: forwarded_runs.is_some(),
         record,
     };
+    if admitted.is_forwarded && shared.reach.is_cut_off(&admitted.service.name) {
+        return finish(&shared, admitted, FailureKind::NotRun);
+    }
     admitted.class = shedding::class_of(&shared, &admitted);
     admitted.record.class = admitted.class;
     quarantine::await_checks(&shared, digest).await;
@@ -245,6 +254,7 @@
     mut request: RoutedRequest,
     attempts: &mut Attempts,
 ) -> Response<Body> {
+    let mut leaves_box = false;
     loop {
         if !is_authorized(shared, &request) {
             return finish(shared, request, FailureKind::NotRun);
@@ -253,7 +263,7 @@
         if is_quarantined(shared, &request) {
             return refuse_quarantined(shared, request, attempts.may_have_run());
         }
-        if egress::is_needed(shared, &request) {
+        if leaves_box || egress::is_needed(shared, &request) {
             let failure = match egress::send_plain(shared, &mut request, attempts).await {
                 Ok(answer) => {
                     request.record.end("answered");
@@ -271,6 +281,10 @@
             }
         }
         let Some((id, addr)) = choose_upstream(shared, &request, attempts).await else {
+            if egress::is_promising(shared, &request) {
+                leaves_box = true;
+                continue;
+            }
             let end = attempts.failure(shared.now());
             return finish(shared, request, end);
         };
@@ -305,6 +319,11 @@
                 request.record.end("failed upstream");
                 return upstream_response(answer);
             }
+            (Decision::Fail(FailureKind::NotRun), _)
+                if outcome == SendOutcome::NotSent && egress::is_promising(shared, &request) =>
+            {
+                leaves_box = true;
+            }
             (Decision::Fail(end), _) => return finish(shared, request, end),
             (Decision::Forward, None) => return finish(shared, request, FailureKind::Unknown),
         }
@@ -359,7 +378,8 @@
         true => silence_timeout(shared, request, id).min(time_left),
         false => time_left,
     };
-    let collecting = collect_answer(shared, id, connection, outgoing, &request.client_request.id);
+    let (service, attempt) = (&request.service.name, &request.client_request.id);
+    let collecting = collect_answer(shared, service, id, connection, outgoing, attempt);
     let answer = shared.clock.within(time_limit, collecting).await;
     let (answer, load) = answer.ok_or(SendOutcome::Lost)??;
     let mut registry = shared.registry.borrow_mut();
@@ -395,6 +415,7 @@
 /// Sends the request on a new connection and reads the whole answer.
 async fn collect_answer(
     shared: &Rc<SharedState>,
+    service: &ServiceId,
     upstream: &UpstreamId,
     connection: dial::Connection,
     request: Request<Full<Bytes>>,
@@ -405,7 +426,7 @@
         .send(request)
         .await
         .map_err(|e| failure_outcome(&e))?;
-    reach::note_reached(shared, sent);
+    reach::note_reached(shared, service, sent);
     let (parts, body) = response.response.into_parts();
     notice::apply(shared, upstream, sent, &parts);
     let load = engine::parse_load(&parts.headers);
--- a/crates/ashgauged/src/relay/metrics.rs
+++ b/crates/ashgauged/src/relay/metrics.rs
@@ -72,7 +72,7 @@
     pub held_requests: IntGauge,
     /// Sends through other boxes and requests of other boxes, by result.
     pub egress: IntCounterVec,
-    /// Whether this box reaches no upstream: 1 if so, else 0.
+    /// Whether there is a service of which this box reaches no upstream: 1 if so, else 0.
     pub cut_off: IntGauge,
     /// Requests in flight.
     pub inflight: IntGauge,
@@ -151,7 +151,10 @@
             store_era: gauge("ashgauge_store_era", "Returns of the store from a copy")?,
             held_requests: gauge("ashgauge_held_requests", "Requests that are held back")?,
             egress: counters("ashgauge_egress_total", "Sends between boxes", "result")?,
-            cut_off: gauge("ashgauge_cut_off", "1 if this box reaches no upstream")?,
+            cut_off: gauge(
+                "ashgauge_cut_off",
+                "1 if this box reaches no upstream of some service",
+            )?,
             inflight: gauge("ashgauge_inflight", "Requests under way")?,
             dropped_lines: gauge("ashgauge_log_dropped", "Lines of the log that were dropped")?,
             backoffs: counter("ashgauge_rests_total", "Rests that upstreams asked for")?,
--- a/crates/ashgauged/src/relay/mod.rs
+++ b/crates/ashgauged/src/relay/mod.rs
@@ -24,6 +24,7 @@
 mod messaging;
 mod metrics;
 mod notice;
+mod offers;
 mod open;
 mod peer_server;
 mod peers;
--- a/crates/ashgauged/src/relay/open.rs
+++ b/crates/ashgauged/src/relay/open.rs
@@ -270,7 +270,7 @@
             let mut registry = shared.registry.borrow_mut();
             return match result {
                 Ok(response) => {
-                    reach::note_reached(shared, sent_at);
+                    reach::note_reached(shared, &request.service.name, sent_at);
                     registry.record_latency(now, first_engine, now - sent_at);
                     Ok(response)
                 }
--- a/crates/ashgauged/src/relay/peer_server.rs
+++ b/crates/ashgauged/src/relay/peer_server.rs
@@ -16,10 +16,11 @@
 use tokio::sync::{Semaphore, mpsc};
 use tokio::time::sleep;
 
-use super::egress::{self, DECLINED_HEADER, RUNS_HEADER, TOKEN_HEADER};
+use super::egress::{self, RUNS_HEADER, TOKEN_HEADER};
 use super::fetch::{self, FetchRequest};
 use super::forward;
-use super::request::own_response;
+use super::offers;
+use super::request::{mark_declined, own_response};
 use super::serve::{ACCEPT_RETRY_DELAY, Body, serve_connection};
 use super::shared_state::SharedState;
 
@@ -86,15 +87,11 @@
         egress::count(&shared, "no token");
         return own_response(StatusCode::FORBIDDEN, None, None);
     };
-    egress::count(&shared, "served");
-    let mut response = match shared.reach.is_cut_off() {
-        true => own_response(StatusCode::SERVICE_UNAVAILABLE, None, None),
-        false => forward::handle_forwarded(shared.clone(), request, runs).await,
-    };
-    let is_refused = response.status() == StatusCode::SERVICE_UNAVAILABLE;
-    if is_refused && shared.reach.is_cut_off() {
-        let headers = response.headers_mut();
-        headers.insert(DECLINED_HEADER, HeaderValue::from_static("1"));
+    if shared.inflight.get() >= offers::MAX_INFLIGHT {
+        egress::count(&shared, "busy");
+        let response = own_response(StatusCode::SERVICE_UNAVAILABLE, None, None);
+        return mark_declined(response);
     }
-    response
+    egress::count(&shared, "served");
+    forward::handle_forwarded(shared, request, runs).await
 }
--- a/crates/ashgauged/src/relay/peers.rs
+++ b/crates/ashgauged/src/relay/peers.rs
@@ -33,7 +33,7 @@
 use super::shared_state::{LastQuery, SharedState};
 use super::update_cache::{UpdateCache, UpdateKey};
 use super::{
-    codec, egress, log, membership, messaging, peer_server, permit, quarantine, suspicion,
+    codec, log, membership, messaging, offers, peer_server, permit, quarantine, suspicion,
 };
 
 /// Maximum size of a received datagram; a load report on 860 engines takes 12 kB.
@@ -234,6 +234,12 @@
             .borrow()
             .get(datagram.from())
             .map(|p| p.addr);
+        // In a large fleet boxes need not know those that make them offers.
+        if let Datagram::Offer(offer) = &datagram
+            && offers::handle_offer(&self.shared, offer)
+        {
+            return DatagramResult::Accepted;
+        }
         if registered != Some(addr) {
             return DatagramResult::Stranger;
         }
@@ -266,15 +272,16 @@
                 DatagramResult::Accepted
             }
             Datagram::AskOffer(request) => {
-                egress::handle_request(&self.shared, &request, addr);
+                offers::handle_request(&self.shared, &request, addr);
                 DatagramResult::Query
             }
-            Datagram::Offer(offer) => {
-                egress::handle_offer(&self.shared, &offer);
-                DatagramResult::Accepted
+            Datagram::Offer(_) => DatagramResult::Late,
+            Datagram::Referral(referral) => {
+                offers::handle_referral(&self.shared, referral, addr);
+                DatagramResult::Query
             }
-            Datagram::Introduction(introduction) => {
-                egress::accept_token(&self.shared, introduction.token);
+            Datagram::Decline(decline) => {
+                offers::handle_decline(&self.shared, decline);
                 DatagramResult::Accepted
             }
         }
--- a/crates/ashgauged/src/relay/placer.rs
+++ b/crates/ashgauged/src/relay/placer.rs
@@ -160,8 +160,8 @@
             // A box that does not read the store learns late what others ordered.
             let reads = *self.shared.reads_store.borrow();
             let idle = !reads || self.shared.is_stopping.get() || self.shared.store_down.get();
-            // A box that reaches no engine cannot give orders.
-            let idle = idle || self.shared.reach.is_cut_off();
+            // A box that reaches no engine of a service cannot give orders.
+            let idle = idle || self.shared.reach.has_lost_service();
             if idle || !self.has_settled() || self.shared.now() < self.idle_until {
                 continue;
             }
--- a/crates/ashgauged/src/relay/reach.rs
+++ b/crates/ashgauged/src/relay/reach.rs
@@ -1,38 +1,32 @@
-//! Checks whether this box reaches any upstream, after a connection to one has failed.
+//! Checks whether this box reaches any upstream of a service, after a connection to one has
+//! failed.
 
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
 use ashgauge::member::UpstreamId;
+use ashgauge::reachability::MIN_ISOLATED;
+use ashgauge::routing::ServiceId;
 use ashgauge::upstream::Upstream;
 use http::Client;
 use platform::engine;
 use rand::seq::IndexedRandom;
 use serde_json::json;
 use spdlog::Level;
-use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
+use super::dial;
 use super::log;
 use super::shared_state::SharedState;
 
-/// Number of engines that a check asks for their reports.
-const ENGINE_PROBES: usize = 3;
-
-/// Number of plain services that a check connects to beside the engines.
-const SERVICE_PROBES: usize = 1;
-
-/// Number of plain services that a check connects to where there are no engines.
-const LONE_SERVICE_PROBES: usize = 3;
-
 /// Timeout of a probe. A healthy upstream answers in about 2 ms; a busy one of another data
 /// centre takes longer.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(50);
 
-/// How long a new connection to a plain service must stay open to count as accepted: a
-/// middlebox may accept it and reset it at once.
+/// How long a new connection to a service without a health check must stay open to count as
+/// accepted: a middlebox may accept it and reset it at once.
 const MIN_OPEN_TIME: Duration = Duration::from_millis(10);
 
 /// How long the result of a check is shared with others that ask.
@@ -41,150 +35,286 @@
 /// Interval between checks while the box is cut off.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Records that an upstream did not accept a connection, and returns whether this box reaches
-/// others. If it does not, the failure says nothing about the upstream.
+/// Number of upstreams that a check probes.
+const MAX_PROBES: usize = MIN_ISOLATED;
+
+/// How long an answer of an upstream proves that its service is reached.
+const PROOF_TTL: Duration = Duration::from_millis(250);
+
+/// Records that an upstream did not accept a connection, and returns whether that says something
+/// about the upstream. It does not if this box is isolated.
 pub async fn confirm_failure(shared: &Rc<SharedState>, id: &UpstreamId) -> bool {
+    let Some(service) = service_of(shared, id) else {
+        return true;
+    };
     let now = shared.now();
-    shared.reach.connections.borrow_mut().note_failed(now, id);
-    if shared.reach.is_cut_off() {
-        return false;
-    }
-    let check = shared.reach.check(now, MAX_CHECK_AGE);
-    *check.get_or_init(|| check_others(shared)).await
+    shared
+        .reach
+        .connections
+        .borrow_mut()
+        .note_failed(now, &service, id);
+    let is_reached = !shared.reach.is_cut_off(&service) && check(shared, &service).await;
+    is_reached || !shared.reach.connections.borrow().is_isolated(&service)
 }
 
-/// Marks an upstream as suspect that did not accept a connection, unless this box reaches no
-/// others either.
+/// Marks an upstream as suspect that did not accept a connection, unless this box is isolated.
 pub async fn mark_unreachable(shared: &Rc<SharedState>, id: &UpstreamId, reason: &str) {
     if confirm_failure(shared, id).await {
         shared.mark_suspect(id, reason);
     }
 }
 
-/// Records that an upstream answered on a connection of this box that was opened at `opened`.
-pub fn note_reached(shared: &SharedState, opened: Duration) {
+/// Returns whether this box reaches a service: an upstream has answered a moment ago, or one
+/// answers now.
+pub async fn is_reached(shared: &Rc<SharedState>, service: &ServiceId) -> bool {
+    if shared.reach.is_cut_off(service) {
+        return false;
+    }
+    let reached_at = shared.reach.connections.borrow().reached_at(service);
+    let is_proven = reached_at.is_some_and(|at| shared.now() < at + PROOF_TTL);
+    is_proven || check(shared, service).await
+}
+
+/// Records that an upstream of a service answered on a connection of this box that was opened
+/// at `opened`.
+pub fn note_reached(shared: &SharedState, service: &ServiceId, opened: Duration) {
     let now = shared.now();
     let cut_off_time = shared
         .reach
         .connections
         .borrow_mut()
-        .note_reached(now, opened);
+        .note_reached(now, service, opened);
     let Some(time) = cut_off_time else {
         return;
     };
-    shared.metrics.cut_off.set(0);
-    let fields = json!({"ms": time.as_millis() as u64});
+    show_lost_services(shared);
+    let fields = json!({"service": &**service, "ms": time.as_millis() as u64});
     log::event(Level::Warn, "reach", "upstreams reached again", fields);
 }
 
-/// Probes some upstreams, and returns `false` if this box is cut off. It then is until one is
-/// reached again.
-async fn check_others(shared: &Rc<SharedState>) -> bool {
-    let untried = choose_probes(shared, true);
+/// Forgets the services that the configuration in force does not have.
+pub fn forget_services(shared: &SharedState) {
+    let routing = shared.routing();
+    let is_kept = |service: &ServiceId| routing.services.contains_key(service);
+    shared.reach.retain(is_kept);
+    show_lost_services(shared);
+}
+
+fn service_of(shared: &SharedState, id: &str) -> Option<ServiceId> {
+    let registry = shared.registry.borrow();
+    registry.get(id).map(|e| e.upstream.service.clone())
+}
+
+/// Probes some upstreams of a service, unless that was done a moment ago; returns whether one is
+/// reached.
+async fn check(shared: &Rc<SharedState>, service: &ServiceId) -> bool {
+    let check = shared.reach.check(shared.now(), service, MAX_CHECK_AGE);
+    *check.get_or_init(|| probe_service(shared, service)).await
+}
+
+/// Probes some upstreams of a service, and returns `false` if this box is cut off from it. It
+/// then is until one is reached again.
+async fn probe_service(shared: &Rc<SharedState>, service: &ServiceId) -> bool {
+    let untried = choose_probes(shared, service, true);
     let probes = match untried.is_empty() {
-        true => choose_probes(shared, false),
+        true => choose_probes(shared, service, false),
         false => untried,
     };
-    let ids: Vec<UpstreamId> = probes.iter().map(|probe| probe.id.clone()).collect();
-    let began = shared.now();
-    let is_reached = reaches_any(probes).await;
-    let (now, mut connections) = (shared.now(), shared.reach.connections.borrow_mut());
-    if is_reached {
-        connections.note_reached(now, began);
+    if reaches_any(shared, service, probes).await {
         return true;
     }
-    ids.iter().for_each(|id| connections.note_failed(now, id));
-    if connections.is_cut_off() || !connections.conclude(now) {
-        return !connections.is_cut_off();
+    let now = shared.now();
+    let listed = shared.registry.borrow().of_service(service).count();
+    let mut connections = shared.reach.connections.borrow_mut();
+    let was_cut_off = connections.is_cut_off(service);
+    if was_cut_off || !connections.conclude(now, service, listed) {
+        return !was_cut_off;
     }
-    // Until now each failure was laid to its upstream.
-    let since = connections.cut_off_since().unwrap_or(now);
-    shared.registry.borrow_mut().clear_suspects(since);
-    shared.metrics.cut_off.set(1);
-    log::event(Level::Warn, "reach", "no upstream reached", json!({}));
-    tokio::task::spawn_local(await_reached(shared.clone(), since));
+    let since = connections.cut_off_since(service).unwrap_or(now);
+    drop(connections);
+    clear_suspects(shared);
+    show_lost_services(shared);
+    let fields = json!({"service": &**service, "listed": listed});
+    log::event(Level::Warn, "reach", "no upstream reached", fields);
+    tokio::task::spawn_local(await_reached(shared.clone(), service.clone(), since));
+    check_others(shared, service);
     false
 }
 
-/// Probes upstreams again and again until one is reached. The box has been cut off `since`.
-async fn await_reached(shared: Rc<SharedState>, since: Duration) {
-    let cut_off_since = || shared.reach.connections.borrow().cut_off_since();
+/// Checks the services other than `lost`: a box that lost one has often lost all, and their first
+/// requests then need not find out.
+fn check_others(shared: &Rc<SharedState>, lost: &ServiceId) {
+    let routing = shared.routing();
+    for service in routing.services.keys().filter(|service| *service != lost) {
+        let is_listed = shared
+            .registry
+            .borrow()
+            .of_service(service)
+            .next()
+            .is_some();
+        if !is_listed || shared.reach.is_cut_off(service) {
+            continue;
+        }
+        let (shared, service) = (shared.clone(), service.clone());
+        tokio::task::spawn_local(async move { check(&shared, &service).await });
+    }
+}
+
+/// Takes back what was concluded about the upstreams of services from which this box turns out
+/// to be isolated.
+fn clear_suspects(shared: &SharedState) {
+    let connections = shared.reach.connections.borrow();
+    let mut registry = shared.registry.borrow_mut();
+    let lost = connections.lost_services();
+    for service in lost.filter(|service| connections.is_isolated(service)) {
+        if let Some(since) = connections.cut_off_since(service) {
+            registry.clear_suspects(service, since);
+        }
+    }
+}
+
+fn show_lost_services(shared: &SharedState) {
+    let has_lost = shared.reach.has_lost_service();
+    shared.metrics.cut_off.set(i64::from(has_lost));
+}
+
+/// Probes upstreams of a service again and again until one is reached. The box has been cut off
+/// `since`.
+async fn await_reached(shared: Rc<SharedState>, service: ServiceId, since: Duration) {
+    let cut_off_since = || {
+        let connections = shared.reach.connections.borrow();
+        connections.cut_off_since(&service)
+    };
     while cut_off_since() == Some(since) {
+        // The first time at once: the box may have lacked processor time.
+        let probes = choose_probes(&shared, &service, false);
+        reaches_any(&shared, &service, probes).await;
         sleep(RECHECK_INTERVAL).await;
-        let began = shared.now();
-        if reaches_any(choose_probes(&shared, false)).await {
-            note_reached(&shared, began);
-        }
     }
 }
 
 /// An upstream that is probed.
 struct Probe {
     id: UpstreamId,
+    service: ServiceId,
     addr: String,
     is_engine: bool,
+    health_path: Option<String>,
 }
 
-/// Chooses upstreams at random; with `untried`, only those that have not failed since one was
-/// last reached.
-fn choose_probes(shared: &SharedState, untried: bool) -> Vec<Probe> {
+/// Chooses upstreams of a service at random, and of others if it has few; with `untried`, only
+/// those that have not failed since one of their service was last reached.
+fn choose_probes(shared: &SharedState, service: &ServiceId, untried: bool) -> Vec<Probe> {
     let (registry, connections) = (shared.registry.borrow(), shared.reach.connections.borrow());
     let listed = registry.iter().map(|e| &e.upstream);
-    let listed = listed.filter(|u| !untried || !connections.has_failed(&u.id));
-    let (engines, services): (Vec<_>, Vec<_>) = listed.partition(|u| u.layers.is_some());
-    let service_count = match engines.is_empty() {
-        true => LONE_SERVICE_PROBES,
-        false => SERVICE_PROBES,
-    };
+    let listed = listed.filter(|u| !untried || !connections.has_failed(&u.service, &u.id));
+    let (own, others): (Vec<_>, Vec<_>) = listed.partition(|u| u.service == *service);
+    let all_own = registry.of_service(service).count();
     let mut rng = shared.rng();
-    let engines = engines.choose_multiple(&mut *rng, ENGINE_PROBES);
-    let mut probes: Vec<Probe> = engines.map(|u| Probe::new(u, true)).collect();
-    let services = services.choose_multiple(&mut *rng, service_count);
-    probes.extend(services.map(|u| Probe::new(u, false)));
-    probes
+    let own = own.choose_multiple(&mut *rng, MAX_PROBES);
+    let others = others.choose_multiple(&mut *rng, MAX_PROBES.saturating_sub(all_own));
+    let routing = shared.routing();
+    let health_path = |u: &Upstream| routing.services.get(&u.service)?.health_path.as_deref();
+    let probes = own.chain(others).map(|u| Probe::new(u, health_path(u)));
+    probes.collect()
 }
 
-/// Runs all probes at once; returns whether one reaches its upstream.
-async fn reaches_any(probes: Vec<Probe>) -> bool {
+/// Runs all probes at once and records their results; returns whether an upstream of the service
+/// is reached.
+async fn reaches_any(shared: &SharedState, service: &ServiceId, probes: Vec<Probe>) -> bool {
+    let opened = shared.now();
     let mut running = JoinSet::new();
     for probe in probes {
-        running.spawn_local(async move { probe.run().await });
+        running.spawn_local(async move { (probe.run().await, probe) });
     }
     while let Some(result) = running.join_next().await {
         // A probe neither panics nor is cancelled here.
-        if let Ok(true) = result {
+        let Ok((reply, probe)) = result else {
+            continue;
+        };
+        let is_reached = match reply {
+            Reply::Answer => true,
+            Reply::Silence => !shared.reach.is_cut_off(&probe.service),
+            Reply::Failure => false,
+        };
+        if is_reached {
+            note_reached(shared, &probe.service, opened);
+        } else {
+            let mut connections = shared.reach.connections.borrow_mut();
+            connections.note_failed(shared.now(), &probe.service, &probe.id);
+        }
+        if is_reached && probe.service == *service {
             return true;
         }
     }
     false
 }
 
+/// Result of a probe.
+enum Reply {
+    /// The upstream answered.
+    Answer,
+    /// The connection is open, but nothing arrived. That may be the network or a busy upstream,
+    /// so it neither begins nor ends the time for which a box is cut off.
+    Silence,
+    /// There is no connection, or it was closed.
+    Failure,
+}
+
 impl Probe {
-    fn new(upstream: &Upstream, is_engine: bool) -> Self {
+    fn new(upstream: &Upstream, health_path: Option<&str>) -> Self {
         Probe {
             id: upstream.id.clone(),
+            service: upstream.service.clone(),
             addr: upstream.addr.clone(),
-            is_engine,
+            is_engine: upstream.layers.is_some(),
+            health_path: health_path.map(String::from),
         }
     }
 
-    /// Returns whether the upstream is reached over a new connection.
-    async fn run(&self) -> bool {
+    /// Probes the upstream over a new connection.
+    async fn run(&self) -> Reply {
         if self.is_engine {
             let client = Client::new(PROBE_TIMEOUT);
             let report = engine::fetch_report(&client, &self.addr, PROBE_TIMEOUT);
-            return report.await.is_ok();
+            return Reply::from_result(report.await);
+        }
+        match &self.health_path {
+            Some(path) => self.check_health(path).await,
+            None => match timeout(PROBE_TIMEOUT, connect(&self.addr)).await {
+                Ok(connected) => Reply::from_result(connected),
+                Err(_) => Reply::Failure,
+            },
+        }
+    }
+
+    /// Sends a health check, which an upstream answers in turn with its requests.
+    async fn check_health(&self, path: &str) -> Reply {
+        let Ok(connection) = dial::connect(&self.addr, PROBE_TIMEOUT).await else {
+            return Reply::Failure;
+        };
+        let Ok(request) = engine::build_health_check(&self.addr, path) else {
+            return Reply::Answer;
+        };
+        match timeout(PROBE_TIMEOUT, connection.send(request)).await {
+            Ok(answer) => Reply::from_result(answer),
+            Err(_) => Reply::Silence,
+        }
+    }
+}
+
+impl Reply {
+    fn from_result<T, E>(result: Result<T, E>) -> Self {
+        match result {
+            Ok(_) => Reply::Answer,
+            Err(_) => Reply::Failure,
         }
-        matches!(
-            timeout(PROBE_TIMEOUT, connect(&self.addr)).await,
-            Ok(Ok(()))
-        )
     }
 }
 
 /// Connects, and fails if the connection is closed at once.
 async fn connect(addr: &str) -> io::Result<()> {
-    let stream = TcpStream::connect(addr).await?;
+    let stream = http::connect(addr).await?;
     match timeout(MIN_OPEN_TIME, stream.peek(&mut [0])).await {
         Ok(Ok(0)) => Err(io::ErrorKind::ConnectionReset.into()),
         Ok(Err(e)) => Err(e),
--- a/crates/ashgauged/src/relay/request.rs
+++ b/crates/ashgauged/src/relay/request.rs
@@ -16,6 +16,7 @@
 use bytes::Bytes;
 use http::{Failure, Full};
 use http_body_util::{BodyExt, Empty};
+use hyper::header::{HeaderName, HeaderValue};
 use hyper::http::request;
 use hyper::{Response, StatusCode};
 use platform::engine::Verdict;
@@ -54,6 +55,10 @@
 /// Share of a route's timeout; a request with less time left may be a retry.
 const FIRST_TRY_SHARE: f64 = 0.97;
 
+/// Header on the response of a box that cannot serve a request of another box, which may send it
+/// through others.
+pub const DECLINED_HEADER: HeaderName = HeaderName::from_static("ashgauge-declined");
+
 /// Complete response of an upstream.
 pub type FullResponse = Response<Bytes>;
 
@@ -262,7 +267,18 @@
         FailureKind::DeadlineExceeded => ("late", StatusCode::GATEWAY_TIMEOUT, None),
     };
     request.record.end(reason);
-    own_response(status, Some(&request.client_request), retry_after)
+    let response = own_response(status, Some(&request.client_request), retry_after);
+    match request.is_forwarded && end == FailureKind::NotRun {
+        true => mark_declined(response),
+        false => response,
+    }
+}
+
+/// Marks the refusal of a request of another box: this one cannot serve it, but others may.
+pub fn mark_declined(mut response: Response<Body>) -> Response<Body> {
+    let headers = response.headers_mut();
+    headers.insert(DECLINED_HEADER, HeaderValue::from_static("1"));
+    response
 }
 
 /// Refuses a request that the engines have no capacity for, and says when they may have
--- a/crates/ashgauged/src/relay/status.rs
+++ b/crates/ashgauged/src/relay/status.rs
@@ -9,6 +9,7 @@
 use ashgauge::member::BoxId;
 use ashgauge::permit::issuer_order;
 use ashgauge::revision;
+use ashgauge::routing::ServiceId;
 use serde::Serialize;
 
 use super::levels::{self, LevelStatus};
@@ -25,8 +26,10 @@
     /// `null` before the first confirmation.
     config_age_ms: Option<u64>,
     store_away: bool,
-    /// Whether this box reaches no upstream.
+    /// Whether there is a service of which this box reaches no upstream.
     cut_off: bool,
+    /// Services of which this box reaches no upstream.
+    lost_services: Vec<ServiceId>,
     /// Whether this box reads the store itself.
     reads: bool,
     /// Number of restores of the store from a copy.
@@ -216,7 +219,14 @@
             .age(now)
             .map(|a| a.as_millis() as u64),
         store_away: shared.store_down.get(),
-        cut_off: shared.reach.is_cut_off(),
+        cut_off: shared.reach.has_lost_service(),
+        lost_services: shared
+            .reach
+            .connections
+            .borrow()
+            .lost_services()
+            .cloned()
+            .collect(),
         reads: *shared.reads_store.borrow(),
         era: revision::era(shared.mirror.borrow().covered()),
         revision: revision::count(shared.mirror.borrow().covered()),
--- a/crates/ashgauged/src/relay/stream.rs
+++ b/crates/ashgauged/src/relay/stream.rs
@@ -42,8 +42,9 @@
     }
     let mut avoid = Vec::new();
     let mut capacity_wait = CapacityWait::new(&shared, &request);
+    let mut leaves_box = false;
     let run = loop {
-        if egress::is_needed(&shared, &request) {
+        if leaves_box || egress::is_needed(&shared, &request) {
             let last_event = request.client_request.last_event;
             let started = start_run_elsewhere(&shared, &mut request, &mut attempts, last_event);
             let failure = match started.await {
@@ -88,6 +89,10 @@
             Err(PickError::Quarantined) => {
                 return refuse_quarantined(&shared, request, may_have_run);
             }
+            Err(PickError::NoChain) if egress::is_promising(&shared, &request) => {
+                leaves_box = true;
+                continue;
+            }
             Err(PickError::NoChain | PickError::Denied) => {
                 request
                     .record
@@ -116,7 +121,7 @@
             attempts.retract_send();
             continue;
         }
-        if egress::is_needed(&shared, &request) {
+        if egress::is_isolated(&shared, &request) {
             attempts.record_lost();
         }
         if failed.outcome == SendOutcome::Lost {
@@ -138,6 +143,12 @@
                 request.record.end("failed upstream");
                 return upstream_response(error_response);
             }
+            (Decision::Fail(FailureKind::NotRun), _)
+                if failed.outcome == SendOutcome::NotSent
+                    && egress::is_promising(&shared, &request) =>
+            {
+                leaves_box = true;
+            }
             (Decision::Fail(end), _) => return finish(&shared, request, end),
             (Decision::Forward, None) => return finish(&shared, request, FailureKind::Unknown),
         }
