Streams without a length: look whether the engine is lost before they end

Callers saw: streams that end as complete, status 200 and a last chunk, before their last event. Cause: an answer with neither a length nor chunks ends with its connection, whether it is complete or its engine crashed. With any event the end counted as complete; for answers that are not streams nothing was checked. Class: an end that proves nothing taken as proof. Change: where the answer has no framing, the box looks after 20 ms, in which a process that ends closes its listener, whether the first engine still accepts connections; if not, the stream continues elsewhere. An answer that is not a stream counts as lost. The check of answers that are not streams has no test of its own.

--- a/crates/ashgauged/src/relay/event_forwarder/repair.rs
+++ b/crates/ashgauged/src/relay/event_forwarder/repair.rs
@@ -35,6 +35,9 @@
 /// Timeout of an engine's reply to a change of the chain, which takes milliseconds.
 const REPATH_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Time in which an engine that ends closes its listener, after it has closed a connection.
+const LISTENER_CLOSE_DELAY: Duration = Duration::from_millis(20);
+
 impl EventForwarder {
     /// Marks the engines that are lost as suspect after an answer broke off, and continues
     /// the stream elsewhere.
@@ -57,13 +60,20 @@
         self.resume("broken", false).await
     }
 
-    /// Handles the end of an answer. It is complete unless it brought no event and its
-    /// engine is lost: without a length, an answer that was cut off ends in the same way.
+    /// Handles the end of an answer. It is complete unless its engine is lost and it has no
+    /// length or no event: without a length, an answer that was cut off ends in the same way.
     pub(super) async fn handle_end(&mut self) -> ForwardState {
-        if self.run.event_count > 0 || !self.check_loss().await {
+        let is_framed = engine::is_framed(self.run.response.response.headers());
+        if is_framed && self.run.event_count > 0 {
             return ForwardState::Done;
         }
-        self.resume("ended without an event", false).await
+        if !is_framed {
+            sleep(LISTENER_CLOSE_DELAY).await;
+        }
+        match self.check_loss().await {
+            true => self.resume("ended with its engine", false).await,
+            false => ForwardState::Done,
+        }
     }
 
     /// Looks for the cause of a silence; repairs the chain around a lost or stalled engine,
--- a/crates/ashgauged/src/relay/forward.rs
+++ b/crates/ashgauged/src/relay/forward.rs
@@ -28,6 +28,7 @@
 use super::notice;
 use super::permit;
 use super::pick::MAX_PICKS;
+use super::probe;
 use super::quarantine;
 use super::reach;
 use super::record::Record;
@@ -440,6 +441,10 @@
     }
     let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
     let body = body.map_err(|_| SendOutcome::Lost)?.to_bytes();
+    // An answer without a length that was cut off ends as a complete one does.
+    if !engine::is_framed(&parts.headers) && probe::is_lost(shared, upstream).await {
+        return Err(SendOutcome::Lost);
+    }
     let mut answer = Response::new(body);
     *answer.status_mut() = parts.status;
     *answer.headers_mut() = engine::answer_headers(&parts);
