Name the expected engine in orders

Callers saw: nothing at once; an engine of another service that had been given the address of a crashed one was ordered 31 layers where it holds 8, and fell. Cause: orders are retried to the address of the entry, which the platform gives to another engine after a while; unlike requests they did not name the instance that they are meant for. Class: an address taken for the identity of who answers there. Change: each order, for layers or another chain, names the engine; any other one refuses it (421). Looked for elsewhere: reports are asked for by address as well, which changes nothing at the engine.

--- a/crates/ashgauged/src/relay/event_forwarder/repair.rs
+++ b/crates/ashgauged/src/relay/event_forwarder/repair.rs
@@ -302,8 +302,11 @@
     async fn repath(&mut self, replaced: &[UpstreamId], stages: Vec<Stage>, encoded: &str) -> bool {
         let silent_ms = self.silent_ms();
         let (client, id) = (&self.shared.client, &self.request.client_request.id);
-        let reply =
-            engine::order_repath(client, &self.run.first_addr, id, encoded, REPATH_TIMEOUT).await;
+        let Some(first_engine) = self.run.first_engine() else {
+            return false;
+        };
+        let first = (&**first_engine, self.run.first_addr.as_str());
+        let reply = engine::order_repath(client, first, id, encoded, REPATH_TIMEOUT).await;
         let accepted = matches!(reply, OrderReply::Begun | OrderReply::Holds);
         let label = if accepted {
             "led around"
--- a/crates/ashgauged/src/relay/placer.rs
+++ b/crates/ashgauged/src/relay/placer.rs
@@ -460,7 +460,7 @@
             let client = &shared.client;
             let reply = engine::order_place(
                 client,
-                &addr,
+                (&range.id, &addr),
                 range.layers,
                 release_mode,
                 Some(orders),
