Do not repeat an order to another engine at the address

Cause: before an order is repeated, whoever has the address is asked how many orders it has taken, and any answer was taken for the engine's. Change: a report whose start time differs from that of the entry is another engine's; no order follows. There is no test of its own: the stand-in cannot reuse an address.

--- a/crates/ashgauged/src/relay/placer.rs
+++ b/crates/ashgauged/src/relay/placer.rs
@@ -16,7 +16,7 @@
 use ashgauge::upstream::LayerRange;
 use ashgauge::upstream_state::UpstreamState;
 use platform::StoreError;
-use platform::engine::{self, OrderReply, ReleaseMode};
+use platform::engine::{self, OrderReply, ReleaseMode, Report};
 use platform::store::Revision;
 use rand::Rng;
 use serde::{Deserialize, Serialize};
@@ -487,6 +487,11 @@
 /// Asks an engine how many orders it has taken.
 async fn count_orders(shared: &SharedState, range: &Assignment, addr: &str) -> OrderCount {
     match engine::fetch_report(&shared.client, addr, ORDER_TIMEOUT).await {
+        Ok(report) if is_other_instance(shared, range, &report) => {
+            let fields = json!({"upstream": &*range.id, "fault": "another engine has the address"});
+            log::event(Level::Warn, "placement", "no report", fields);
+            OrderCount::Unknown
+        }
         Ok(report) if report.busy => OrderCount::Busy,
         Ok(report) => OrderCount::Taken(report.orders),
         Err(e) => {
@@ -497,6 +502,14 @@
     }
 }
 
+/// Whether a report comes from another engine, which has been given the address of one that is
+/// gone. An order must not even reach it.
+fn is_other_instance(shared: &SharedState, range: &Assignment, report: &Report) -> bool {
+    let registry = shared.registry.borrow();
+    let listed = registry.get(&range.id).and_then(|e| e.upstream.started_ms);
+    matches!((listed, report.started_ms), (Some(listed), Some(reported)) if listed != reported)
+}
+
 /// Logs and counts an engine's reply to an order.
 fn log_reply(shared: &SharedState, range: &Assignment, attempt: u32, reply: &OrderReply) {
     let accepted = matches!(reply, OrderReply::Begun | OrderReply::Holds);
