Continue streams elsewhere whose events do not end

Callers saw: a stream that breaks off where its upstream sends bytes without end that form no event. Cause: past 1 MB without the end of an event the stream was aborted. Change: it continues on another chain, as one does whose events are out of order. Links of the stand-in can send bytes without end in the head or the body of a response.

--- a/crates/ashgauged/src/relay/event_forwarder/mod.rs
+++ b/crates/ashgauged/src/relay/event_forwarder/mod.rs
@@ -217,7 +217,8 @@
         let complete = events::scan_complete(&self.buffer);
         if complete.len == 0 {
             return match self.buffer.len() > MAX_EVENT_BYTES {
-                true => ForwardState::Abort("event too long"),
+                // An upstream in trouble may send bytes without end.
+                true => self.resume("event too long", false).await,
                 false => ForwardState::Continue,
             };
         }
--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -8,7 +8,7 @@
 
 use hyper::StatusCode;
 use serde::{Deserialize, Serialize};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -39,6 +39,10 @@
     pub reset_after: usize,
     /// Refuse every new connection, and leave the open ones alone.
     pub refuse: bool,
+    /// Send bytes that form no response, without end, instead of any response.
+    pub endless_head: bool,
+    /// Send such bytes after the first bytes of a response.
+    pub endless_body: bool,
     /// Ids of the processes whose connections the faults affect; empty for all connections.
     pub processes: Vec<u32>,
     /// Discard the packets that open connections, as a network that is down does.
@@ -152,6 +156,10 @@
     if is_refused {
         return reset(stream);
     }
+    if mode.borrow().endless_head {
+        let _ = send_endlessly(&mut { stream }).await;
+        return;
+    }
     let Ok(target) = TcpStream::connect(to).await else {
         return reset(stream);
     };
@@ -210,6 +218,16 @@
             return Ok(());
         }
         to.write_all(&chunk[..n]).await?;
+        if answers && now.endless_body {
+            send_endlessly(&mut to).await?;
+        }
+    }
+}
+
+/// Sends bytes that form no response until the connection is closed.
+async fn send_endlessly(to: &mut (impl AsyncWrite + Unpin)) -> io::Result<()> {
+    loop {
+        to.write_all(&[b'x'; CHUNK]).await?;
     }
 }
 
