--- a/crates/ashgauge/src/reachability.rs
+++ b/crates/ashgauge/src/reachability.rs
@@ -37,9 +37,11 @@
 /// ```
 /// use std::time::Duration;
 /// use ashgauge::reachability::Reachability;
+/// use ashgauge::routing::ServiceId;
 ///
 /// let second = Duration::from_secs(1);
-/// let (model, records) = ("model".into(), "records".into());
+/// let model: ServiceId = "model".into();
+/// let records: ServiceId = "records".into();
 /// let mut reachability = Reachability::default();
 /// for upstream in ["a", "b"] {
 ///     reachability.note_failed(second, &model, &upstream.into());
