Count a probe's timeout in time for which the box runs

A box that got no processor time for some 100 ms took itself for cut off from its engines: its streams that broke meanwhile waited for offers of other boxes instead of going to the next engine, and were aborted if none came.

Cause: a report of an engine takes several steps (connection, request, answer), but the 50 ms that a probe may take ran on while the process did not. When it ran again it found the first step done and the time over. The probes now count only the time in which the process runs, in steps of 5 ms; a refused connection still fails at once, and without pauses nothing changes. Timeouts of one step (whether an upstream accepts connections) are not affected, as a reply that is there is taken before the timeout is looked at.

--- a/crates/ashgauged/src/relay/mod.rs
+++ b/crates/ashgauged/src/relay/mod.rs
@@ -38,6 +38,7 @@
 mod recovery;
 mod request;
 mod retry;
+mod run_timeout;
 mod select;
 mod serve;
 mod settings;
--- a/crates/ashgauged/src/relay/reach.rs
+++ b/crates/ashgauged/src/relay/reach.rs
@@ -19,12 +19,16 @@
 
 use super::dial;
 use super::log;
+use super::run_timeout::run_timeout;
 use super::shared_state::SharedState;
 
-/// Timeout of a probe. A healthy upstream answers in about 2 ms; a busy one of another data
-/// centre takes longer.
+/// Timeout of a probe, in time for which this process runs. A healthy upstream answers in about
+/// 2 ms; a busy one of another data centre takes longer.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(50);
 
+/// Longest time of a probe on a box that lacks processor time.
+const MAX_PROBE_TIME: Duration = Duration::from_secs(1);
+
 /// How long a new connection to a service without a health check must stay open to count as
 /// accepted: a middlebox may accept it and reset it at once.
 const MIN_OPEN_TIME: Duration = Duration::from_millis(10);
@@ -275,39 +279,38 @@
     /// Probes the upstream over a new connection.
     async fn run(&self) -> Reply {
         if self.is_engine {
-            let client = Client::new(PROBE_TIMEOUT);
-            let report = engine::fetch_report(&client, &self.addr, PROBE_TIMEOUT);
-            return Reply::from_result(report.await);
+            let client = Client::new(MAX_PROBE_TIME);
+            let report = engine::fetch_report(&client, &self.addr, MAX_PROBE_TIME);
+            return Reply::from_result(run_timeout(PROBE_TIMEOUT, report).await);
         }
         match &self.health_path {
             Some(path) => self.check_health(path).await,
-            None => match timeout(PROBE_TIMEOUT, connect(&self.addr)).await {
-                Ok(connected) => Reply::from_result(connected),
-                Err(_) => Reply::Failure,
-            },
+            None => Reply::from_result(run_timeout(PROBE_TIMEOUT, connect(&self.addr)).await),
         }
     }
 
     /// Sends a health check, which an upstream answers in turn with its requests.
     async fn check_health(&self, path: &str) -> Reply {
-        let Ok(connection) = dial::connect(&self.addr, PROBE_TIMEOUT).await else {
+        let connecting = dial::connect(&self.addr, MAX_PROBE_TIME);
+        let Some(Ok(connection)) = run_timeout(PROBE_TIMEOUT, connecting).await else {
             return Reply::Failure;
         };
         let Ok(request) = engine::build_health_check(&self.addr, path) else {
             return Reply::Answer;
         };
-        match timeout(PROBE_TIMEOUT, connection.send(request)).await {
-            Ok(answer) => Reply::from_result(answer),
-            Err(_) => Reply::Silence,
+        match run_timeout(PROBE_TIMEOUT, connection.send(request)).await {
+            None => Reply::Silence,
+            answer => Reply::from_result(answer),
         }
     }
 }
 
 impl Reply {
-    fn from_result<T, E>(result: Result<T, E>) -> Self {
+    /// Returns the reply to a probe that may have run out of time.
+    fn from_result<T, E>(result: Option<Result<T, E>>) -> Self {
         match result {
-            Ok(_) => Reply::Answer,
-            Err(_) => Reply::Failure,
+            Some(Ok(_)) => Reply::Answer,
+            Some(Err(_)) | None => Reply::Failure,
         }
     }
 }
