Continue broken streams once their box reaches the engines again

Streams that broke while their box reached no engine were aborted after 0.12 s if no other box made an offer, and at once where none had come a moment ago, though the box itself reached the engines again meanwhile.

Cause: a wait for an offer ended with an offer only, or with its time. It now also ends when this box reaches the service again; requests then go the short way. A stream that broke waits for a way for up to a second, as its caller can no longer be told to come back later; requests that have not begun are refused as soon as before.

--- a/crates/ashgauged/src/relay/egress.rs
+++ b/crates/ashgauged/src/relay/egress.rs
@@ -15,11 +15,12 @@
 
 use super::dial::{self, OpenResponse};
 use super::forward::MAX_ANSWER_BYTES;
+use super::offers::{self, Way};
 use super::request::{
     DECLINED_HEADER, FullResponse, RoutedRequest, failure_outcome, is_authorized,
 };
 use super::shared_state::SharedState;
-use super::{offers, open, permit, retry};
+use super::{open, permit, retry};
 
 /// Header with the token of an offer, on a request that another box sends.
 pub const TOKEN_HEADER: HeaderName = HeaderName::from_static("ashgauge-egress");
@@ -39,6 +40,8 @@
 pub enum Failure {
     /// No box makes an offer; the request has not run.
     NoOffer,
+    /// This box reaches the service itself again; the request has not run.
+    Reached,
     /// The other box refuses the request, with this response.
     Refused(FullResponse),
     /// An upstream failed the request, with this response.
@@ -49,7 +52,7 @@
 
 /// What to do after a failure to send a request through another box.
 pub enum EgressEnd {
-    /// Send it again, through another box if this one is still cut off.
+    /// Send it, through another box if this one is still cut off.
     Resend,
     /// End it with the response of the other box or of an upstream.
     Forward(FullResponse),
@@ -67,6 +70,7 @@
     match failure {
         Failure::Refused(_) if attempts.may_have_run() => EgressEnd::Fail(FailureKind::Unknown),
         Failure::Refused(response) | Failure::Failed(response) => EgressEnd::Forward(response),
+        Failure::Reached => EgressEnd::Resend,
         Failure::NoOffer => EgressEnd::Fail(attempts.failure(shared.now())),
         Failure::Lost => match retry::next_step(shared, request, attempts, SendOutcome::Lost) {
             Decision::Resend => EgressEnd::Resend,
@@ -96,9 +100,15 @@
     has_suspect && !request.is_forwarded && permit::limit_wait(shared, &request.service).is_none()
 }
 
-/// Returns whether a box makes an offer for a request.
-pub async fn is_offered(shared: &Rc<SharedState>, request: &RoutedRequest) -> bool {
-    offers::wait(shared, &request.service.name).await.is_some()
+/// Waits for a way to continue a stream that this box has begun, for at most `max_wait`; returns
+/// whether there is one.
+pub async fn has_way(
+    shared: &Rc<SharedState>,
+    request: &RoutedRequest,
+    max_wait: Duration,
+) -> bool {
+    let way = offers::wait_for(shared, &request.service.name, max_wait);
+    way.await.is_some()
 }
 
 /// Sends a request through another box, and returns the response of an upstream, whose body is
@@ -112,8 +122,10 @@
     let service = request.service.name.clone();
     let until = shared.now() + MAX_SEARCH_TIME;
     while shared.now() < until {
-        let Some((addr, token)) = offers::wait(shared, &service).await else {
-            break;
+        let (addr, token) = match offers::wait(shared, &service).await {
+            Some(Way::Box(addr, token)) => (addr, token),
+            Some(Way::Direct) => return Err(Failure::Reached),
+            None => break,
         };
         attempts.record_send(addr.to_string().into());
         request.record.sends.push(format!("box {addr}").into());
--- a/crates/ashgauged/src/relay/event_forwarder/repair.rs
+++ b/crates/ashgauged/src/relay/event_forwarder/repair.rs
@@ -23,6 +23,7 @@
 use super::super::recovery;
 use super::super::request::LoadGuard;
 use super::super::select::ChainCriteria;
+use super::resume::MAX_ALIVE_WAIT;
 use super::{EventForwarder, ForwardState};
 
 /// Maximum number of detours around lost or stalled engines in one stream; after that it
@@ -287,7 +288,7 @@
         };
         let crossings = self.shared.count_crossings(&self.run.stages);
         let crosses = self.shared.count_crossings(&stages) > crossings;
-        if crosses && self.try_resume("the detour crosses").await {
+        if crosses && self.try_resume("the detour crosses", MAX_ALIVE_WAIT).await {
             return ForwardState::Continue;
         }
         self.repairs += 1;
--- a/crates/ashgauged/src/relay/event_forwarder/resume.rs
+++ b/crates/ashgauged/src/relay/event_forwarder/resume.rs
@@ -1,5 +1,7 @@
 //! Continuation of a stream on another chain, or through another box.
 
+use std::time::Duration;
+
 use ashgauge::attempts::{Decision, SendOutcome};
 use ashgauge::member::UpstreamId;
 use serde_json::json;
@@ -13,6 +15,13 @@
 use super::super::retry;
 use super::{EventForwarder, ForwardState};
 
+/// Longest wait of a stream that broke for a way to continue, while this box reaches no engine. Its
+/// caller can no longer be told to come back later.
+const MAX_BROKEN_WAIT: Duration = Duration::from_secs(1);
+
+/// Longest wait for such a way of a stream whose present answer may still continue.
+pub(super) const MAX_ALIVE_WAIT: Duration = Duration::from_millis(120);
+
 impl EventForwarder {
     /// Continues the stream on another chain, after the last event that was forwarded.
     ///
@@ -22,7 +31,11 @@
         if !alive && self.can_resume() && !self.wait_for_budget().await {
             return ForwardState::Abort("caller left");
         }
-        match self.try_resume(reason).await || alive {
+        let max_wait = match alive {
+            true => MAX_ALIVE_WAIT,
+            false => MAX_BROKEN_WAIT,
+        };
+        match self.try_resume(reason, max_wait).await || alive {
             true => ForwardState::Continue,
             false => ForwardState::Abort("broken"),
         }
@@ -33,18 +46,18 @@
         self.policy.resumable && (self.last_id.is_some() || !self.has_forwarded)
     }
 
-    /// Continues the stream on another chain as [`EventForwarder::resume`] does. Returns
-    /// whether it could.
-    pub(super) async fn try_resume(&mut self, reason: &str) -> bool {
+    /// Continues the stream on another chain as [`EventForwarder::resume`] does. If this box
+    /// reaches no engine, waits for at most `max_wait` for a way. Returns whether it could.
+    pub(super) async fn try_resume(&mut self, reason: &str, max_wait: Duration) -> bool {
         if !self.can_resume() {
             return false;
         }
         if egress::is_needed(&self.shared, &self.request) {
-            if !egress::is_offered(&self.shared, &self.request).await {
+            let is_isolated = egress::is_isolated(&self.shared, &self.request);
+            if !egress::has_way(&self.shared, &self.request, max_wait).await {
                 return false;
             }
             // A run that the box is isolated from uses up no attempt.
-            let is_isolated = egress::is_isolated(&self.shared, &self.request);
             if is_isolated && self.run.first_engine().is_some() {
                 self.attempts.record_lost();
             }
@@ -121,7 +134,7 @@
                 self.adopt_run(reason, run);
                 Some(true)
             }
-            Err(egress::Failure::Lost) => None,
+            Err(egress::Failure::Lost | egress::Failure::Reached) => None,
             Err(_) => Some(false),
         }
     }
--- a/crates/ashgauged/src/relay/offers.rs
+++ b/crates/ashgauged/src/relay/offers.rs
@@ -60,30 +60,51 @@
 /// Number of requests in flight from which on a box makes no offers.
 pub const MAX_INFLIGHT: usize = 512;
 
-/// Returns an offer for a service. If there is none, waits for one, unless none came a moment
-/// ago.
-pub async fn wait(shared: &Rc<SharedState>, service: &ServiceId) -> Option<(SocketAddr, Token)> {
-    if let Some(offer) = choose(shared, service) {
-        return Some(offer);
+/// Way of a request whose service this box did not reach.
+pub enum Way {
+    /// Through another box, which made an offer.
+    Box(SocketAddr, Token),
+    /// As usual: this box reaches the service again.
+    Direct,
+}
+
+/// Returns the way of a request that has not begun. If there is none, waits for one, unless no
+/// offer came a moment ago.
+pub async fn wait(shared: &Rc<SharedState>, service: &ServiceId) -> Option<Way> {
+    if let Some((addr, token)) = choose(shared, service) {
+        return Some(Way::Box(addr, token));
     }
     if is_unoffered(shared, service) {
         return None;
     }
+    let way = wait_for(shared, service, OFFER_TIMEOUT).await;
+    if way.is_none() {
+        note_unoffered(shared, service);
+    }
+    way
+}
+
+/// Waits for a way for at most `max_wait`, also if no offer came a moment ago.
+pub async fn wait_for(
+    shared: &Rc<SharedState>,
+    service: &ServiceId,
+    max_wait: Duration,
+) -> Option<Way> {
+    let was_cut_off = shared.reach.is_cut_off(service);
     let waiting = async {
         loop {
-            let offered = shared.egress.offered.notified();
-            if let Some(offer) = choose(shared, service) {
-                return offer;
+            let changed = shared.egress.changed.notified();
+            if let Some((addr, token)) = choose(shared, service) {
+                return Way::Box(addr, token);
+            }
+            if was_cut_off && !shared.reach.is_cut_off(service) {
+                return Way::Direct;
             }
             // Those that do not reply are cut off themselves, so others are asked.
-            let _ = timeout(ASK_INTERVAL, offered).await;
+            let _ = timeout(ASK_INTERVAL, changed).await;
         }
     };
-    let offer = timeout(OFFER_TIMEOUT, waiting).await.ok();
-    if offer.is_none() {
-        note_unoffered(shared, service);
-    }
-    offer
+    timeout(max_wait, waiting).await.ok()
 }
 
 /// Removes the offers of a box that did not accept a request.
@@ -101,7 +122,7 @@
     };
     state.offers.add(shared.now(), offer);
     state.backoff = Duration::ZERO;
-    shared.egress.offered.notify_waiters();
+    shared.egress.changed.notify_waiters();
     true
 }
 
--- a/crates/ashgauged/src/relay/reach.rs
+++ b/crates/ashgauged/src/relay/reach.rs
@@ -92,6 +92,7 @@
         return;
     };
     show_lost_services(shared);
+    shared.egress.changed.notify_waiters();
     let fields = json!({"service": &**service, "ms": time.as_millis() as u64});
     log::event(Level::Warn, "reach", "upstreams reached again", fields);
 }
--- a/crates/ashgauged/src/relay/state/egress.rs
+++ b/crates/ashgauged/src/relay/state/egress.rs
@@ -21,8 +21,8 @@
     /// Requests for offers that this box, as a hub, has referred in a period that began at the
     /// given time.
     pub referred: Cell<(Duration, u32)>,
-    /// Notifies that there is a new offer.
-    pub offered: Notify,
+    /// Notifies that there is a new offer, or that this box reaches a service again.
+    pub changed: Notify,
 }
 
 /// Offers for one service.
