Split orders from placement rounds, and upstreams' handles from worlds

placer.rs held both the rounds of a service and the sending of their orders, 534 lines; the orders are now in orders.rs. Two tests made the same two faults of a link; they are functions of the link's mode now.

--- a/crates/ashgauged/src/relay/mod.rs
+++ b/crates/ashgauged/src/relay/mod.rs
@@ -26,6 +26,7 @@
 mod notice;
 mod offers;
 mod open;
+mod orders;
 mod peer_server;
 mod peers;
 mod permit;
--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -52,6 +52,22 @@
 }
 
 impl Mode {
+    /// Refuses every new connection, and leaves the open ones alone.
+    pub fn refuse() -> Self {
+        Mode {
+            refuse: true,
+            ..Mode::default()
+        }
+    }
+
+    /// Resets all open connections and every new one.
+    pub fn reset() -> Self {
+        Mode {
+            cut: true,
+            ..Mode::default()
+        }
+    }
+
     /// Returns whether every new connection is refused, whoever opens it.
     fn refuses_all(&self) -> bool {
         self.refuse && self.processes.is_empty() && self.sources.is_empty()
