Look for help also where engines refused a connection a moment ago

Cause, by a log with the reason of each refusal: the first engines had refused a connection, so no chain was left, but they count as unreachable, not as suspect; only suspects were taken as a sign that other boxes may reach them. And a stream that had no chain and no offer was aborted without waiting, as the wait for a way was taken by boxes with the verdict only. Both signs count now, also for first tries; and the search for a continuation is one loop, for up to a second: a chain, another box, or a change of either.

--- a/crates/ashgauged/src/relay/egress.rs
+++ b/crates/ashgauged/src/relay/egress.rs
@@ -96,19 +96,8 @@
 pub fn is_promising(shared: &SharedState, request: &RoutedRequest) -> bool {
     let (now, registry) = (shared.now(), shared.registry.borrow());
     let mut upstreams = registry.of_service(&request.service.name);
-    let has_suspect = upstreams.any(|e| e.is_suspect(now));
-    has_suspect && !request.is_forwarded && permit::limit_wait(shared, &request.service).is_none()
-}
-
-/// Waits for a way to continue a stream that this box has begun, for at most `max_wait`; returns
-/// whether there is one.
-pub async fn has_way(
-    shared: &Rc<SharedState>,
-    request: &RoutedRequest,
-    max_wait: Duration,
-) -> bool {
-    let way = offers::wait_for(shared, &request.service.name, max_wait);
-    way.await.is_some()
+    let has_failed = upstreams.any(|e| e.is_suspect(now) || e.is_unreachable(now));
+    has_failed && !request.is_forwarded && permit::limit_wait(shared, &request.service).is_none()
 }
 
 /// Sends a request through another box, and returns the response of an upstream, whose body is
--- a/crates/ashgauged/src/relay/event_forwarder/resume.rs
+++ b/crates/ashgauged/src/relay/event_forwarder/resume.rs
@@ -8,20 +8,31 @@
 
 use super::super::egress;
 use super::super::loss::{self, BrokenRun};
+use super::super::offers;
 use super::super::open::{Run, start_run, start_run_elsewhere};
-use super::super::pick::{PickError, pick_or_wait};
+use super::super::pick::{ChosenChain, PickError, pick_or_wait};
 use super::super::recovery;
 use super::super::request::note_outcome;
 use super::super::retry;
 use super::{EventForwarder, ForwardState};
 
-/// Longest wait of a stream that broke for a way to continue, while this box reaches no engine. Its
+/// Longest wait of a stream that broke for a way to continue, while this box reaches no chain. Its
 /// caller can no longer be told to come back later.
 const MAX_BROKEN_WAIT: Duration = Duration::from_secs(1);
 
 /// Longest wait for such a way of a stream whose present answer may still continue.
 pub(super) const MAX_ALIVE_WAIT: Duration = Duration::from_millis(120);
 
+/// How a stream may continue.
+enum Continuation {
+    /// On this chain.
+    Chain(ChosenChain),
+    /// On a run that another box has started.
+    Started(Box<Run>),
+    /// Perhaps after another try, as the other box did not answer.
+    Lost,
+}
+
 impl EventForwarder {
     /// Continues the stream on another chain, after the last event that was forwarded.
     ///
@@ -47,21 +58,18 @@
     }
 
     /// Continues the stream on another chain as [`EventForwarder::resume`] does. If this box
-    /// reaches no engine, waits for at most `max_wait` for a way. Returns whether it could.
+    /// reaches no chain, waits for at most `max_wait` for a way. Returns whether it could.
     pub(super) async fn try_resume(&mut self, reason: &str, max_wait: Duration) -> bool {
         if !self.can_resume() {
             return false;
         }
-        if egress::is_needed(&self.shared, &self.request) {
-            let is_isolated = egress::is_isolated(&self.shared, &self.request);
-            if !egress::has_way(&self.shared, &self.request, max_wait).await {
-                return false;
-            }
-            // A run that the box is isolated from uses up no attempt.
-            if is_isolated && self.run.first_engine().is_some() {
-                self.attempts.record_lost();
-            }
+        // A run that the box is isolated from uses up no attempt.
+        let is_isolated = egress::is_needed(&self.shared, &self.request)
+            && egress::is_isolated(&self.shared, &self.request);
+        if is_isolated && self.run.first_engine().is_some() {
+            self.attempts.record_lost();
         }
+        let until = self.shared.now() + max_wait;
         let mut avoid: Vec<UpstreamId> = self.run.first_engine().into_iter().cloned().collect();
         let mut outcome = SendOutcome::Lost;
         loop {
@@ -69,22 +77,17 @@
             if next != Decision::Resend {
                 return false;
             }
-            if egress::is_needed(&self.shared, &self.request) {
-                match self.resume_elsewhere(reason).await {
-                    Some(resumed) => return resumed,
-                    None => continue,
+            let chosen = match self.find_continuation(&avoid, until).await {
+                Some(Continuation::Chain(chosen)) => chosen,
+                Some(Continuation::Started(run)) => {
+                    self.adopt_run(reason, *run);
+                    return true;
                 }
-            }
+                Some(Continuation::Lost) => continue,
+                None => return false,
+            };
             let (shared, request) = (&self.shared, &mut self.request);
             let began = shared.now();
-            let picked = pick_or_wait(shared, request, &self.attempts, &avoid, self.last_id).await;
-            let chosen = match picked {
-                Ok(chosen) => chosen,
-                Err(PickError::NoChain) if egress::is_promising(&self.shared, &self.request) => {
-                    return self.resume_elsewhere(reason).await == Some(true);
-                }
-                Err(_) => return false,
-            };
             match start_run(
                 shared,
                 request,
@@ -123,19 +126,34 @@
         }
     }
 
-    /// Continues the stream through another box. Returns whether it could; `None` if it may try
-    /// again.
-    async fn resume_elsewhere(&mut self, reason: &str) -> Option<bool> {
-        let (shared, last_event) = (&self.shared, self.last_id);
-        let started =
-            start_run_elsewhere(shared, &mut self.request, &mut self.attempts, last_event).await;
-        match started {
-            Ok(run) => {
-                self.adopt_run(reason, run);
-                Some(true)
+    /// Finds a chain, or another box that continues the stream. Where upstreams do not accept
+    /// this box's connections and no other box helps, waits until `until`.
+    async fn find_continuation(
+        &mut self,
+        avoid: &[UpstreamId],
+        until: Duration,
+    ) -> Option<Continuation> {
+        loop {
+            let (shared, request) = (&self.shared, &mut self.request);
+            if !egress::is_needed(shared, request) {
+                let attempts = &self.attempts;
+                match pick_or_wait(shared, request, attempts, avoid, self.last_id).await {
+                    Ok(chosen) => return Some(Continuation::Chain(chosen)),
+                    Err(PickError::NoChain) if egress::is_promising(shared, request) => {}
+                    Err(_) => return None,
+                }
+            }
+            let attempts = &mut self.attempts;
+            match start_run_elsewhere(shared, request, attempts, self.last_id).await {
+                Ok(run) => return Some(Continuation::Started(Box::new(run))),
+                Err(egress::Failure::Lost) => return Some(Continuation::Lost),
+                Err(egress::Failure::Refused(_) | egress::Failure::Failed(_)) => return None,
+                Err(egress::Failure::Reached) => {}
+                Err(egress::Failure::NoOffer) if shared.now() < until => {
+                    offers::wait_change(shared).await;
+                }
+                Err(egress::Failure::NoOffer) => return None,
             }
-            Err(egress::Failure::Lost | egress::Failure::Reached) => None,
-            Err(_) => Some(false),
         }
     }
 
--- a/crates/ashgauged/src/relay/offers.rs
+++ b/crates/ashgauged/src/relay/offers.rs
@@ -77,19 +77,6 @@
     if is_unoffered(shared, service) {
         return None;
     }
-    let way = wait_for(shared, service, OFFER_TIMEOUT).await;
-    if way.is_none() {
-        note_unoffered(shared, service);
-    }
-    way
-}
-
-/// Waits for a way for at most `max_wait`, also if no offer came a moment ago.
-pub async fn wait_for(
-    shared: &Rc<SharedState>,
-    service: &ServiceId,
-    max_wait: Duration,
-) -> Option<Way> {
     let was_cut_off = shared.reach.is_cut_off(service);
     let waiting = async {
         loop {
@@ -104,7 +91,16 @@
             let _ = timeout(ASK_INTERVAL, changed).await;
         }
     };
-    timeout(max_wait, waiting).await.ok()
+    let way = timeout(OFFER_TIMEOUT, waiting).await.ok();
+    if way.is_none() {
+        note_unoffered(shared, service);
+    }
+    way
+}
+
+/// Waits until there may be an offer that there was not, or the box reaches a service again.
+pub async fn wait_change(shared: &SharedState) {
+    let _ = timeout(ASK_INTERVAL, shared.egress.changed.notified()).await;
 }
 
 /// Removes the offers of a box that did not accept a request.
