Tell which configuration a box uses, how old and from whom

The record of the incident could not tell its hypotheses apart: 'in force' did not say where a configuration came from, a failed fetch was a line of level info without its duration, and a box whose data passed the operators' bound said nothing.

Now 'in force' names its source and the age of what the box knew before; 'answer not fetched' is a warning with its duration; 'too old' and 'current again' are logged as the age passes bounds.apply_ms; ashgauge_config_age_ms is a gauge; 'ashctl configs' shows version, age and source of each box.

--- a/crates/ashctl/src/args.rs
+++ b/crates/ashctl/src/args.rs
@@ -28,6 +28,8 @@
 on the users' platform
   relay                            a box's state, upstreams, layers and chains;
                                    --box is the address of its metrics
+  configs                          configuration of each box, its age and source;
+                                   --box lists those addresses: A,B,...
 
 options
   --box ADDR               operators' port of a box (or ASHCTL_BOX)
@@ -67,6 +69,8 @@
     Chains(String),
     /// Show the state of a box that forwards requests as a whole.
     Relay,
+    /// Show the configurations of several such boxes.
+    Configs,
     /// Show which box holds the lease for orders.
     Leases,
     /// Drain a box.
@@ -192,6 +196,7 @@
         ["upstreams"] => Command::Upstreams,
         ["chains", model] => Command::Chains((*model).into()),
         ["relay"] => Command::Relay,
+        ["configs"] => Command::Configs,
         ["leases"] => Command::Leases,
         ["drain"] => Command::Drain,
         ["timeline"] => Command::Timeline,
--- a/crates/ashctl/src/main.rs
+++ b/crates/ashctl/src/main.rs
@@ -39,6 +39,7 @@
         Command::Upstreams => fleet::upstreams(args).await,
         Command::Chains(model) => fleet::chains(args, model).await,
         Command::Relay => relay::status(args).await,
+        Command::Configs => relay::configs(args).await,
         Command::Leases => fleet::leases(args).await,
         Command::Drain => fleet::drain(args).await,
         Command::Timeline => fleet::timeline(args).await,
--- a/crates/ashctl/src/relay.rs
+++ b/crates/ashctl/src/relay.rs
@@ -1,4 +1,4 @@
-//! Command `relay`: the state of a box that forwards requests as a whole.
+//! Commands `relay` and `configs`: the state of boxes that forward requests as a whole.
 
 use std::time::Duration;
 
@@ -18,28 +18,55 @@
 ///
 /// Fails if the box cannot be reached or sends no valid response.
 pub async fn status(args: &Args) -> Result<i32> {
+    let body = fetch_status(&args.box_addr).await?;
+    match args.json {
+        true => println!("{body}"),
+        false => print_status(&serde_json::from_str(&body)?),
+    }
+    Ok(crate::EXIT_OK)
+}
+
+/// Shows which configuration each box uses, how old it is and where it came from; `--box` is
+/// a list of the addresses of their metrics ports, separated by commas.
+///
+/// # Errors
+///
+/// Fails if a response is not valid. A box that cannot be reached is shown as such.
+pub async fn configs(args: &Args) -> Result<i32> {
+    println!("{:24} {:>8} {:>8}  from", "box", "version", "age_ms");
+    let mut code = crate::EXIT_OK;
+    for addr in args.box_addr.split(',') {
+        let Ok(body) = fetch_status(addr).await else {
+            println!("{addr:24} {:>8} {:>8}  not reached", "-", "-");
+            code = crate::EXIT_FAILED;
+            continue;
+        };
+        let status: Value = serde_json::from_str(&body)?;
+        println!(
+            "{:24} {:>8} {:>8}  {}",
+            status["id"].as_str().unwrap_or(addr),
+            status["config_version"].to_string(),
+            status["config_age_ms"].to_string(),
+            status["config_from"].as_str().unwrap_or("-"),
+        );
+    }
+    Ok(code)
+}
+
+async fn fetch_status(addr: &str) -> Result<String> {
     let request = Request::builder()
         .uri("/status")
-        .header("host", &args.box_addr)
+        .header("host", addr)
         .body(Full::default())?;
     let client = Client::new(REPLY_TIMEOUT);
-    let response = client.send(&args.box_addr, request, REPLY_TIMEOUT).await;
+    let response = client.send(addr, request, REPLY_TIMEOUT).await;
     let response = response.wrap_err_with(|| {
-        format!(
-            "no answer from {}; --box must be the address of its metrics port",
-            args.box_addr
-        )
+        format!("no answer from {addr}; --box must be the address of its metrics port")
     })?;
     if response.status() != StatusCode::OK {
-        bail!("{} answered {}", args.box_addr, response.status());
-    }
-    let body = std::str::from_utf8(response.body())?;
-    if args.json {
-        println!("{body}");
-        return Ok(crate::EXIT_OK);
+        bail!("{addr} answered {}", response.status());
     }
-    print_status(&serde_json::from_str(body)?);
-    Ok(crate::EXIT_OK)
+    Ok(String::from_utf8(response.body().to_vec())?)
 }
 
 fn print_status(status: &Value) {
@@ -49,6 +76,7 @@
         "ready",
         "config_version",
         "config_age_ms",
+        "config_from",
         "store_away",
         "reads",
         "era",
--- a/crates/ashctl/tests/command.rs
+++ b/crates/ashctl/tests/command.rs
@@ -33,6 +33,8 @@
         "leases",
         "drain",
         "timeline",
+        "relay",
+        "configs",
     ];
     for command in commands {
         assert!(text.contains(&format!("\n  {command} ")), "{command}");
--- a/crates/ashgauged/src/relay/follow/mod.rs
+++ b/crates/ashgauged/src/relay/follow/mod.rs
@@ -6,6 +6,7 @@
 //! [`StoreFollower`]. The store may be restored from a copy of an earlier state (module
 //! [`store_restore`]).
 
+mod configuration;
 mod poll;
 mod revision_check;
 mod store_restore;
@@ -13,7 +14,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use ashgauge::member::UpstreamId;
@@ -21,14 +21,14 @@
 use ashgauge::poller::Poller;
 use ashgauge::revision;
 use ashgauge::upstream::Upstream;
-use platform::{StoreError, config, servers};
+use platform::{StoreError, servers};
 use serde_json::json;
 use spdlog::Level;
 use tokio::sync::{Notify, mpsc};
 
 use super::peers::{PeerMessage, Peers};
 use super::shared_state::SharedState;
-use super::{log, membership, offers, quarantine, reach};
+use super::{log, membership, quarantine};
 
 /// How long after the store has become reachable again an entry may be missing although
 /// its upstream is alive. The users gave this figure.
@@ -101,6 +101,7 @@
         tokio::task::spawn_local(follower.clone().confirm_loop());
         tokio::task::spawn_local(follower.clone().follow_config());
         tokio::task::spawn_local(follower.clone().follow_upstreams());
+        tokio::task::spawn_local(follower.clone().report_config_age());
         tokio::task::spawn_local(membership::follow_members(follower.shared.clone()));
         tokio::task::spawn_local(membership::reannounce(follower.shared.clone()));
         tokio::task::spawn_local(quarantine::restore_quarantined(follower.shared.clone()));
@@ -133,57 +134,6 @@
         let _ = reads.wait_for(|reads| *reads).await;
     }
 
-    async fn read_config(&self) -> Result<(), StoreError> {
-        let asked_at = self.shared.now();
-        let result = config::read(&self.shared.store, log_skipped).await;
-        self.shared.count_store_call("list", &result);
-        let (config, list_revision) = result?;
-        match config {
-            Some((config, revision)) => {
-                self.apply_config(config, revision)?;
-                self.shared.freshness.borrow_mut().confirm(asked_at);
-            }
-            None => self.shared.config_missing_at.set(Some(asked_at)),
-        }
-        advance_revision(&self.config_revision, list_revision);
-        self.update_covered();
-        Ok(())
-    }
-
-    /// Stores a configuration in the mirror and activates it unless a newer one is in
-    /// force.
-    fn apply_config(&self, config: config::Config, revision: Revision) -> Result<(), StoreError> {
-        let bytes = config.to_bytes()?;
-        self.shared.mirror.borrow_mut().set_config(revision, bytes);
-        self.activate_config(config)
-    }
-
-    /// Activates a configuration if it is newer than the one in force. An older one is
-    /// not passed to other boxes either.
-    fn activate_config(&self, config: config::Config) -> Result<(), StoreError> {
-        let shared = &self.shared;
-        let old_version = shared.routing.borrow().version;
-        let is_newer = config.version() > old_version;
-        if is_newer {
-            *self.active_config.borrow_mut() = Some(config.to_bytes()?);
-        }
-        if let Some(bytes) = &*self.active_config.borrow() {
-            shared.mirror.borrow_mut().restore_config(bytes.clone());
-        }
-        if !is_newer {
-            return Ok(());
-        }
-        let routing = config::decode(config);
-        let version = routing.version;
-        shared.metrics.config_version.set(version as i64);
-        *shared.routing.borrow_mut() = Arc::new(routing);
-        reach::forget_services(shared);
-        offers::forget_services(shared);
-        let fields = json!({"version": version, "before": old_version});
-        log::event(Level::Info, "config", "in force", fields);
-        Ok(())
-    }
-
     /// Reads all upstream entries; returns whether they contained something that no watch
     /// had delivered.
     async fn read_upstreams(&self) -> Result<bool, StoreError> {
--- a/crates/ashgauged/src/relay/follow/poll.rs
+++ b/crates/ashgauged/src/relay/follow/poll.rs
@@ -18,6 +18,7 @@
 use tokio::time::sleep;
 
 use super::super::peers::{PeerMessage, Peers};
+use super::super::shared_state::ConfigSource;
 use super::super::{log, membership, quarantine};
 use super::{StoreFollower, log_skipped};
 
@@ -135,7 +136,7 @@
         }
     }
 
-    fn is_reader(&self) -> bool {
+    pub(super) fn is_reader(&self) -> bool {
         *self.shared.reads_store.borrow()
     }
 
@@ -356,7 +357,7 @@
         let changes = shared.mirror.borrow_mut().apply(update);
         let has_changes = !changes.is_empty();
         if let Some(config) = config
-            && let Err(fault) = self.activate_config(config)
+            && let Err(fault) = self.activate_config(config, ConfigSource::Box(from.clone()))
         {
             log_skipped("config", &fault);
         }
--- a/crates/ashgauged/src/relay/metrics.rs
+++ b/crates/ashgauged/src/relay/metrics.rs
@@ -66,6 +66,8 @@
     pub forecast_ratio: Histogram,
     /// Version of the configuration in force.
     pub config_version: IntGauge,
+    /// Age of the configuration in milliseconds; -1 before the first confirmation.
+    pub config_age: IntGauge,
     /// Number of restores of the store from a copy.
     pub store_era: IntGauge,
     /// Requests that are quarantined because upstreams fail while running them.
@@ -148,6 +150,10 @@
                 &RATIO_BUCKETS,
             )?,
             config_version: gauge("ashgauge_config_version", "Configuration in force")?,
+            config_age: gauge(
+                "ashgauge_config_age_ms",
+                "Time since the configuration was last confirmed to be in force",
+            )?,
             store_era: gauge("ashgauge_store_era", "Returns of the store from a copy")?,
             held_requests: gauge("ashgauge_held_requests", "Requests that are held back")?,
             egress: counters("ashgauge_egress_total", "Sends between boxes", "result")?,
--- a/crates/ashgauged/src/relay/peers.rs
+++ b/crates/ashgauged/src/relay/peers.rs
@@ -147,8 +147,9 @@
         let message = match self.fetch_once(&to, &query, timeout).await {
             Ok(answer) => PeerMessage::Answer(answer, Some(asked_at)),
             Err(e) => {
-                let fields = json!({"from": &*to, "fault": format!("{e:#}")});
-                log::event(Level::Info, "fleet", "answer not fetched", fields);
+                let ms = (self.shared.now() - asked_at).as_millis() as u64;
+                let fields = json!({"from": &*to, "fault": format!("{e:#}"), "ms": ms});
+                log::event(Level::Warn, "fleet", "answer not fetched", fields);
                 PeerMessage::FetchFailed(to)
             }
         };
--- a/crates/ashgauged/src/relay/serve.rs
+++ b/crates/ashgauged/src/relay/serve.rs
@@ -91,6 +91,9 @@
         }
         shared.metrics.inflight.set(shared.inflight.get() as i64);
         shared.metrics.dropped_lines.set(log::dropped() as i64);
+        let age = shared.freshness.borrow().age(shared.now());
+        let age = age.map_or(-1, |age| age.as_millis() as i64);
+        shared.metrics.config_age.set(age);
         levels::set_gauges(&shared);
         (StatusCode::OK, shared.metrics.encode())
     })
--- a/crates/ashgauged/src/relay/shared_state.rs
+++ b/crates/ashgauged/src/relay/shared_state.rs
@@ -66,6 +66,25 @@
     pub is_candidate: bool,
 }
 
+/// Where a box got the configuration in force.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ConfigSource {
+    /// The store.
+    Store,
+    /// Another box.
+    Box(BoxId),
+}
+
+impl ConfigSource {
+    /// Returns the name that operators see: that of the box, or `store`.
+    pub fn name(&self) -> &str {
+        match self {
+            ConfigSource::Store => "store",
+            ConfigSource::Box(id) => id,
+        }
+    }
+}
+
 /// Last query of another box.
 #[derive(Clone, Copy, Debug)]
 pub struct LastQuery {
@@ -84,6 +103,8 @@
     pub client: Client,
     /// Configuration in force.
     pub routing: RefCell<Arc<RoutingConfig>>,
+    /// Where the configuration in force came from; `None` before the first one.
+    pub config_source: RefCell<Option<ConfigSource>>,
     /// The known upstreams.
     pub registry: RefCell<UpstreamRegistry>,
     /// Rate limits that upstreams name, and permits to send to those upstreams.
@@ -184,6 +205,7 @@
             store: StoreClient::new(&settings.store, settings.store_timeout()),
             client: Client::new(ms(settings.timing.connect_ms)),
             routing: RefCell::default(),
+            config_source: RefCell::default(),
             registry: RefCell::default(),
             permits: Permits::default(),
             freshness: RefCell::new(Freshness::new(settings.max_key_age())),
--- a/crates/ashgauged/src/relay/status.rs
+++ b/crates/ashgauged/src/relay/status.rs
@@ -25,6 +25,8 @@
     /// Time since the configuration was last confirmed to be in force, in milliseconds;
     /// `null` before the first confirmation.
     config_age_ms: Option<u64>,
+    /// Box from which the configuration came, or `store`; `null` before the first one.
+    config_from: Option<String>,
     store_away: bool,
     /// Whether there is a service of which this box reaches no upstream.
     cut_off: bool,
@@ -218,6 +220,11 @@
             .borrow()
             .age(now)
             .map(|a| a.as_millis() as u64),
+        config_from: shared
+            .config_source
+            .borrow()
+            .as_ref()
+            .map(|source| source.name().into()),
         store_away: shared.store_down.get(),
         cut_off: shared.reach.has_lost_service(),
         lost_services: shared
