Reproduce changes that are late over silent connections (red)

New: a network of links between boxes in the stand-in, an address that a box advertises in place of its own (a box behind a proxy or an address translation needs it too), and links whose open connections go silent for good.

--- a/crates/ashgauged/src/relay/peers.rs
+++ b/crates/ashgauged/src/relay/peers.rs
@@ -108,7 +108,9 @@
         let socket = Rc::new(socket);
         // The messaging is started once.
         let _ = shared.permits.socket.set(socket.clone());
-        shared.peer_addr.set(Some(socket.local_addr()?));
+        let advertised = shared.settings().advertise;
+        let peer_addr = advertised.map_or_else(|| socket.local_addr(), Ok)?;
+        shared.peer_addr.set(Some(peer_addr));
         let (sender, receiver) = mpsc::channel(MAX_QUEUED_MESSAGES);
         let peers = Rc::new(Peers {
             shared: shared.clone(),
--- a/crates/ashgauged/src/relay/settings.rs
+++ b/crates/ashgauged/src/relay/settings.rs
@@ -31,6 +31,9 @@
     /// each box only knows its own load.
     #[serde(default)]
     pub peer: Option<String>,
+    /// Address under which other boxes reach `peer`, if it differs from that.
+    #[serde(default)]
+    pub advertise: Option<SocketAddr>,
     /// IP address from which connections to upstreams, the store and other boxes are opened;
     /// without it the system chooses one.
     #[serde(default)]
--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -47,6 +47,9 @@
     pub processes: Vec<u32>,
     /// Discard the packets that open connections, as a network that is down does.
     pub drop: bool,
+    /// Connections that were opened under a lower epoch forward nothing ever again, and stay
+    /// open.
+    pub epoch: u32,
     /// Addresses whose connections the faults affect; empty for all connections.
     pub sources: Vec<Ipv4Addr>,
 }
@@ -154,10 +157,14 @@
     to: SocketAddr,
     mut mode: watch::Receiver<Mode>,
 ) {
+    let opened_in = mode.borrow().epoch;
     let faults = watch::Sender::new(mode.borrow_and_update().on(ends));
     let follow = async {
+        let mut is_silent = false;
         while mode.changed().await.is_ok() {
-            let now = mode.borrow_and_update().on(ends);
+            let mut now = mode.borrow_and_update().on(ends);
+            is_silent |= now.epoch > opened_in;
+            now.freeze |= is_silent;
             faults.send_replace(now);
         }
     };
