Fetch updates over connections of their own

Callers of a box that does not read the store were refused, or their requests run by the old service, for up to 3 s after a change was acknowledged, where the box's connections had died without a reset, however long before.

Cause: an update that does not fit a datagram is fetched over a kept connection. One that is silent shows only when it is used; the fetch hung for 1 s, then that from the next reader, before the box read the store itself. Class: a connection, kept for speed, taken for a proof that its other end can be reached.

Now each fetch opens a connection, and fails when nothing arrives for 0.4 s, longer in proportion to the answer. Two readers in trouble cost 2 x 0.4 s and 0.15 s for a query, where 1 s each was allowed before. A fetch costs one handshake.

--- a/crates/ashgauge/src/poller.rs
+++ b/crates/ashgauge/src/poller.rs
@@ -24,6 +24,10 @@
 /// time, over a link of 20 Mbit/s.
 const BYTES_PER_MS: u64 = 250;
 
+/// Longest time in which nothing of a small answer arrives that is fetched. A lost packet is
+/// sent again after 200 ms.
+const MAX_FETCH_SILENCE: Duration = Duration::from_millis(400);
+
 /// Interval and time limits of the polling.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PollTiming {
@@ -68,10 +72,20 @@
 impl PollTiming {
     /// Returns the time limit for fetching an answer of `bytes` bytes over a connection.
     pub fn fetch_timeout(&self, bytes: u64) -> Duration {
-        self.fetch_timeout + Duration::from_millis(bytes / BYTES_PER_MS)
+        self.fetch_timeout + transfer_time(bytes)
+    }
+
+    /// Returns the longest time in which nothing of such an answer arrives: a box that sends a
+    /// large one may be busy with it.
+    pub fn fetch_silence(&self, bytes: u64) -> Duration {
+        MAX_FETCH_SILENCE + transfer_time(bytes)
     }
 }
 
+fn transfer_time(bytes: u64) -> Duration {
+    Duration::from_millis(bytes / BYTES_PER_MS)
+}
+
 /// Polls other boxes in rounds.
 ///
 /// # Example
--- a/crates/ashgauged/src/relay/follow/poll.rs
+++ b/crates/ashgauged/src/relay/follow/poll.rs
@@ -10,6 +10,7 @@
 use ashgauge::query::{Answer, AnswerBody, FetchToken, Query, proven_at};
 use ashgauge::reader::{self, Backoffs, Fleet, Member, Readers};
 use ashgauge::revision;
+use http::FetchLimits;
 use platform::config::Config;
 use rand::Rng;
 use serde_json::json;
@@ -315,8 +316,11 @@
             } => {
                 let query = self.build_query(answer.id, Some(token));
                 let peers = peers.clone();
-                let timeout = timing.fetch_timeout(bytes);
-                tokio::task::spawn_local(peers.fetch(answer.from, query, timeout));
+                let limits = FetchLimits {
+                    total: timing.fetch_timeout(bytes),
+                    silence: timing.fetch_silence(bytes),
+                };
+                tokio::task::spawn_local(peers.fetch(answer.from, query, limits));
             }
         }
     }
--- a/crates/ashgauged/src/relay/peers.rs
+++ b/crates/ashgauged/src/relay/peers.rs
@@ -20,7 +20,7 @@
 use ashgauge::revision;
 use bytes::Bytes;
 use eyre::{Result, eyre};
-use http::Full;
+use http::{FetchLimits, Full};
 use hyper::{Method, Request, StatusCode};
 use rand::Rng;
 use serde_json::json;
@@ -144,9 +144,9 @@
 
     /// Fetches an answer that is too large for a datagram, and passes it, or the failure, to
     /// the polling task.
-    pub async fn fetch(self: Rc<Self>, to: BoxId, query: Query, timeout: Duration) {
+    pub async fn fetch(self: Rc<Self>, to: BoxId, query: Query, limits: FetchLimits) {
         let asked_at = self.shared.now();
-        let message = match self.fetch_once(&to, &query, timeout).await {
+        let message = match self.fetch_once(&to, &query, limits).await {
             Ok(answer) => PeerMessage::Answer(answer, Some(asked_at)),
             Err(e) => {
                 let ms = (self.shared.now() - asked_at).as_millis() as u64;
@@ -159,7 +159,7 @@
         let _ = self.messages.send(message).await;
     }
 
-    async fn fetch_once(&self, to: &BoxId, query: &Query, timeout: Duration) -> Result<Answer> {
+    async fn fetch_once(&self, to: &BoxId, query: &Query, limits: FetchLimits) -> Result<Answer> {
         let addr = self.shared.peers.borrow().get(to).map(|p| p.addr);
         let addr = addr.ok_or_else(|| eyre!("the box is not listed any more"))?;
         let addr = addr.to_string();
@@ -167,8 +167,7 @@
         let request = Request::builder().method(Method::POST).uri(ANSWER_PATH);
         let request = request.header(hyper::header::HOST, &addr);
         let request = request.body(body)?;
-        let response = self.shared.client.send(&addr, request, timeout);
-        let response = response.await?;
+        let response = self.shared.client.fetch(&addr, request, limits).await?;
         if response.status() != StatusCode::OK {
             return Err(eyre!("the box answered {}", response.status()));
         }
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -5,8 +5,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
@@ -36,6 +37,15 @@
     Lost(String),
 }
 
+/// Time limits of a request that has a connection of its own.
+#[derive(Clone, Copy, Debug)]
+pub struct FetchLimits {
+    /// Limit for the whole response.
+    pub total: Duration,
+    /// Longest time in which nothing arrives.
+    pub silence: Duration,
+}
+
 /// Sends requests over pooled connections. Clones share the pool.
 #[derive(Clone, Debug)]
 pub struct Client {
@@ -82,6 +92,52 @@
         }
     }
 
+    /// Sends a request over a connection of its own, which is closed after the response.
+    /// Such a request does not depend on connections that may have died without a reset.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be reached, the connection breaks, or a time limit is
+    /// reached.
+    pub async fn fetch(
+        &self,
+        addr: &str,
+        request: Request<Full<Bytes>>,
+        limits: FetchLimits,
+    ) -> Result<Response<Bytes>, Failure> {
+        match timeout(
+            limits.total,
+            self.fetch_steadily(addr, request, limits.silence),
+        )
+        .await
+        {
+            Ok(result) => result,
+            Err(_) => Err(Failure::Lost("the response is not complete in time".into())),
+        }
+    }
+
+    async fn fetch_steadily(
+        &self,
+        addr: &str,
+        request: Request<Full<Bytes>>,
+        silence: Duration,
+    ) -> Result<Response<Bytes>, Failure> {
+        let silent = |_| Failure::Lost(format!("silent for {silence:?}"));
+        let mut sender = self.connect(addr).await?;
+        let response = timeout(silence, sender.send_request(request)).await;
+        let response = response.map_err(silent)?.map_err(lost)?;
+        let (parts, body) = response.into_parts();
+        let mut body = Limited::new(body, MAX_RESPONSE_BYTES);
+        let mut bytes = BytesMut::new();
+        while let Some(frame) = timeout(silence, body.frame()).await.map_err(silent)? {
+            let frame = frame.map_err(|e| Failure::Lost(e.to_string()))?;
+            if let Ok(data) = frame.into_data() {
+                bytes.extend_from_slice(&data);
+            }
+        }
+        Ok(Response::from_parts(parts, bytes.freeze()))
+    }
+
     async fn exchange(
         &self,
         addr: &str,
@@ -113,16 +169,24 @@
             Ok(response) => response,
             Err(mut e) => match e.take_message() {
                 Some(request) => return Err(Box::new(request)),
-                None => return Ok(Err(Failure::Lost(e.error().to_string()))),
+                None => return Ok(Err(lost(e.into_error()))),
             },
         };
+        Ok(self.read_body(addr, sender, response).await)
+    }
+
+    /// Reads the body of a response, and keeps its connection.
+    async fn read_body(
+        &self,
+        addr: &str,
+        sender: Sender,
+        response: Response<Incoming>,
+    ) -> Result<Response<Bytes>, Failure> {
         let (parts, body) = response.into_parts();
-        let body = match Limited::new(body, MAX_RESPONSE_BYTES).collect().await {
-            Ok(body) => body.to_bytes(),
-            Err(e) => return Ok(Err(Failure::Lost(e.to_string()))),
-        };
+        let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
+        let body = body.map_err(|e| Failure::Lost(e.to_string()))?.to_bytes();
         self.put_back(addr, sender);
-        Ok(Ok(Response::from_parts(parts, body)))
+        Ok(Response::from_parts(parts, body))
     }
 
     async fn connect(&self, addr: &str) -> Result<Sender, Failure> {
@@ -187,6 +251,10 @@
     }
 }
 
+fn lost(error: hyper::Error) -> Failure {
+    Failure::Lost(error.to_string())
+}
+
 impl fmt::Display for Failure {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -11,7 +11,7 @@
 mod headers;
 mod server;
 
-pub use client::{Client, Failure};
+pub use client::{Client, Failure, FetchLimits};
 pub use connect::{connect, set_source};
 pub use headers::retry_after;
 pub use http_body_util::Full;
--- a/crates/http/tests/client.rs
+++ b/crates/http/tests/client.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Client, Full, Limits};
+use http::{Client, FetchLimits, Full, Limits};
 use hyper::{Request, Response};
-use tokio::net::TcpListener;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
 /// Number of servers, each of which gets one request.
@@ -43,3 +44,73 @@
         client.idle_count()
     );
 }
+
+/// Time limits of fetches from servers that fall silent.
+const FETCH_LIMITS: FetchLimits = FetchLimits {
+    total: RESPONSE_TIMEOUT,
+    silence: Duration::from_millis(100),
+};
+
+/// Responds to the first request of each connection, and falls silent.
+async fn answer_once(mut stream: TcpStream) {
+    let mut buffer = [0; 1024];
+    let _ = stream.read(&mut buffer).await;
+    let _ = stream
+        .write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok")
+        .await;
+    std::future::pending().await
+}
+
+/// Begins a response, and falls silent.
+async fn answer_in_part(mut stream: TcpStream) {
+    let _ = stream
+        .write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\no")
+        .await;
+    std::future::pending().await
+}
+
+/// Starts a server that handles each connection with `handle`; returns its address.
+async fn start_server<F>(handle: fn(TcpStream) -> F) -> String
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap().to_string();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(handle(stream));
+        }
+    });
+    addr
+}
+
+fn get(addr: &str) -> Request<Full<Bytes>> {
+    let request = Request::builder().header("host", addr);
+    request.body(Full::default()).unwrap()
+}
+
+/// Guards against fetches that hang on an idle connection which has died without a reset.
+#[tokio::test]
+async fn fetch_uses_a_connection_of_its_own() {
+    let addr = start_server(answer_once).await;
+    let client = Client::new(RESPONSE_TIMEOUT);
+    client
+        .send(&addr, get(&addr), RESPONSE_TIMEOUT)
+        .await
+        .unwrap();
+    assert_eq!(client.idle_count(), 1);
+    let response = client.fetch(&addr, get(&addr), FETCH_LIMITS).await;
+    assert_eq!(response.unwrap().body(), "ok");
+}
+
+#[tokio::test]
+async fn fetch_fails_when_nothing_arrives() {
+    let client = Client::new(RESPONSE_TIMEOUT);
+    for addr in [
+        start_server(answer_in_part).await,
+        start_server(|_| std::future::pending()).await,
+    ] {
+        let response = client.fetch(&addr, get(&addr), FETCH_LIMITS).await;
+        assert!(response.is_err());
+    }
+}
