Send reads of the store again where a kept connection is silent

Callers of a box that reads the store were refused by an old configuration for up to 2.6 s after a change, where its connections to the store had died without a reset: each call over such a connection waited for its timeout of 1 s, and the watches hung on theirs until one failed.

Cause: as for fetches between boxes, a kept connection taken for a way to its other end. Now a read that gets no head for 0.25 s (a lost packet is sent again after 0.2 s) is sent again over a new connection, the other idle ones are closed, and where the new one answers the watches begin anew. Writes are not sent twice. A store that is slow by more than 0.25 s gets each read of a kept connection twice at most.

--- a/crates/ashgauged/src/relay/follow/mod.rs
+++ b/crates/ashgauged/src/relay/follow/mod.rs
@@ -107,6 +107,7 @@
         tokio::task::spawn_local(quarantine::restore_quarantined(follower.shared.clone()));
         tokio::task::spawn_local(follower.clone().follow_suspensions());
         tokio::task::spawn_local(follower.clone().follow_restores());
+        tokio::task::spawn_local(follower.clone().follow_silent_connections());
         match messages.filter(|_| follower.shared.settings().shares_reading()) {
             Some(messages) => drop(tokio::task::spawn_local(follower.poll_readers(messages))),
             None => {
@@ -127,6 +128,17 @@
         }
     }
 
+    /// Restarts the watches when another connection to the store has turned out to be dead.
+    async fn follow_silent_connections(self: Rc<Self>) {
+        let mut silent = self.shared.store.subscribe_silent();
+        // The store client lives as long as the shared state.
+        while silent.changed().await.is_ok() {
+            let fields = json!({"reads": self.is_reader()});
+            log::event(Level::Warn, "store", "silent connection", fields);
+            self.restart.notify_waiters();
+        }
+    }
+
     /// Waits until this box reads the store itself.
     async fn wait_until_reader(&self) {
         let mut reads = self.shared.reads_store.subscribe();
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -11,6 +11,7 @@
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use tokio::sync::watch;
 use tokio::time::timeout;
 
 use crate::connect::connect;
@@ -28,6 +29,10 @@
 /// Maximum size of a response; a stored object has at most 1 MB.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 
+/// Silence of a pooled connection after which a request that may be repeated is sent over a
+/// new one as well. A lost packet is sent again after 200 ms.
+const HEDGE_DELAY: Duration = Duration::from_millis(250);
+
 /// Reason why there is no response to a request.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Failure {
@@ -51,6 +56,8 @@
 pub struct Client {
     connect_timeout: Duration,
     idle: Arc<Mutex<IdlePool>>,
+    /// Number of pooled connections that were silent while a new one worked.
+    silent: Arc<watch::Sender<u64>>,
 }
 
 /// Idle connections.
@@ -66,9 +73,17 @@
         Client {
             connect_timeout,
             idle: Arc::default(),
+            silent: Arc::default(),
         }
     }
 
+    /// Returns a receiver that changes when a pooled connection was silent while a new one to
+    /// the same address worked. Other connections that were opened earlier may have died with
+    /// it, without a reset.
+    pub fn subscribe_silent(&self) -> watch::Receiver<u64> {
+        self.silent.subscribe()
+    }
+
     /// Returns the number of idle connections.
     pub fn idle_count(&self) -> usize {
         self.idle.lock().map_or(0, |idle| idle.count)
@@ -92,6 +107,24 @@
         }
     }
 
+    /// Sends a request that may be repeated. If a pooled connection is silent, the request is
+    /// sent again over a new one; the first response counts.
+    ///
+    /// # Errors
+    ///
+    /// Same as [`Client::send`].
+    pub async fn send_hedged(
+        &self,
+        addr: &str,
+        request: Request<Full<Bytes>>,
+        limit: Duration,
+    ) -> Result<Response<Bytes>, Failure> {
+        match timeout(limit, self.exchange_hedged(addr, request)).await {
+            Ok(result) => result,
+            Err(_) => Err(Failure::Lost("no answer in time".into())),
+        }
+    }
+
     /// Sends a request over a connection of its own, which is closed after the response.
     /// Such a request does not depend on connections that may have died without a reset.
     ///
@@ -158,6 +191,38 @@
         }
     }
 
+    async fn exchange_hedged(
+        &self,
+        addr: &str,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Bytes>, Failure> {
+        let Some(mut sender) = self.take(addr) else {
+            return self.exchange(addr, request).await;
+        };
+        let pooled = sender.try_send_request(request.clone());
+        tokio::pin!(pooled);
+        let head = match timeout(HEDGE_DELAY, pooled.as_mut()).await {
+            Ok(head) => head,
+            Err(_) => {
+                self.drop_idle(addr);
+                tokio::select! {
+                    head = pooled.as_mut() => head,
+                    response = self.exchange(addr, request.clone()) => match response {
+                        Ok(response) => {
+                            self.silent.send_modify(|count| *count += 1);
+                            return Ok(response);
+                        }
+                        Err(_) => pooled.await,
+                    },
+                }
+            }
+        };
+        match head {
+            Ok(response) => self.read_body(addr, sender, response).await,
+            Err(_) => self.exchange(addr, request).await,
+        }
+    }
+
     /// Sends on one connection; returns the request if it was not sent.
     async fn send_on(
         &self,
@@ -208,6 +273,12 @@
         self.idle.lock().ok()?.take(addr)
     }
 
+    fn drop_idle(&self, addr: &str) {
+        if let Ok(mut idle) = self.idle.lock() {
+            idle.remove(addr);
+        }
+    }
+
     fn put_back(&self, addr: &str, sender: Sender) {
         if let Ok(mut idle) = self.idle.lock() {
             idle.put_back(addr, sender);
@@ -241,6 +312,11 @@
         }
     }
 
+    fn remove(&mut self, addr: &str) {
+        let removed = self.senders.remove(addr);
+        self.count -= removed.map_or(0, |senders| senders.len());
+    }
+
     /// Removes connections that the other side has closed.
     fn drop_closed(&mut self) {
         for senders in self.senders.values_mut() {
--- a/crates/http/tests/client.rs
+++ b/crates/http/tests/client.rs
@@ -103,6 +103,21 @@
     assert_eq!(response.unwrap().body(), "ok");
 }
 
+/// Guards against reads of the store that wait for their timeout on an idle connection which
+/// has died without a reset.
+#[tokio::test]
+async fn hedged_request_is_sent_again_when_an_idle_connection_is_silent() {
+    let addr = start_server(answer_once).await;
+    let client = Client::new(RESPONSE_TIMEOUT);
+    let mut silent = client.subscribe_silent();
+    for expected in [0, 1] {
+        let response = client.send_hedged(&addr, get(&addr), RESPONSE_TIMEOUT);
+        assert_eq!(response.await.unwrap().body(), "ok");
+        assert_eq!(*silent.borrow_and_update(), expected);
+    }
+    assert_eq!(client.idle_count(), 1);
+}
+
 #[tokio::test]
 async fn fetch_fails_when_nothing_arrives() {
     let client = Client::new(RESPONSE_TIMEOUT);
