Find a change that a dead watch misses within the bound on configurations

Callers of boxes that all read the store, as in a fleet of three, were refused by an old configuration for up to 2.6 s after a change where a watch hung on a dead connection while the check of the revision used a live one.

Cause: the sum of the check was never laid against the bound on configurations (2 s): an interval of 2 s, then up to 0.8 s of waiting for a watch that no longer delivers, then the read. And a configuration that a check found restarted neither the watches nor told the boxes that poll this one, as missed upstreams do; so each later change came as late.

Now the interval is at most 0.7 of the bound (1.4 s), the check waits for a watch only while one is delayed to batch changes (and 0.1 s), and a missed configuration restarts the watches and is announced. Worst sum: 1.4 + 0.1 + 0.25 s (a silent connection) + the reads. The cost is a call of some bytes each 1.4 s in place of 2 s where every box reads.

--- a/crates/ashgauged/src/relay/follow/mod.rs
+++ b/crates/ashgauged/src/relay/follow/mod.rs
@@ -67,6 +67,8 @@
     restore: store_restore::RestoreState,
     /// When the store last became reachable again or was restored.
     returned_at: Cell<Option<Duration>>,
+    /// Until when the next call of a watch is delayed, to batch changes.
+    watch_delayed_until: Cell<Duration>,
     /// Cancels the watches, which may hang on dead connections, and starts new ones.
     restart: Notify,
     /// Triggers a freshness check at once.
@@ -94,6 +96,7 @@
             failed_at: Cell::new(None),
             restore: store_restore::RestoreState::default(),
             returned_at: Cell::new(None),
+            watch_delayed_until: Cell::new(Duration::ZERO),
             restart: Notify::new(),
             check_now: Notify::new(),
             changed: Notify::new(),
--- a/crates/ashgauged/src/relay/follow/revision_check.rs
+++ b/crates/ashgauged/src/relay/follow/revision_check.rs
@@ -24,8 +24,8 @@
 /// are billed too.
 const INFORMED_RETRY_DELAY: Duration = Duration::from_millis(2000);
 
-/// Time allowed for the call of a watch whose batch delay has passed.
-const BATCH_MARGIN: Duration = Duration::from_millis(100);
+/// Time allowed for a watch that is not delayed to deliver a change.
+const WATCH_MARGIN: Duration = Duration::from_millis(100);
 
 impl StoreFollower {
     /// Checks freshness periodically while this box reads the store.
@@ -87,13 +87,15 @@
                 return Ok(());
             }
         }
+        let old_version = shared.routing().version;
         self.read_config().await?;
-        if shared.routing().version == 0 && self.failed_at.get().is_none() {
+        let version = shared.routing().version;
+        if version == 0 && self.failed_at.get().is_none() {
             // Nothing can be served yet, and the watch delivers the upstreams.
             return Ok(());
         }
-        let missed = self.read_upstreams().await?;
-        if was_synced && missed {
+        let missed_upstreams = self.read_upstreams().await?;
+        if was_synced && (missed_upstreams || version > old_version) {
             // A watch that has not delivered this may hang on a dead connection.
             self.restart.notify_waiters();
             self.notify_pollers().await;
@@ -118,9 +120,10 @@
     /// delivered, and the boxes' own objects. No watch covers the latter; they are read
     /// by stale reads, which cost a tenth of a fresh one.
     async fn covers(&self, revision: Revision) -> bool {
-        // The watch may be delaying its call to batch the missing changes. The confirmed
-        // data ages meanwhile, so there is time for one such wait.
-        let deadline = self.shared.now() + self.upstreams_batch_delay() + BATCH_MARGIN;
+        // A watch may be delaying its call to batch the missing changes. The confirmed data
+        // ages meanwhile, so there is time for one such wait.
+        let delayed_until = self.watch_delayed_until.get();
+        let deadline = delayed_until.max(self.shared.now()) + WATCH_MARGIN;
         loop {
             let changed = self.changed.notified();
             if self.shared.mirror.borrow().covers(revision) {
--- a/crates/ashgauged/src/relay/follow/watch.rs
+++ b/crates/ashgauged/src/relay/follow/watch.rs
@@ -45,7 +45,7 @@
                     advance_revision(&self.config_revision, revision);
                     if changed {
                         self.notify_pollers().await;
-                        sleep(self.config_batch_delay()).await;
+                        self.delay_watch(self.config_batch_delay()).await;
                     }
                 }
                 Some(Err(fault)) => {
@@ -91,7 +91,7 @@
                     advance_revision(&self.upstreams_revision, revision);
                     if changed {
                         self.notify_pollers().await;
-                        sleep(self.upstreams_batch_delay()).await;
+                        self.delay_watch(self.upstreams_batch_delay()).await;
                     }
                 }
                 Some(Err(fault)) => {
@@ -139,6 +139,14 @@
         }
     }
 
+    /// Waits before the next call of a watch, so that further changes come with it.
+    async fn delay_watch(&self, delay: Duration) {
+        let until = self.shared.now() + delay;
+        self.watch_delayed_until
+            .set(until.max(self.watch_delayed_until.get()));
+        sleep(delay).await;
+    }
+
     fn watch_time(&self) -> Duration {
         Duration::from_millis(self.shared.settings().timing.watch_ms)
     }
@@ -159,7 +167,7 @@
         Some(result)
     }
 
-    pub(super) fn upstreams_batch_delay(&self) -> Duration {
+    fn upstreams_batch_delay(&self) -> Duration {
         let registry = self.shared.registry.borrow();
         let has_placed = registry.iter().any(|e| e.upstream.layers.is_some());
         match has_placed || self.shared.is_ready() {
--- a/crates/ashgauged/src/relay/settings.rs
+++ b/crates/ashgauged/src/relay/settings.rs
@@ -228,14 +228,17 @@
     }
 
     /// Returns the interval between freshness checks of the configuration. A check
-    /// without an answer leaves time for another one within the maximum key age.
+    /// without an answer leaves time for another one within the maximum key age, and a
+    /// check finds a change that no watch delivers within the bound on configurations.
     pub fn confirm_interval(&self) -> Duration {
         let reserve = self.store_timeout() + CONFIRM_MARGIN;
         let limit = self
             .max_key_age()
             .saturating_sub(reserve)
             .max(self.max_key_age() / 2);
-        Duration::from_millis(self.timing.confirm_ms).min(limit)
+        Duration::from_millis(self.timing.confirm_ms)
+            .min(limit)
+            .min(self.apply_bound().mul_f64(CHECK_SHARE))
     }
 
     /// Returns the interval between freshness checks where a few boxes make them for all.
@@ -373,6 +376,10 @@
     }
 }
 
+/// Share of the bound on configurations for the interval between freshness checks. The
+/// remainder is for the check, for a watch to deliver what it finds, and for the read.
+const CHECK_SHARE: f64 = 0.7;
+
 /// Share of the bound on leaving upstreams that is allowed for one freshness check by a
 /// reader. With [`ASK_SHARE`] and [`STALE_SHARE`], 0.7 of the bound may pass until a box
 /// that polled a reader without access to the store polls the next one.
