Refuse nothing for good by a configuration that may be out of date

Callers got 404 or 401 from a box whose data was 2 to 4.5 s old, though the configuration in force allowed their requests.

Cause: one bound for two matters. Whether such a refusal may be given was asked of the bound on revoked keys (0.9 of 5 s; none at all where keys need not be revoked strictly), not of the bound within which a configuration must be in force (2 s). Class: a bound of one matter applied to another.

Now a box whose data is older than bounds.apply_ms answers 503 with when to come back to what its configuration lacks. Keys are accepted by their own bound, as before.

box_that_cannot_know_refuses_nothing_for_good: 404 from 2.1 s on before, 503 only after.

--- a/crates/ashgauged/src/relay/forward.rs
+++ b/crates/ashgauged/src/relay/forward.rs
@@ -191,22 +191,18 @@
     if shared.is_stopped.get() {
         return Err(Refusal::Stopping);
     }
-    let is_current = shared.freshness.borrow().is_fresh(shared.now());
     if routing.version == 0 {
         return Err(Refusal::Unsynced);
     }
-    // What a stale configuration lacks may exist by now.
-    let or_unsynced = |refusal| {
-        if is_current {
-            refusal
-        } else {
-            Refusal::Unsynced
-        }
+    // What an old configuration lacks may exist by now.
+    let or_unsynced = |refusal| match shared.is_config_current() {
+        true => refusal,
+        false => Refusal::Unsynced,
     };
     let route = routing.find_route(&client_request.host, &client_request.path);
     let route = route.ok_or(or_unsynced(Refusal::NoRoute))?;
     let team = match routing.authorize(route, client_request.key.as_deref()) {
-        Access::Team(_) if !is_current => return Err(Refusal::Unsynced),
+        Access::Team(_) if !shared.may_accept_keys() => return Err(Refusal::Unsynced),
         Access::Team(team) => Some(team),
         Access::Anonymous => None,
         Access::Denied => return Err(or_unsynced(Refusal::NoKey)),
--- a/crates/ashgauged/src/relay/request.rs
+++ b/crates/ashgauged/src/relay/request.rs
@@ -176,7 +176,7 @@
     }
     let routing = shared.routing.borrow();
     let access = routing.authorize(&request.route, request.client_request.key.as_deref());
-    shared.freshness.borrow().is_fresh(shared.now()) && matches!(access, Access::Team(_))
+    shared.may_accept_keys() && matches!(access, Access::Team(_))
 }
 
 /// Whether the request is quarantined because it, or a part of its prompt, crashes the
--- a/crates/ashgauged/src/relay/shared_state.rs
+++ b/crates/ashgauged/src/relay/shared_state.rs
@@ -296,8 +296,19 @@
     /// Whether the load balancer should send callers here.
     pub fn is_ready(&self) -> bool {
         let needs_keys = self.routing.borrow().requires_keys();
-        let is_current = !needs_keys || self.freshness.borrow().is_fresh(self.now());
-        self.is_synced() && is_current && !self.is_stopping.get()
+        let accepts_keys = !needs_keys || self.may_accept_keys();
+        self.is_synced() && accepts_keys && !self.is_stopping.get()
+    }
+
+    /// Whether the configuration is young enough for its keys to be accepted.
+    pub fn may_accept_keys(&self) -> bool {
+        self.freshness.borrow().is_fresh(self.now())
+    }
+
+    /// Whether the configuration is so young that a newer one need not be in force yet.
+    pub fn is_config_current(&self) -> bool {
+        let age = self.freshness.borrow().age(self.now());
+        age.is_some_and(|age| age <= self.settings().apply_bound())
     }
 
     /// Whether a configuration and the list of upstreams have been read.
