Confirm data only as far as it was read

A box that read the configuration but not the list of upstreams took all its data for confirmed, and told the boxes that poll it so: these did not turn to others, and an upstream that left stayed unknown to them for as long as the list could not be read. Class: a confirmation that proves less than it says, as one age stands for two kinds of data.

Now reads confirm the older of the last read of the configuration and that of the upstreams. The price: where only the list of upstreams cannot be read, keys are refused after their bound as if nothing could be.

--- a/crates/ashgauged/src/relay/follow/configuration.rs
+++ b/crates/ashgauged/src/relay/follow/configuration.rs
@@ -27,7 +27,8 @@
         match config {
             Some((config, revision)) => {
                 self.apply_config(config, revision)?;
-                self.shared.freshness.borrow_mut().confirm(asked_at);
+                self.config_asked_at.set(Some(asked_at));
+                self.confirm_reads();
             }
             None => self.shared.config_missing_at.set(Some(asked_at)),
         }
@@ -36,6 +37,17 @@
         Ok(())
     }
 
+    /// Confirms the data as of the older of the last reads of its two kinds: boxes that poll
+    /// this one rely on the age for the upstreams as well.
+    pub(super) fn confirm_reads(&self) {
+        if let (Some(config), Some(upstreams)) =
+            (self.config_asked_at.get(), self.upstreams_asked_at.get())
+        {
+            let asked_at = config.min(upstreams);
+            self.shared.freshness.borrow_mut().confirm(asked_at);
+        }
+    }
+
     /// Stores a configuration that was read from the store in the mirror, and activates it
     /// unless a newer one is in force.
     pub(super) fn apply_config(
--- a/crates/ashgauged/src/relay/follow/mod.rs
+++ b/crates/ashgauged/src/relay/follow/mod.rs
@@ -49,6 +49,10 @@
     config_revision: Cell<Option<Revision>>,
     /// Revision up to which the list of upstreams is known, in the same way.
     upstreams_revision: Cell<Option<Revision>>,
+    /// When the last complete read of the configuration was sent.
+    config_asked_at: Cell<Option<Duration>>,
+    /// When the last complete read of the list of upstreams was sent.
+    upstreams_asked_at: Cell<Option<Duration>>,
     /// The encoded configuration in force, as it is passed to other boxes.
     active_config: RefCell<Option<Vec<u8>>>,
     /// Whether the first freshness check has been left to the initial reads of the
@@ -88,6 +92,8 @@
             poller: RefCell::default(),
             config_revision: Cell::new(None),
             upstreams_revision: Cell::new(None),
+            config_asked_at: Cell::new(None),
+            upstreams_asked_at: Cell::new(None),
             active_config: RefCell::default(),
             first_read: Cell::new(false),
             is_polled: Cell::new(false),
@@ -152,6 +158,7 @@
     /// Reads all upstream entries; returns whether they contained something that no watch
     /// had delivered.
     async fn read_upstreams(&self) -> Result<bool, StoreError> {
+        let asked_at = self.shared.now();
         let result = servers::list(&self.shared.store, log_skipped).await;
         self.shared.count_store_call("list", &result);
         let (list, list_revision) = result?;
@@ -175,6 +182,8 @@
             self.shared.notify_streams();
         }
         self.shared.upstreams_listed.set(true);
+        self.upstreams_asked_at.set(Some(asked_at));
+        self.confirm_reads();
         advance_revision(&self.upstreams_revision, list_revision);
         self.update_covered();
         Ok(missed)
