--- a/crates/ashgauged/src/relay/egress.rs
+++ b/crates/ashgauged/src/relay/egress.rs
@@ -28,6 +28,10 @@
 /// Header with the number of upstreams that the request may still run on.
 pub const RUNS_HEADER: HeaderName = HeaderName::from_static("ashgauge-runs-left");
 
+/// Header with the version of the configuration by which the sending box knows the request's
+/// route. A box with an older one does not serve it.
+pub const VERSION_HEADER: HeaderName = HeaderName::from_static("ashgauge-config-version");
+
 /// Longest search for a box that accepts a request. A box that declines does so within
 /// milliseconds, and many may do so where they were cut off at the same moment.
 const MAX_SEARCH_TIME: Duration = Duration::from_millis(300);
@@ -187,6 +191,8 @@
     let headers = outgoing.headers_mut();
     headers.insert(TOKEN_HEADER, HeaderValue::from(token));
     headers.insert(RUNS_HEADER, HeaderValue::from(attempts.runs_left()));
+    let version = shared.routing.borrow().version;
+    headers.insert(VERSION_HEADER, HeaderValue::from(version));
     let max_wait = match request.route.is_retryable() {
         true => MAX_SILENCE.min(time_left),
         false => time_left,
--- a/crates/ashgauged/src/relay/peer_server.rs
+++ b/crates/ashgauged/src/relay/peer_server.rs
@@ -16,7 +16,7 @@
 use tokio::sync::{Semaphore, mpsc};
 use tokio::time::sleep;
 
-use super::egress::{self, RUNS_HEADER, TOKEN_HEADER};
+use super::egress::{self, RUNS_HEADER, TOKEN_HEADER, VERSION_HEADER};
 use super::fetch::{self, FetchRequest};
 use super::forward;
 use super::offers;
@@ -79,6 +79,7 @@
     let number = |value: Option<HeaderValue>| -> Option<u64> { value?.to_str().ok()?.parse().ok() };
     let token: Option<Token> = number(headers.remove(TOKEN_HEADER));
     let runs = number(headers.remove(RUNS_HEADER)).and_then(|runs| u32::try_from(runs).ok());
+    let version = number(headers.remove(VERSION_HEADER));
     let is_valid = token.is_some_and(|token| {
         let tokens = shared.egress.tokens.borrow();
         tokens.is_valid(shared.now(), token)
@@ -88,10 +89,17 @@
         return own_response(StatusCode::FORBIDDEN, None, None);
     };
     if shared.inflight.get() >= offers::MAX_INFLIGHT {
-        egress::count(&shared, "busy");
-        let response = own_response(StatusCode::SERVICE_UNAVAILABLE, None, None);
-        return mark_declined(response);
+        return decline(&shared, "busy");
+    }
+    if version.is_some_and(|version| version > shared.routing.borrow().version) {
+        return decline(&shared, "older configuration");
     }
     egress::count(&shared, "served");
     forward::handle_forwarded(shared, request, runs).await
 }
+
+fn decline(shared: &SharedState, reason: &str) -> Response<Body> {
+    egress::count(shared, reason);
+    let response = own_response(StatusCode::SERVICE_UNAVAILABLE, None, None);
+    mark_declined(response)
+}
