Do not continue a stream on the box that has just broken it

Cause: a plain request withdraws the offer of a box that did not answer, a stream that broke in the middle did not.

--- a/crates/ashgauged/src/relay/event_forwarder/resume.rs
+++ b/crates/ashgauged/src/relay/event_forwarder/resume.rs
@@ -63,6 +63,9 @@
         if !self.can_resume() {
             return false;
         }
+        if let Some(helper) = self.run.helper {
+            offers::withdraw(&self.shared, &self.request.service.name, helper);
+        }
         // A run that the box is isolated from uses up no attempt.
         let is_isolated = egress::is_needed(&self.shared, &self.request)
             && egress::is_isolated(&self.shared, &self.request);
--- a/crates/ashgauged/src/relay/open.rs
+++ b/crates/ashgauged/src/relay/open.rs
@@ -1,6 +1,7 @@
 //! Start of a stream: sends the request over a chosen chain and waits for the head of the
 //! answer.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -40,6 +41,8 @@
     pub stages: Vec<Stage>,
     /// Address of the first engine, or of the other box.
     pub first_addr: String,
+    /// Box through which the run goes, if it goes through another one.
+    pub helper: Option<SocketAddr>,
     /// The response whose body is being received.
     pub response: OpenResponse,
     /// When the head of the answer arrived.
@@ -176,6 +179,7 @@
     Ok(Run {
         stages,
         first_addr,
+        helper: None,
         response,
         head_at: shared.now(),
         event_count: 0,
@@ -206,6 +210,7 @@
     Ok(Run {
         stages: Vec::new(),
         first_addr: addr.to_string(),
+        helper: Some(addr),
         response,
         head_at: shared.now(),
         event_count: 0,
