Let boxes fetch a large configuration though its reader is busy

Where the configuration is large, followers read it from the store, each on its own, instead of from a reader: the store then sends the whole of it to each box at once.

(1) The reader encodes an update in full to learn that it does not fit a datagram, then compresses it, all before it answers the query: later than 150 ms, so its followers take it for silent, and one reads the store in its place. (2) An answer that was fetched has aged on the way (the reader was busy as well), counts as stale, and the box reads the store at once though it has just got everything.

Now a query is answered by the estimated size of the update, which is compressed on another thread when it is fetched, once for all boxes; a configuration is encoded once; after a fetched answer with changes the round begins anew, with a small query; the check waits 0.25 s: 1.4 + 0.25 + 0.25 s and the reads stay within 2 s.

--- a/crates/ashgauge/src/freshness.rs
+++ b/crates/ashgauge/src/freshness.rs
@@ -80,6 +80,11 @@
         self.age(now).is_some_and(|age| age <= self.max_age)
     }
 
+    /// Returns when the last answered query was sent; `None` before the first.
+    pub fn asked_at(&self) -> Option<Duration> {
+        self.asked_at
+    }
+
     /// Returns the time since the last answered query was sent; `None` before the first.
     pub fn age(&self, now: Duration) -> Option<Duration> {
         self.asked_at.map(|at| now.saturating_sub(at))
--- a/crates/ashgauge/src/mirror.rs
+++ b/crates/ashgauge/src/mirror.rs
@@ -22,6 +22,9 @@
 /// update.
 const MAX_REMOVALS: usize = 1024;
 
+/// Approximate size of an encoded upstream entry.
+const ENTRY_BYTES: usize = 100;
+
 pub use crate::revision::Revision;
 
 /// What changed.
@@ -137,11 +140,11 @@
     }
 
     /// Puts the newer configuration back after a restored store has returned an older one.
-    pub fn restore_config(&mut self, config: Vec<u8>) {
+    pub fn restore_config(&mut self, config: &[u8]) {
         if let Some((_, known)) = &mut self.config
             && *known != config
         {
-            *known = config;
+            *known = config.to_vec();
             self.generation += 1;
         }
     }
@@ -209,6 +212,17 @@
         self.upstreams.values().map(|(_, upstream)| upstream)
     }
 
+    /// Returns the approximate encoded size in bytes of the update for a box that has
+    /// everything up to `after`.
+    pub fn update_bytes(&self, after: Revision) -> usize {
+        let is_full = after < self.compacted;
+        let is_new = |revision: &Revision| is_full || *revision > after;
+        let config = self.config.iter().filter(|(r, _)| is_new(r));
+        let config: usize = config.map(|(_, bytes)| bytes.len()).sum();
+        let entries = self.upstreams.values().filter(|(r, _)| is_new(r));
+        config + entries.count() * ENTRY_BYTES
+    }
+
     /// Returns the update for a box that has everything up to `after`.
     pub fn update(&self, after: Revision, removals_certain: bool) -> Update {
         let is_full = after < self.compacted;
--- a/crates/ashgauge/src/poller.rs
+++ b/crates/ashgauge/src/poller.rs
@@ -214,6 +214,15 @@
         }
     }
 
+    /// Begins the round anew, after a fetched answer has brought changes: it may have aged
+    /// while it was transferred, but a box that has sent it can be expected to answer.
+    pub fn restart_round(&mut self, now: Duration) {
+        self.remaining.clear();
+        self.in_round = false;
+        self.waiting = None;
+        self.next_round = now;
+    }
+
     /// Handles the announcement of new data by a box: it is queried at once.
     pub fn on_changed(&mut self, from: BoxId) {
         self.changed_box = Some(from);
--- a/crates/ashgauged/src/relay/follow/configuration.rs
+++ b/crates/ashgauged/src/relay/follow/configuration.rs
@@ -56,28 +56,32 @@
         revision: Revision,
     ) -> Result<(), StoreError> {
         let bytes = config.to_bytes()?;
-        self.shared.mirror.borrow_mut().set_config(revision, bytes);
-        self.activate_config(config, ConfigSource::Store)
+        let mut mirror = self.shared.mirror.borrow_mut();
+        mirror.set_config(revision, bytes.clone());
+        drop(mirror);
+        self.activate_config(config, bytes, ConfigSource::Store);
+        Ok(())
     }
 
-    /// Activates a configuration if it is newer than the one in force. An older one is
-    /// not passed to other boxes either.
+    /// Activates a configuration, encoded as `bytes`, if it is newer than the one in force. An
+    /// older one is not passed to other boxes either.
     pub(super) fn activate_config(
         &self,
         config: config::Config,
+        bytes: Vec<u8>,
         source: ConfigSource,
-    ) -> Result<(), StoreError> {
+    ) {
         let shared = &self.shared;
         let old_version = shared.routing.borrow().version;
         let is_newer = config.version() > old_version;
         if is_newer {
-            *self.active_config.borrow_mut() = Some(config.to_bytes()?);
+            *self.active_config.borrow_mut() = Some(bytes);
         }
         if let Some(bytes) = &*self.active_config.borrow() {
-            shared.mirror.borrow_mut().restore_config(bytes.clone());
+            shared.mirror.borrow_mut().restore_config(bytes);
         }
         if !is_newer {
-            return Ok(());
+            return;
         }
         let routing = config::decode(config);
         let version = routing.version;
@@ -94,7 +98,6 @@
         });
         log::event(Level::Info, "config", "in force", fields);
         *shared.config_source.borrow_mut() = Some(source);
-        Ok(())
     }
 
     /// Logs when the box's data becomes older than the bound within which a configuration
--- a/crates/ashgauged/src/relay/follow/poll.rs
+++ b/crates/ashgauged/src/relay/follow/poll.rs
@@ -21,7 +21,7 @@
 use super::super::peers::{PeerMessage, Peers};
 use super::super::shared_state::ConfigSource;
 use super::super::{log, membership, quarantine};
-use super::{StoreFollower, log_skipped};
+use super::StoreFollower;
 
 /// Interval between checks until the other boxes have been discovered.
 const DISCOVERY_INTERVAL: Duration = Duration::from_millis(20);
@@ -308,7 +308,10 @@
             // A compressed answer was decompressed when it was fetched.
             AnswerBody::Empty { .. } | AnswerBody::Compressed { .. } => {}
             AnswerBody::Update { age, update } => {
-                self.apply_update(&answer.from, asked_at, age, update).await
+                let has_changes = self.apply_update(&answer.from, asked_at, age, update).await;
+                if is_fetched && has_changes {
+                    self.poller.borrow_mut().restart_round(self.shared.now());
+                }
             }
             AnswerBody::TooLarge {
                 fetch_token: token,
@@ -326,24 +329,27 @@
     }
 
     /// Applies an update of another box, as of the time for which its answer confirms the
-    /// data.
+    /// data. Returns whether it brought changes.
     async fn apply_update(
         &self,
         from: &BoxId,
         asked_at: Duration,
         age: Duration,
         update: ashgauge::mirror::Update,
-    ) {
+    ) -> bool {
         let shared = &self.shared;
         let mut configs = update.changes.iter().filter_map(|c| match &c.kind {
-            ChangeKind::Config(bytes) => Some(Config::from_bytes(bytes)),
+            ChangeKind::Config(bytes) => {
+                Some(Config::from_bytes(bytes).map(|c| (c, bytes.clone())))
+            }
             _ => None,
         });
         let config = match configs.next_back().transpose() {
             Ok(config) => config,
             Err(fault) => {
                 let fields = json!({"from": &**from, "fault": fault.to_string()});
-                return log::event(Level::Warn, "fleet", "answer cannot be read", fields);
+                log::event(Level::Warn, "fleet", "answer cannot be read", fields);
+                return false;
             }
         };
         let (removals_certain, is_full) = (update.removals_certain, update.is_full);
@@ -353,17 +359,15 @@
         let replaced = is_full && update.up_to >= covered;
         if era < revision::era(covered) {
             // The sender's data is from before the store was restored.
-            return;
+            return false;
         }
         shared.store.raise_era(era);
         self.restore.peer_synced.set(true);
         let was_synced = shared.is_synced();
         let changes = shared.mirror.borrow_mut().apply(update);
         let has_changes = !changes.is_empty();
-        if let Some(config) = config
-            && let Err(fault) = self.activate_config(config, ConfigSource::Box(from.clone()))
-        {
-            log_skipped("config", &fault);
+        if let Some((config, bytes)) = config {
+            self.activate_config(config, bytes, ConfigSource::Box(from.clone()));
         }
         if era > 0 {
             self.note_copy_certainty(replaced, removals_certain);
@@ -391,6 +395,7 @@
             self.changed.notify_waiters();
             self.notify_pollers().await;
         }
+        has_changes
     }
 }
 
--- a/crates/ashgauged/src/relay/follow/revision_check.rs
+++ b/crates/ashgauged/src/relay/follow/revision_check.rs
@@ -25,7 +25,7 @@
 const INFORMED_RETRY_DELAY: Duration = Duration::from_millis(2000);
 
 /// Time allowed for a watch that is not delayed to deliver a change.
-const WATCH_MARGIN: Duration = Duration::from_millis(100);
+const WATCH_MARGIN: Duration = Duration::from_millis(250);
 
 impl StoreFollower {
     /// Checks freshness periodically while this box reads the store.
--- a/crates/ashgauged/src/relay/peers.rs
+++ b/crates/ashgauged/src/relay/peers.rs
@@ -26,7 +26,7 @@
 use serde_json::json;
 use spdlog::Level;
 use tokio::net::UdpSocket;
-use tokio::sync::mpsc;
+use tokio::sync::{Mutex, mpsc};
 use tokio::time::sleep;
 
 use super::fetch::{ANSWER_PATH, FetchRequest};
@@ -87,6 +87,8 @@
     fetch_tokens: RefCell<HashMap<FetchToken, Duration>>,
     /// Cached compressed updates.
     compressed_updates: RefCell<UpdateCache>,
+    /// Held while an update is compressed.
+    compressing: Mutex<()>,
     /// When a query with a later revision was last logged.
     later_logged_at: Cell<Duration>,
 }
@@ -118,6 +120,7 @@
             messages: sender,
             fetch_tokens: RefCell::default(),
             compressed_updates: RefCell::default(),
+            compressing: Mutex::default(),
             later_logged_at: Cell::default(),
         });
         tokio::task::spawn_local(peers.clone().receive());
@@ -344,16 +347,17 @@
         log::event(Level::Info, "fleet", "asked by a later revision", fields);
     }
 
-    /// Encodes the answer to a query: the data that this box has, or how to fetch it.
+    /// Encodes the answer to a query: the data that this box has, or how to fetch it. A large
+    /// update is compressed only when it is fetched, so that this answer is not late.
     fn encode_answer(&self, query: &Query) -> Option<Vec<u8>> {
-        if self.cached_update(query.after).is_none() {
+        let size = self.shared.mirror.borrow().update_bytes(query.after);
+        if size <= MAX_INLINE_ANSWER_BYTES {
             let bytes = codec::encode(&Datagram::Answer(self.build_answer(query)))?;
             if bytes.len() <= MAX_INLINE_ANSWER_BYTES {
                 return Some(bytes);
             }
         }
-        let update = self.compress_update(query.after)?;
-        let answer = self.issue_token(query, update.len() as u64);
+        let answer = self.issue_token(query, size as u64);
         codec::encode(&Datagram::Answer(answer))
     }
 
@@ -366,14 +370,21 @@
     }
 
     /// Returns the compressed update for a box that knows everything up to `after`; `None`
-    /// if it cannot be compressed, which is logged.
-    fn compress_update(&self, after: Revision) -> Option<Bytes> {
+    /// if it cannot be compressed, which is logged. It is compressed on another thread, and
+    /// once for all boxes that fetch it together.
+    async fn compress_update(&self, after: Revision) -> Option<Bytes> {
+        let _one_at_a_time = self.compressing.lock().await;
         if let Some(bytes) = self.cached_update(after) {
             return Some(bytes);
         }
-        let mirror = self.shared.mirror.borrow();
-        let update = mirror.update(after, self.shared.removals_certain.get());
-        let bytes = match codec::compress(&update) {
+        let key = self.update_key(after);
+        let update = self
+            .shared
+            .mirror
+            .borrow()
+            .update(after, self.shared.removals_certain.get());
+        let compressed = tokio::task::spawn_blocking(move || codec::compress(&update)).await;
+        let bytes = match compressed.map_err(eyre::Report::from).and_then(|r| r) {
             Ok(bytes) => Bytes::from(bytes),
             Err(e) => {
                 let fields = json!({"cause": e.to_string()});
@@ -382,7 +393,7 @@
             }
         };
         let mut updates = self.compressed_updates.borrow_mut();
-        updates.insert(self.update_key(after), bytes.clone());
+        updates.insert(key, bytes.clone());
         Some(bytes)
     }
 
@@ -397,15 +408,17 @@
         }
     }
 
-    /// Builds the answer for a box that fetches it, with a compressed update.
-    fn compressed_answer(&self, query: &Query) -> Option<Answer> {
+    /// Builds the answer for a box that fetches it, with a compressed update. The age is as of
+    /// the time at which the update was made.
+    async fn compressed_answer(&self, query: &Query) -> Option<Answer> {
         let shared = &self.shared;
-        let age = shared.freshness.borrow().age(shared.now());
-        let body = match age.filter(|_| shared.is_synced()) {
-            Some(age) => AnswerBody::Compressed {
-                age,
-                bytes: self.compress_update(query.after)?.to_vec(),
-            },
+        let asked_at = shared.freshness.borrow().asked_at();
+        let body = match asked_at.filter(|_| shared.is_synced()) {
+            Some(asked_at) => {
+                let bytes = self.compress_update(query.after).await?.to_vec();
+                let age = shared.now().saturating_sub(asked_at);
+                AnswerBody::Compressed { age, bytes }
+            }
             None => self.empty_body(),
         };
         Some(self.answer_with(query, body))
@@ -470,9 +483,15 @@
             let token = query.fetch_token;
             let expires_at = token.and_then(|t| self.fetch_tokens.borrow_mut().remove(&t));
             let is_valid = expires_at.is_some_and(|expires_at| self.shared.now() < expires_at);
-            // The requester may be gone.
-            let answer = is_valid.then(|| self.compressed_answer(&query));
-            let _ = reply.send(answer.flatten());
+            let peers = self.clone();
+            tokio::task::spawn_local(async move {
+                let answer = match is_valid {
+                    true => peers.compressed_answer(&query).await,
+                    false => None,
+                };
+                // The requester may be gone.
+                let _ = reply.send(answer);
+            });
         }
     }
 }
