--- a/crates/ashgauged/src/relay/fetch.rs
+++ b/crates/ashgauged/src/relay/fetch.rs
@@ -6,8 +6,8 @@
 use hyper::{Request, StatusCode};
 use tokio::sync::{mpsc, oneshot};
 
+use super::answers::FETCH_TOKEN_TTL;
 use super::codec;
-use super::peers::FETCH_TOKEN_TTL;
 
 /// Maximum size of a query, in bytes.
 const MAX_QUERY_BYTES: usize = 1024;
--- a/crates/ashgauged/src/relay/mod.rs
+++ b/crates/ashgauged/src/relay/mod.rs
@@ -5,6 +5,7 @@
 //! stages. All tasks run on one thread: a box has a fraction of a core, and decisions
 //! need no locks.
 
+mod answers;
 mod body;
 mod capacity_wait;
 mod clock;
