Tell tasks that end, boxes that do not run, and rounds that are waited for

Why a fleet did not serve could not be told: no line said that a task had ended, that a box adopted a round of orders and waits for it, or that it did not get to run. `ashctl serving` tells for a list of boxes whether each serves each service, or why not.

--- a/crates/ashctl/src/args.rs
+++ b/crates/ashctl/src/args.rs
@@ -30,6 +30,8 @@
                                    --box is the address of its metrics
   configs                          configuration of each box, its age and source;
                                    --box lists those addresses: A,B,...
+  serving                          whether each of those boxes serves each
+                                   service, or why not
 
 options
   --box ADDR               operators' port of a box (or ASHCTL_BOX)
@@ -71,6 +73,8 @@
     Relay,
     /// Show the configurations of several such boxes.
     Configs,
+    /// Show whether several such boxes serve.
+    Serving,
     /// Show which box holds the lease for orders.
     Leases,
     /// Drain a box.
@@ -197,6 +201,7 @@
         ["chains", model] => Command::Chains((*model).into()),
         ["relay"] => Command::Relay,
         ["configs"] => Command::Configs,
+        ["serving"] => Command::Serving,
         ["leases"] => Command::Leases,
         ["drain"] => Command::Drain,
         ["timeline"] => Command::Timeline,
--- a/crates/ashctl/src/main.rs
+++ b/crates/ashctl/src/main.rs
@@ -3,6 +3,7 @@
 mod args;
 mod fleet;
 mod relay;
+mod serving;
 mod sheet;
 mod table;
 
@@ -40,6 +41,7 @@
         Command::Chains(model) => fleet::chains(args, model).await,
         Command::Relay => relay::status(args).await,
         Command::Configs => relay::configs(args).await,
+        Command::Serving => serving::serving(args).await,
         Command::Leases => fleet::leases(args).await,
         Command::Drain => fleet::drain(args).await,
         Command::Timeline => fleet::timeline(args).await,
--- a/crates/ashctl/src/relay.rs
+++ b/crates/ashctl/src/relay.rs
@@ -53,7 +53,12 @@
     Ok(code)
 }
 
-async fn fetch_status(addr: &str) -> Result<String> {
+/// Fetches the status of a box from its metrics port.
+///
+/// # Errors
+///
+/// Fails if the box cannot be reached or its response is not a status.
+pub async fn fetch_status(addr: &str) -> Result<String> {
     let request = Request::builder()
         .uri("/status")
         .header("host", addr)
--- a/crates/ashctl/tests/command.rs
+++ b/crates/ashctl/tests/command.rs
@@ -35,6 +35,7 @@
         "timeline",
         "relay",
         "configs",
+        "serving",
     ];
     for command in commands {
         assert!(text.contains(&format!("\n  {command} ")), "{command}");
--- a/crates/ashgauged/src/relay/follow/mod.rs
+++ b/crates/ashgauged/src/relay/follow/mod.rs
@@ -28,7 +28,7 @@
 
 use super::peers::{PeerMessage, Peers};
 use super::shared_state::SharedState;
-use super::{log, membership, quarantine};
+use super::{log, membership, quarantine, task};
 
 /// How long after the store has become reachable again an entry may be missing although
 /// its upstream is alive. The users gave this figure.
@@ -107,21 +107,27 @@
             check_now: Notify::new(),
             changed: Notify::new(),
         });
-        tokio::task::spawn_local(follower.clone().confirm_loop());
-        tokio::task::spawn_local(follower.clone().follow_config());
-        tokio::task::spawn_local(follower.clone().follow_upstreams());
-        tokio::task::spawn_local(follower.clone().report_config_age());
-        tokio::task::spawn_local(membership::follow_members(follower.shared.clone()));
-        tokio::task::spawn_local(membership::reannounce(follower.shared.clone()));
-        tokio::task::spawn_local(quarantine::restore_quarantined(follower.shared.clone()));
-        tokio::task::spawn_local(follower.clone().follow_suspensions());
-        tokio::task::spawn_local(follower.clone().follow_restores());
-        tokio::task::spawn_local(follower.clone().follow_silent_connections());
-        match messages.filter(|_| follower.shared.settings().shares_reading()) {
-            Some(messages) => drop(tokio::task::spawn_local(follower.poll_readers(messages))),
+        let shared = &follower.shared;
+        let this = || follower.clone();
+        task::spawn(shared, "revision check", this().confirm_loop());
+        task::spawn(shared, "configuration", this().follow_config());
+        task::spawn(shared, "upstreams", this().follow_upstreams());
+        task::spawn(shared, "configuration age", this().report_config_age());
+        let members = membership::follow_members(shared.clone());
+        task::spawn(shared, "members", members);
+        let own_entry = membership::reannounce(shared.clone());
+        task::spawn(shared, "own entry", own_entry);
+        let quarantined = quarantine::restore_quarantined(shared.clone());
+        task::spawn(shared, "quarantine", quarantined);
+        task::spawn(shared, "suspensions", this().follow_suspensions());
+        task::spawn(shared, "restores", this().follow_restores());
+        let silent = this().follow_silent_connections();
+        task::spawn(shared, "silent connections", silent);
+        match messages.filter(|_| shared.settings().shares_reading()) {
+            Some(messages) => task::spawn(shared, "polls", this().poll_readers(messages)),
             None => {
-                follower.shared.reads_store.send_replace(true);
-                tokio::task::spawn_local(quarantine::load_quarantined(follower.shared.clone()));
+                shared.reads_store.send_replace(true);
+                tokio::task::spawn_local(quarantine::load_quarantined(shared.clone()));
             }
         }
     }
--- a/crates/ashgauged/src/relay/metrics.rs
+++ b/crates/ashgauged/src/relay/metrics.rs
@@ -80,6 +80,16 @@
     pub inflight: IntGauge,
     /// Log lines that were dropped.
     pub dropped_lines: IntGauge,
+    /// Connections of callers that were accepted.
+    pub connections: IntCounter,
+    /// Delay of the last timer in milliseconds.
+    pub timer_delay: IntGauge,
+    /// Times in which timers were so late that requests are late.
+    pub stalls: IntCounter,
+    /// Panics of this process.
+    pub panics: IntGauge,
+    /// Tasks that should last as long as the process and have ended.
+    pub ended_tasks: IntGauge,
 }
 
 impl Metrics {
@@ -163,6 +173,14 @@
             )?,
             inflight: gauge("ashgauge_inflight", "Requests under way")?,
             dropped_lines: gauge("ashgauge_log_dropped", "Lines of the log that were dropped")?,
+            connections: counter("ashgauge_connections_total", "Callers' connections")?,
+            timer_delay: gauge("ashgauge_timer_delay_ms", "Delay of the last timer")?,
+            stalls: counter(
+                "ashgauge_stalls_total",
+                "Times in which the box did not run",
+            )?,
+            panics: gauge("ashgauge_panics", "Panics of this process")?,
+            ended_tasks: gauge("ashgauge_tasks_ended", "Tasks that have ended")?,
             backoffs: counter("ashgauge_rests_total", "Rests that upstreams asked for")?,
             backoff_sends: counter("ashgauge_sends_at_rest_total", "Sends to upstreams at rest")?,
             permits: counters("ashgauge_permits_total", "Permits by result", "result")?,
--- a/crates/ashgauged/src/relay/mod.rs
+++ b/crates/ashgauged/src/relay/mod.rs
@@ -51,6 +51,7 @@
 mod stream;
 mod stream_body;
 mod suspicion;
+mod task;
 mod update_cache;
 
 use std::path::Path;
@@ -98,6 +99,7 @@
 pub fn run(path: &Path) -> Result<()> {
     let settings = Settings::load(path)?;
     log::start(&settings.log, &settings.id)?;
+    task::log_panics();
     if let Some(source) = settings.source {
         http::set_source(source);
     }
@@ -126,18 +128,24 @@
     let shared = Rc::new(SharedState::new(settings, Metrics::new()?));
     let peers = Peers::start(&shared).await?;
     if let Some((peers, _)) = &peers {
-        tokio::task::spawn_local(load_reporter::broadcast(shared.clone(), peers.clone()));
-        tokio::task::spawn_local(quarantine::broadcast(shared.clone(), peers.clone()));
-        tokio::task::spawn_local(suspicion::broadcast(shared.clone(), peers.clone()));
+        let loads = load_reporter::broadcast(shared.clone(), peers.clone());
+        task::spawn(&shared, "load reports", loads);
+        let losses = quarantine::broadcast(shared.clone(), peers.clone());
+        task::spawn(&shared, "loss reports", losses);
+        let suspects = suspicion::broadcast(shared.clone(), peers.clone());
+        task::spawn(&shared, "suspect reports", suspects);
     }
     StoreFollower::start(shared.clone(), peers);
     Placer::start(shared.clone());
-    tokio::task::spawn_local(clock::watch_suspension(shared.clone()));
-    tokio::task::spawn_local(shedding::update_levels(shared.clone()));
-    tokio::task::spawn_local(serve::accept(shared.clone(), caller_listener));
-    tokio::task::spawn_local(serve::serve_readiness(shared.clone(), ready_listener));
+    task::spawn(&shared, "clock", clock::watch_suspension(shared.clone()));
+    task::spawn(&shared, "levels", shedding::update_levels(shared.clone()));
+    let callers = serve::accept(shared.clone(), caller_listener);
+    task::spawn(&shared, "callers", callers);
+    let readiness = serve::serve_readiness(shared.clone(), ready_listener);
+    task::spawn(&shared, "readiness", readiness);
     if let Some(listener) = metrics {
-        tokio::task::spawn_local(serve::serve_metrics(shared.clone(), listener));
+        let metrics = serve::serve_metrics(shared.clone(), listener);
+        task::spawn(&shared, "metrics", metrics);
     }
     wait_for_stop(&shared, path).await?;
     stop(&shared).await;
--- a/crates/ashgauged/src/relay/peers.rs
+++ b/crates/ashgauged/src/relay/peers.rs
@@ -26,7 +26,7 @@
 use super::fetch::ANSWER_PATH;
 use super::shared_state::{LastQuery, SharedState};
 use super::{
-    codec, log, membership, messaging, offers, peer_server, permit, quarantine, suspicion,
+    codec, log, membership, messaging, offers, peer_server, permit, quarantine, suspicion, task,
 };
 
 /// Maximum size of a received datagram; a load report on 860 engines takes 12 kB.
@@ -92,10 +92,11 @@
             messages: sender,
             answers: answers.clone(),
         });
-        tokio::task::spawn_local(peers.clone().receive());
+        task::spawn(shared, "datagrams", peers.clone().receive());
         let (fetches, requests) = mpsc::channel(MAX_QUEUED_MESSAGES);
-        tokio::task::spawn_local(answers.serve_fetches(requests));
-        tokio::task::spawn_local(peer_server::serve(shared.clone(), listener, fetches));
+        task::spawn(shared, "fetches", answers.serve_fetches(requests));
+        let server = peer_server::serve(shared.clone(), listener, fetches);
+        task::spawn(shared, "peer connections", server);
         Ok(Some((peers, receiver)))
     }
 
--- a/crates/ashgauged/src/relay/placer.rs
+++ b/crates/ashgauged/src/relay/placer.rs
@@ -27,6 +27,7 @@
 use super::log;
 use super::orders::order_and_verify;
 use super::shared_state::SharedState;
+use super::task;
 
 /// Kind of the stored objects that assign layers to engines.
 const KIND: &str = "ashgauge-placements";
@@ -132,7 +133,7 @@
     /// Starts the placement task, which runs as long as the process.
     pub fn start(shared: Rc<SharedState>) {
         let placer = Placer {
-            shared,
+            shared: shared.clone(),
             order_slots: Rc::new(Semaphore::new(MAX_OPEN_ORDERS)),
             pending: PendingAssignments::default(),
             rounds: OrderRounds::default(),
@@ -141,7 +142,7 @@
             idle_until: Duration::ZERO,
             unsettled_since: None,
         };
-        tokio::task::spawn_local(placer.run());
+        task::spawn(&shared, "placement", placer.run());
     }
 
     async fn run(mut self) {
@@ -269,6 +270,15 @@
         self.rounds.record(service.name.clone(), era, round.round);
         self.note_orders(model, &round.ranges);
         self.pending.merge(self.shared.now(), &round.unannounced);
+        let wait = load_time(model, &round.ranges) + ANNOUNCE_LAG;
+        let fields = json!({
+            "service": &*service.name,
+            "from": round.owner,
+            "round": round.round,
+            "engines": round.ranges.len(),
+            "wait_ms": wait.as_millis() as u64,
+        });
+        log::event(Level::Info, "placement", "adopted", fields);
     }
 
     /// Ranges of a service's engines that were ordered and are not announced yet.
--- a/crates/ashgauged/src/relay/serve.rs
+++ b/crates/ashgauged/src/relay/serve.rs
@@ -23,7 +23,7 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use super::shared_state::SharedState;
-use super::{forward, levels, log, status};
+use super::{forward, levels, log, status, task};
 
 /// Delay after a connection could not be accepted, mostly because the process has run out
 /// of file descriptors.
@@ -60,6 +60,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
+                shared.metrics.connections.inc();
                 tokio::task::spawn_local(serve_connection(shared.clone(), stream, forward::handle));
             }
             Err(e) => {
@@ -91,6 +92,9 @@
         }
         shared.metrics.inflight.set(shared.inflight.get() as i64);
         shared.metrics.dropped_lines.set(log::dropped() as i64);
+        shared.metrics.panics.set(task::panics() as i64);
+        let ended = shared.tasks.ended() as i64;
+        shared.metrics.ended_tasks.set(ended);
         let age = shared.freshness.borrow().age(shared.now());
         let age = age.map_or(-1, |age| age.as_millis() as i64);
         shared.metrics.config_age.set(age);
--- a/crates/ashgauged/src/relay/shared_state.rs
+++ b/crates/ashgauged/src/relay/shared_state.rs
@@ -39,6 +39,7 @@
 use super::state::{
     AdmissionStates, Clock, Egress, Permits, Probes, Reach, RetryBudgets, boot_time,
 };
+use super::task::Tasks;
 use super::{log, suspicion};
 
 /// Fleet size that is assumed when upstreams are chosen before the boxes are counted.
@@ -193,6 +194,8 @@
     fleet_size: Cell<u32>,
     counted_boxes: Cell<u32>,
     rng: RefCell<SmallRng>,
+    /// Tasks that last as long as the process.
+    pub tasks: Tasks,
     /// Clock that all times here are measured by.
     pub clock: Clock,
 }
@@ -251,6 +254,7 @@
             fleet_size: Cell::new(DEFAULT_FLEET_SIZE),
             counted_boxes: Cell::new(0),
             rng: RefCell::new(SmallRng::from_os_rng()),
+            tasks: Tasks::default(),
             clock: Clock::new(boot_time),
             settings: RefCell::new(Rc::new(settings)),
         }
--- a/crates/ashgauged/src/relay/state/clock.rs
+++ b/crates/ashgauged/src/relay/state/clock.rs
@@ -70,6 +70,11 @@
     }
 }
 
+/// Returns the processor time that this process has used.
+pub fn process_time() -> Duration {
+    clock_gettime(ClockId::CLOCK_PROCESS_CPUTIME_ID).map_or(Duration::ZERO, Duration::from)
+}
+
 fn monotonic_time() -> Duration {
     clock_gettime(ClockId::CLOCK_MONOTONIC).map_or(Duration::ZERO, Duration::from)
 }
--- a/crates/ashgauged/src/relay/state/mod.rs
+++ b/crates/ashgauged/src/relay/state/mod.rs
@@ -11,7 +11,7 @@
 
 pub use admissions::{AdmissionStates, ServiceAdmission};
 pub use budgets::RetryBudgets;
-pub use clock::{Clock, boot_time};
+pub use clock::{Clock, boot_time, process_time};
 pub use egress::{Egress, ServiceOffers};
 pub use permits::Permits;
 pub use probes::Probes;
--- a/crates/ashgauged/src/relay/status.rs
+++ b/crates/ashgauged/src/relay/status.rs
@@ -8,12 +8,15 @@
 use ashgauge::load_report;
 use ashgauge::member::BoxId;
 use ashgauge::permit::issuer_order;
+use ashgauge::placement::covers_model;
 use ashgauge::revision;
 use ashgauge::routing::ServiceId;
+use ashgauge::upstream_state::UpstreamState;
 use serde::Serialize;
 
 use super::levels::{self, LevelStatus};
 use super::shared_state::SharedState;
+use super::task::TaskStatus;
 
 /// Status document: the data that a box has, and how old it is.
 #[derive(Serialize)]
@@ -49,6 +52,10 @@
     /// Number of other boxes whose load was reported recently.
     boxes_heard: usize,
     inflight: usize,
+    /// Tasks that should last as long as the process.
+    tasks: Vec<TaskStatus>,
+    /// Services, and whether this box can serve them.
+    services: Vec<ServiceStatus>,
     /// This box's share of the fleet's retries, by service.
     retries: Vec<RetryStatus>,
     /// Digests of quarantined requests, each with the seconds that are left.
@@ -62,6 +69,20 @@
     upstreams: Vec<UpstreamStatus>,
 }
 
+/// A service as this box can serve it.
+#[derive(Serialize)]
+struct ServiceStatus {
+    service: String,
+    /// Number of its upstreams.
+    upstreams: usize,
+    /// Number of those that may get new requests now.
+    usable: usize,
+    /// Number of those that hold no layers; 0 for a plain service.
+    empty: usize,
+    /// Whether usable upstreams hold each layer of its model; `null` for a plain service.
+    whole: Option<bool>,
+}
+
 /// An upstream that announces how many requests per second it accepts from all boxes.
 #[derive(Serialize)]
 struct LimitStatus {
@@ -122,6 +143,31 @@
     failures: f64,
 }
 
+fn service_statuses(shared: &SharedState) -> Vec<ServiceStatus> {
+    let (now, registry) = (shared.now(), shared.registry.borrow());
+    let routing = shared.routing();
+    let mut services: Vec<_> = routing.services.values().collect();
+    services.sort_by(|a, b| a.name.cmp(&b.name));
+    let status = services.into_iter().map(|service| {
+        let usable = || {
+            let upstreams = registry.of_service(&service.name);
+            upstreams.filter(|e| e.accepts_requests(now))
+        };
+        let model = service.model.as_ref().filter(|model| model.layers > 0);
+        let is_empty = |e: &&UpstreamState| model.is_some() && e.upstream.layers.is_none();
+        ServiceStatus {
+            service: service.name.to_string(),
+            upstreams: registry.of_service(&service.name).count(),
+            usable: usable().count(),
+            empty: usable().filter(is_empty).count(),
+            whole: model.map(|model| {
+                covers_model(model.layers, usable().filter_map(|e| e.upstream.layers))
+            }),
+        }
+    });
+    status.collect()
+}
+
 fn held_requests(shared: &SharedState) -> Vec<(String, u64)> {
     let held = shared.quarantine.borrow().quarantined(shared.now());
     let to_entry =
@@ -243,6 +289,8 @@
         informs: poller_statuses(shared),
         boxes_heard: fleet_load.boxes(),
         inflight: shared.inflight.get(),
+        tasks: shared.tasks.statuses(),
+        services: service_statuses(shared),
         retries: retry_statuses(shared),
         held: held_requests(shared),
         suspects: shared.quarantine.borrow().suspect_count(),
