Leave out upstreams whose entries make no sense

Callers got no answer at any box, for as long as was watched, once engines had to be placed beside an entry of an engine with layers past the model. Cause: any client may write an entry, and the planner cut the list of a model's layers by the announced range; it panicked on every box that read the entry (placement.rs:376, range end 5 of 4), and the task was gone.

The registry does not hand out faulty ones, so placement, selection, load and forecast never see them; each change is one line and counted. The planner leaves out layers past the model by itself, too.

--- a/crates/ashgauge/src/placement.rs
+++ b/crates/ashgauge/src/placement.rs
@@ -117,7 +117,7 @@
 /// are much more useful elsewhere.
 ///
 /// The result does not depend on the order of `engines`. No engine gets more layers than
-/// [`layer_capacity`] allows.
+/// [`layer_capacity`] allows. Engines with layers past the model are left out.
 pub fn plan(model: &Model, engines: &[PlacedEngine]) -> Vec<Assignment> {
     let mut state = PlacementState::new(model, engines);
     let mut assignments = Vec::new();
@@ -224,6 +224,7 @@
 impl<'a> PlacementState<'a> {
     fn new(model: &'a Model, engines: &[PlacedEngine]) -> Self {
         let mut engines = engines.to_vec();
+        engines.retain(|e| e.layers.is_none_or(|held| held.is_within(model.layers)));
         engines.sort_by(|a, b| {
             let size = |e: &PlacedEngine| memory_mb(model, e);
             let faster = step_factor(model, a).total_cmp(&step_factor(model, b));
@@ -262,9 +263,9 @@
             return;
         };
         for boundary in [range.first, range.end] {
-            data_centre.range_ends[boundary.min(self.model.layers) as usize] += sign as i32;
+            data_centre.range_ends[boundary as usize] += sign as i32;
         }
-        for layer in range.first..range.end.min(self.model.layers) {
+        for layer in range.first..range.end {
             data_centre.coverage[layer as usize] += weight;
             data_centre.announced[layer as usize] += announced;
             self.coverage[layer as usize] += weight;
@@ -331,8 +332,7 @@
             .get(&self.engines[index].data_centre)
             .map(|s| &s.announced[..]);
         let other_holders = |announced: &[i32], l: Layer| announced[l as usize] - 1;
-        let end = old.end.min(self.model.layers);
-        let mut given_up = (old.first..end).filter(|l| !new.contains(*l));
+        let mut given_up = (old.first..old.end).filter(|l| !new.contains(*l));
         given_up.all(|l| {
             let local_holders = local.map_or(0, |announced| other_holders(announced, l));
             local_holders >= MIN_LOCAL_HOLDERS
--- a/crates/ashgauge/src/registry.rs
+++ b/crates/ashgauge/src/registry.rs
@@ -4,10 +4,12 @@
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
+use crate::chain::Layer;
 use crate::load_report::{self, SlowUpstreams, UpstreamKey};
 use crate::member::UpstreamId;
 use crate::notice::{AbsentNotices, UpstreamNotice};
-use crate::upstream::Upstream;
+use crate::routing::{RoutingConfig, ServiceId};
+use crate::upstream::{EntryFault, Upstream};
 use crate::upstream_state::UpstreamState;
 
 /// Slowness factors are sent to other boxes as multiples of 1 / `SLOW_FACTOR_SCALE`.
@@ -17,6 +19,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamRegistry {
     entries: HashMap<UpstreamId, UpstreamState>,
+    /// Upstreams whose entries name nothing that can be used.
+    faulty: HashMap<UpstreamId, EntryFault>,
+    /// Number of layers of each service's model.
+    model_layers: HashMap<ServiceId, Layer>,
     /// Notices of upstreams that have no entry.
     absent: AbsentNotices,
     /// Counts changes of the entries.
@@ -39,15 +45,47 @@
         if removals_certain {
             self.remove_where(now, UpstreamState::is_missing);
         }
+        self.faulty.retain(|id, _| listed.contains(id));
         for upstream in list {
             self.put(upstream);
         }
         self.generation += 1;
     }
 
+    /// Takes the models from a new configuration. Entries that do not fit them are faulty.
+    pub fn set_models(&mut self, routing: &RoutingConfig) {
+        let services = routing.services.iter();
+        let models = services.filter_map(|(id, s)| Some((id.clone(), s.model.as_ref()?.layers)));
+        self.model_layers = models.collect();
+        let entries = self.entries.values();
+        let faults =
+            entries.filter_map(|e| Some((e.upstream.id.clone(), self.fault_of(&e.upstream)?)));
+        self.faulty = faults.collect();
+        self.generation += 1;
+    }
+
+    fn fault_of(&self, upstream: &Upstream) -> Option<EntryFault> {
+        let layers = self.model_layers.get(&upstream.service).copied();
+        upstream.check_layers(layers).err()
+    }
+
+    /// Returns the fault of an upstream's entry, for which the upstream is not used.
+    pub fn fault(&self, id: &str) -> Option<EntryFault> {
+        self.faulty.get(id).copied()
+    }
+
+    /// Iterates over the upstreams that are not used for a fault of their entries.
+    pub fn faulty(&self) -> impl Iterator<Item = (&UpstreamId, EntryFault)> {
+        self.faulty.iter().map(|(id, fault)| (id, *fault))
+    }
+
     /// Inserts or updates an upstream.
     pub fn put(&mut self, upstream: Upstream) {
         self.generation += 1;
+        match self.fault_of(&upstream) {
+            Some(fault) => self.faulty.insert(upstream.id.clone(), fault),
+            None => self.faulty.remove(&upstream.id),
+        };
         let entry = match self.entries.get_mut(&upstream.id) {
             Some(entry) if entry.upstream.started_ms == upstream.started_ms => {
                 entry.upstream = upstream;
@@ -110,6 +148,7 @@
         if let Some(e) = self.entries.remove(id) {
             self.absent.insert(now, id, e.upstream.started_ms, e.notice);
         }
+        self.faulty.remove(id);
         self.generation += 1;
     }
 
@@ -133,6 +172,7 @@
     /// Removes entries, but keeps the notices of their upstreams.
     fn remove_where(&mut self, now: Duration, is_removed: impl Fn(&UpstreamState) -> bool) {
         for (id, e) in self.entries.extract_if(|_, e| is_removed(e)) {
+            self.faulty.remove(&id);
             self.absent
                 .insert(now, &id, e.upstream.started_ms, e.notice);
         }
@@ -159,15 +199,20 @@
         self.entries.get(id)
     }
 
-    /// Returns the upstream at this address.
+    /// Returns the upstream at this address, unless its entry is faulty.
     pub fn by_addr(&self, addr: &str) -> Option<&UpstreamState> {
-        self.entries.values().find(|e| e.upstream.addr == addr)
+        let mut at_addr = self.entries.values().filter(|e| e.upstream.addr == addr);
+        at_addr.find(|e| !self.is_faulty(e))
     }
 
-    /// Iterates over all upstreams of a service.
+    /// Iterates over all upstreams of a service but those whose entries are faulty.
     pub fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a UpstreamState> {
         let all = self.entries.values();
-        all.filter(move |e| &*e.upstream.service == service)
+        all.filter(move |e| &*e.upstream.service == service && !self.is_faulty(e))
+    }
+
+    fn is_faulty(&self, entry: &UpstreamState) -> bool {
+        !self.faulty.is_empty() && self.faulty.contains_key(&entry.upstream.id)
     }
 
     /// Iterates over all upstreams.
--- a/crates/ashgauge/tests/placement.rs
+++ b/crates/ashgauge/tests/placement.rs
@@ -3,9 +3,12 @@
 mod common;
 mod engines;
 
+use std::sync::Arc;
+
 use ashgauge::placement::{PlacedEngine, layer_capacity, layer_coverage, plan};
 use ashgauge::routing::{Accelerator, Model};
 use ashgauge::throughput::chain_throughput;
+use ashgauge::upstream::LayerRange;
 use engines::{apply, empty_engines, fleet, model};
 use proptest::prelude::*;
 
@@ -23,6 +26,34 @@
     panic!("the plan does not converge");
 }
 
+/// Generates layers that an entry may announce, within the model of 80 layers or not.
+fn any_layers() -> impl Strategy<Value = LayerRange> {
+    let layer = prop_oneof![0..90_u32, any::<u32>(), Just(u32::MAX), Just(80)];
+    (layer.clone(), layer).prop_map(|(first, end)| LayerRange { first, end })
+}
+
+proptest! {
+    /// Guards against an engine with layers past the model, at which planning panicked.
+    #[test]
+    fn odd_engines_do_not_change_the_plan(odd in prop::collection::vec(any_layers(), 1..6)) {
+        let model = model();
+        let odd = odd.into_iter().filter(|layers| !layers.is_within(model.layers));
+        let odd = odd.enumerate().map(|(n, layers)| PlacedEngine {
+            id: format!("odd-{n}").into(),
+            data_centre: Arc::from(["a", "elsewhere"][n % 2]),
+            accelerator: ["large", "unknown"][n % 2].into(),
+            layers: Some(layers),
+            movable: n % 3 > 0,
+        });
+        let mut engines = fleet();
+        let planned = plan(&model, &engines);
+        engines.extend(odd);
+        prop_assert_eq!(plan(&model, &engines), planned.clone());
+        apply(&mut engines, &planned);
+        prop_assert!(plan(&model, &engines).len() <= 4);
+    }
+}
+
 #[test]
 fn each_data_centre_gets_a_whole_chain() {
     let mut engines = fleet();
--- a/crates/ashgauged/src/relay/follow/configuration.rs
+++ b/crates/ashgauged/src/relay/follow/configuration.rs
@@ -86,7 +86,9 @@
         let routing = config::decode(config);
         let version = routing.version;
         shared.metrics.config_version.set(version as i64);
+        shared.registry.borrow_mut().set_models(&routing);
         *shared.routing.borrow_mut() = Arc::new(routing);
+        self.log_faulty();
         reach::forget_services(shared);
         offers::forget_services(shared);
         let age = shared.freshness.borrow().age(shared.now());
--- a/crates/ashgauged/src/relay/follow/mod.rs
+++ b/crates/ashgauged/src/relay/follow/mod.rs
@@ -13,6 +13,7 @@
 mod watch;
 
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -20,7 +21,7 @@
 use ashgauge::mirror::{Change, ChangeKind, Revision};
 use ashgauge::poller::Poller;
 use ashgauge::revision;
-use ashgauge::upstream::Upstream;
+use ashgauge::upstream::{EntryFault, Upstream};
 use platform::{StoreError, servers};
 use serde_json::json;
 use spdlog::Level;
@@ -73,6 +74,8 @@
     returned_at: Cell<Option<Duration>>,
     /// Until when the next call of a watch is delayed, to batch changes.
     watch_delayed_until: Cell<Duration>,
+    /// Upstreams that are not used for a fault of their entries.
+    faulty: RefCell<HashMap<UpstreamId, EntryFault>>,
     /// Cancels the watches, which may hang on dead connections, and starts new ones.
     restart: Notify,
     /// Triggers a freshness check at once.
@@ -103,6 +106,7 @@
             restore: store_restore::RestoreState::default(),
             returned_at: Cell::new(None),
             watch_delayed_until: Cell::new(Duration::ZERO),
+            faulty: RefCell::default(),
             restart: Notify::new(),
             check_now: Notify::new(),
             changed: Notify::new(),
@@ -184,6 +188,7 @@
             .replace(now, list, removals_certain);
         let fields = json!({"upstreams": count, "at": revision::count(list_revision), "sure": removals_certain});
         log::event(Level::Info, "roster", "listed", fields);
+        self.log_faulty();
         if releases_layers {
             self.shared.notify_streams();
         }
@@ -240,11 +245,26 @@
     fn put(&self, upstream: Upstream) {
         let releases_layers = self.reduces_layers(&upstream);
         self.shared.registry.borrow_mut().put(upstream);
+        self.log_faulty();
         if releases_layers {
             self.shared.notify_streams();
         }
     }
 
+    /// Logs the upstreams that are not used any more for a fault of their entries.
+    fn log_faulty(&self) {
+        let registry = self.shared.registry.borrow();
+        let faulty: HashMap<_, _> = registry.faulty().map(|(id, f)| (id.clone(), f)).collect();
+        self.shared.metrics.faulty_entries.set(faulty.len() as i64);
+        let before = self.faulty.replace(faulty.clone());
+        for (id, fault) in faulty {
+            if before.get(&id) != Some(&fault) {
+                let fields = json!({"upstream": &*id, "fault": fault.to_string()});
+                log::event(Level::Warn, "roster", "left out", fields);
+            }
+        }
+    }
+
     fn remove(&self, id: &UpstreamId, revision: Revision, removals_certain: bool) {
         let fields = json!({"upstream": &**id, "revision": revision::count(revision), "sure": removals_certain});
         log::event(Level::Info, "roster", "gone", fields);
--- a/crates/ashgauged/src/relay/metrics.rs
+++ b/crates/ashgauged/src/relay/metrics.rs
@@ -88,6 +88,8 @@
     pub stalls: IntCounter,
     /// Panics of this process.
     pub panics: IntGauge,
+    /// Upstreams that are not used for a fault of their entries.
+    pub faulty_entries: IntGauge,
     /// Tasks that should last as long as the process and have ended.
     pub ended_tasks: IntGauge,
 }
@@ -180,6 +182,7 @@
                 "Times in which the box did not run",
             )?,
             panics: gauge("ashgauge_panics", "Panics of this process")?,
+            faulty_entries: gauge("ashgauge_faulty_entries", "Entries that are left out")?,
             ended_tasks: gauge("ashgauge_tasks_ended", "Tasks that have ended")?,
             backoffs: counter("ashgauge_rests_total", "Rests that upstreams asked for")?,
             backoff_sends: counter("ashgauge_sends_at_rest_total", "Sends to upstreams at rest")?,
