Read lists and rounds past objects that another client wrote

A round of placement that cannot be decoded ended all placing, one with an absurd number all rounds after it. A box entry under another's id moved that box's address.

Rounds are cut to what a model allows; one that cannot be decoded is replaced; entries of boxes count only under their own name. Rounds have a module of their own.

--- a/crates/ashgauge/src/pending.rs
+++ b/crates/ashgauge/src/pending.rs
@@ -134,6 +134,11 @@
         is_same && self.is_newer(service, era, round)
     }
 
+    /// Returns the number of the last known round of a service; 0 before the first one.
+    pub fn last_round(&self, service: &ServiceId) -> u64 {
+        self.last(service).1
+    }
+
     /// Records a round.
     pub fn record(&mut self, service: ServiceId, era: Era, round: u64) {
         self.0.insert(service, (era, round));
--- a/crates/ashgauged/src/relay/follow/revision_check.rs
+++ b/crates/ashgauged/src/relay/follow/revision_check.rs
@@ -10,7 +10,7 @@
 use spdlog::Level;
 use tokio::time::{sleep, timeout};
 
-use super::super::{log, membership, placer, quarantine};
+use super::super::{log, membership, quarantine, round};
 use super::StoreFollower;
 
 /// Initial delay after a failed call; it doubles up to [`MAX_RETRY_DELAY`].
@@ -140,7 +140,7 @@
         if self.was_restored_recently() {
             return false;
         }
-        self.note_revisions(placer::round_revisions(&self.shared).await);
+        self.note_revisions(round::round_revisions(&self.shared).await);
         if self.shared.mirror.borrow().covers(revision) {
             return true;
         }
--- a/crates/ashgauged/src/relay/membership.rs
+++ b/crates/ashgauged/src/relay/membership.rs
@@ -206,10 +206,10 @@
         Err(StoreError::Conflict) => {}
         other => return other,
     }
-    let stored = shared.store.get::<StoredBox>(KIND, &name).await;
+    let stored = shared.store.get_any::<StoredBox>(KIND, &name).await;
     shared.count_store_call("get", &stored);
     let stored = stored?;
-    if stored.value == *member {
+    if stored.value.as_ref() == Some(member) {
         return Ok(());
     }
     let replaced = shared.store.replace(KIND, &name, stored.revision, member);
@@ -293,6 +293,10 @@
     for object in objects {
         let member = object.value;
         listing.revisions.push(object.revision);
+        if object.name != reader::listing_key(member.link_mbps, &member.id) {
+            // Another client has written it.
+            continue;
+        }
         if member.id == settings.id {
             listing.own = Some(member);
             continue;
--- a/crates/ashgauged/src/relay/mod.rs
+++ b/crates/ashgauged/src/relay/mod.rs
@@ -40,6 +40,7 @@
 mod recovery;
 mod request;
 mod retry;
+mod round;
 mod run_timeout;
 mod select;
 mod serve;
--- a/crates/ashgauged/src/relay/placer.rs
+++ b/crates/ashgauged/src/relay/placer.rs
@@ -16,9 +16,7 @@
 use ashgauge::upstream_state::UpstreamState;
 use platform::StoreError;
 use platform::engine::ReleaseMode;
-use platform::store::Revision;
 use rand::Rng;
-use serde::{Deserialize, Serialize};
 use serde_json::json;
 use spdlog::Level;
 use tokio::sync::Semaphore;
@@ -26,12 +24,10 @@
 
 use super::log;
 use super::orders::order_and_verify;
+use super::round::{KIND, StoredRound, announce_time, recent_revisions};
 use super::shared_state::SharedState;
 use super::task;
 
-/// Kind of the stored objects that assign layers to engines.
-const KIND: &str = "ashgauge-placements";
-
 /// Interval between two checks for engines that hold no layers.
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -63,54 +59,6 @@
 /// connection.
 const MAX_OPEN_ORDERS: usize = 256;
 
-/// Maximum number of kept revisions of earlier rounds. Rounds are seconds apart at their
-/// most frequent, and boxes check as often.
-const MAX_KEPT_REVISIONS: usize = 16;
-
-/// Longest time by which an engine's announcement may lag behind its loading.
-const ANNOUNCE_LAG: Duration = Duration::from_secs(3);
-
-/// Layer ranges of one service's engines, as stored.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-struct StoredRound {
-    /// Id of the box that sends the orders.
-    #[serde(rename = "by")]
-    owner: String,
-    /// Number of the round; each write increments it.
-    round: u64,
-    /// Ranges that this round orders.
-    ranges: Vec<Assignment>,
-    /// Whether engines abort the requests that use the layers which they release.
-    #[serde(default)]
-    #[serde(rename = "cut")]
-    abort: bool,
-    /// Ranges that earlier rounds ordered and that were not announced yet.
-    #[serde(default)]
-    #[serde(rename = "earlier")]
-    unannounced: Vec<PendingAssignment>,
-    /// Store revisions at which the preceding rounds were written.
-    #[serde(default)]
-    #[serde(rename = "written")]
-    revisions: Vec<Revision>,
-}
-
-/// Returns the revisions at which boxes recently wrote rounds, from a read that is some
-/// seconds old.
-///
-/// # Errors
-///
-/// Fails as every call to the store does.
-pub async fn round_revisions(shared: &SharedState) -> Result<Vec<Revision>, StoreError> {
-    let stored = shared.store.list_stale::<StoredRound>(KIND).await;
-    shared.count_store_call("stale", &stored);
-    let revisions = stored?.into_iter().flat_map(|object| {
-        let mut revisions = object.value.revisions;
-        revisions.push(object.revision);
-        revisions
-    });
-    Ok(revisions.collect())
-}
-
 /// Watches the engines and places layers on those that hold none.
 pub struct Placer {
     shared: Rc<SharedState>,
@@ -210,18 +158,19 @@
         let read = self
             .shared
             .store
-            .get::<StoredRound>(KIND, &service.name)
+            .get_any::<StoredRound>(KIND, &service.name)
             .await;
         self.shared.count_store_call("get", &read);
         let (stored, revision) = match read {
             Ok(object) => (object.value, Some(object.revision)),
-            Err(StoreError::NotFound) => (StoredRound::default(), None),
+            Err(StoreError::NotFound) => (None, None),
             Err(error) => return Err(error),
         };
         let era = revision.map_or_else(
             || *self.shared.store.subscribe_era().borrow(),
             revision::era,
         );
+        let stored = self.check_round(service, model, stored);
         if self.is_unacknowledged(service, era, &stored) {
             self.issue_orders(service, model, era, stored);
             return Ok(());
@@ -254,6 +203,22 @@
         Ok(())
     }
 
+    /// Returns a stored round without what another client may have written into it; a round that
+    /// cannot be decoded counts as one without orders.
+    fn check_round(
+        &self,
+        service: &Service,
+        model: &Model,
+        stored: Option<StoredRound>,
+    ) -> StoredRound {
+        let last_round = self.rounds.last_round(&service.name);
+        let stored = stored.unwrap_or_else(|| StoredRound {
+            round: last_round,
+            ..StoredRound::default()
+        });
+        stored.sanitize(model, last_round)
+    }
+
     /// Whether this box wrote the round but may not have sent its orders: the store's reply
     /// was lost, or the process ended before. Sending them again is safe, as each order
     /// names the number of orders before it.
@@ -270,7 +235,7 @@
         self.rounds.record(service.name.clone(), era, round.round);
         self.note_orders(model, &round.ranges);
         self.pending.merge(self.shared.now(), &round.unannounced);
-        let wait = load_time(model, &round.ranges) + ANNOUNCE_LAG;
+        let wait = announce_time(model, &round.ranges);
         let fields = json!({
             "service": &*service.name,
             "from": round.owner,
@@ -295,8 +260,8 @@
 
     /// Adds ordered ranges to the pending assignments, until they should be announced.
     fn note_orders(&mut self, model: &Model, ranges: &[Assignment]) {
-        let deadline = load_time(model, ranges) + ANNOUNCE_LAG;
-        self.pending.add(self.shared.now(), ranges, deadline);
+        let time = announce_time(model, ranges);
+        self.pending.add(self.shared.now(), ranges, time);
     }
 
     /// Drops assignments that are no longer pending, then plans ranges for the engines that
@@ -362,7 +327,7 @@
         log::event(Level::Info, "placement", "ordering", fields);
         self.rounds.record(service.name.clone(), era, round.round);
         self.note_orders(model, &round.ranges);
-        let announce_time = load_time(model, &round.ranges) + ANNOUNCE_LAG;
+        let announce_time = announce_time(model, &round.ranges);
         let release_mode = if round.abort {
             ReleaseMode::Cut
         } else {
@@ -380,22 +345,3 @@
         }
     }
 }
-
-/// Returns the revisions of earlier rounds with that of the last round.
-fn recent_revisions(mut revisions: Vec<Revision>, last: Option<Revision>) -> Vec<Revision> {
-    revisions.extend(last);
-    let old = revisions.len().saturating_sub(MAX_KEPT_REVISIONS);
-    revisions.drain(..old);
-    revisions
-}
-
-/// Time until engines that start to load together have loaded their ranges.
-fn load_time(model: &Model, ranges: &[Assignment]) -> Duration {
-    let layers: u32 = ranges.iter().map(|r| r.layers.len()).sum();
-    let longest = ranges.iter().map(|r| r.layers.len()).max().unwrap_or(0);
-    let layers_per_slot = f64::from(layers) / f64::from(model.parallel_loads);
-    let longest_load = layers_per_slot.max(f64::from(longest));
-    model
-        .load_time
-        .mul_f64(longest_load / f64::from(model.layers.max(1)))
-}
--- a/crates/ashgauged/src/relay/quarantine.rs
+++ b/crates/ashgauged/src/relay/quarantine.rs
@@ -370,10 +370,11 @@
         other => return other,
     }
     // Another box has stored it, or it was quarantined before.
-    let current = shared.store.get::<StoredQuarantine>(KIND, &name).await;
+    let current = shared.store.get_any::<StoredQuarantine>(KIND, &name).await;
     shared.count_store_call("get", &current);
     let current = current?;
-    if current.value.until_s >= unix_time().as_secs() {
+    let until_s = current.value.map_or(0, |stored| stored.until_s);
+    if until_s >= unix_time().as_secs() {
         return Ok(());
     }
     let replaced = shared.store.replace(KIND, &name, current.revision, stored);
@@ -386,7 +387,7 @@
 /// start later.
 async fn end_stored(shared: Rc<SharedState>, digest: Digest) {
     let name = digest::format_digest(digest);
-    let current = shared.store.get::<StoredQuarantine>(KIND, &name).await;
+    let current = shared.store.get_any::<StoredQuarantine>(KIND, &name).await;
     shared.count_store_call("get", &current);
     let Ok(current) = current.inspect_err(|fault| log_fault("end", fault)) else {
         return;
