Bound numbers that upstreams and configurations tell

By reading: a factor of 1e308 in an engine's report, a retry-after of 1e18 seconds and typical lengths near 2^32 entered sums and products that panic or turn into infinity.

--- a/crates/ashgauge/src/cost.rs
+++ b/crates/ashgauge/src/cost.rs
@@ -253,8 +253,7 @@
 /// Returns the memory of an engine for requests, in tokens times layers.
 pub fn memory_capacity(model: &Model, state: &UpstreamState, held: LayerRange) -> f64 {
     let accelerator = state.upstream.accelerator.as_deref().unwrap_or_default();
-    let typical_tokens =
-        f64::from(model.typical_prompt + model.typical_output) * f64::from(held.len());
+    let typical_tokens = model.typical_tokens() * f64::from(held.len());
     model.request_capacity(accelerator, held.len()) * typical_tokens
 }
 
--- a/crates/ashgauge/src/routing.rs
+++ b/crates/ashgauge/src/routing.rs
@@ -262,8 +262,7 @@
             .map_or(0.0, |a| a.memory_mb);
         let free_mb = (memory_mb - f64::from(held) * self.layer_mb).max(0.0);
         let share = f64::from(held) / f64::from(self.layers.max(1));
-        let typical_mb =
-            f64::from(self.typical_prompt + self.typical_output) * self.token_mb * share;
+        let typical_mb = self.typical_tokens() * self.token_mb * share;
         if typical_mb > 0.0 {
             free_mb / typical_mb
         } else {
@@ -271,6 +270,11 @@
         }
     }
 
+    /// Returns the tokens of a typical request, read and written.
+    pub(crate) fn typical_tokens(&self) -> f64 {
+        f64::from(self.typical_prompt) + f64::from(self.typical_output)
+    }
+
     /// Returns the seconds of a decode step with `load` requests in its batch, on the
     /// reference accelerator.
     ///
--- a/crates/http/src/headers.rs
+++ b/crates/http/src/headers.rs
@@ -5,7 +5,11 @@
 use hyper::HeaderMap;
 use hyper::header::RETRY_AFTER;
 
-/// Parses `retry-after` as a number of seconds, which may have a fraction.
+/// Longest time that a response can ask for; sums of longer ones with clock times overflow.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(24 * 3600);
+
+/// Parses `retry-after` as a number of seconds, which may have a fraction; at most a
+/// day counts.
 ///
 /// # Example
 ///
@@ -29,5 +33,6 @@
     let text = String::from_utf8_lossy(value.as_bytes());
     let seconds = text.trim().parse().ok();
     let after = seconds.and_then(|s| Duration::try_from_secs_f64(s).ok());
+    let after = after.map(|a| a.min(MAX_RETRY_AFTER));
     after.map(Some).ok_or_else(|| text.into_owned())
 }
