Search for crashing parts of prompts only when losses are new

Cause: a box searched all remembered losses for a part of a prompt that crashes engines at each lost run of each report, also at those that it knew, though boxes repeat each loss for 14 s; the time of a search grew with the square of the number of losses. So the more runs were lost, the less processor time was left for streams, which then counted as lost. Ten seconds after the last answers on the parts, when these stopped to be excluded, the searches became dearest.

A search now follows only news, is paced beside many losses, and compares only suspects with enough losses to matter; what is told to others is looked up, not searched. A test counts searches: at most 2 in 100 repeated reports of 120 runs, where by reading the old code made one at each run of each report.

--- a/crates/ashgauge/src/crashing_part.rs
+++ b/crates/ashgauge/src/crashing_part.rs
@@ -42,6 +42,17 @@
 /// upstreams that end at one moment may have a cause of their own.
 const MIN_SEQUENCE: usize = 2;
 
+/// Number of losses up to which each report with a new one is followed by a search for the cause
+/// at once. The time of a search grows with their number.
+const MAX_PROMPT_LOSSES: usize = 32;
+
+/// Shortest time between two searches beside more losses.
+const MIN_SEARCH_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Time after which the losses are searched again without a new one: an answer on a part excludes
+/// it as the cause for some time only.
+const SEARCH_AGAIN_INTERVAL: Duration = Duration::from_secs(1);
+
 /// How long a loss counts.
 const LOSS_TTL: Duration = Duration::from_secs(600);
 
@@ -58,7 +69,7 @@
 const MAX_RUN_PARTS: usize = 32;
 
 /// A run of a request during which its upstream was lost.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct LostRun {
     /// Digest of the request.
     pub digest: Digest,
@@ -126,10 +137,15 @@
     losses: Vec<Loss>,
     /// When an answer was last written on a part.
     sound: HashMap<Digest, Duration>,
+    /// Whether the losses have changed since the last search for the cause.
+    has_changed: bool,
+    /// Time of the last search.
+    searched_at: Option<Duration>,
+    searches: u64,
 }
 
 impl PartLosses {
-    /// Records a run during which its upstream was lost.
+    /// Records a run during which its upstream was lost, unless it is known.
     pub fn record(&mut self, now: Duration, run: &LostRun) {
         self.losses.retain(|loss| now < loss.at + LOSS_TTL);
         let is_same =
@@ -143,29 +159,74 @@
         let mut run = run.clone();
         run.parts.truncate(MAX_RUN_PARTS);
         self.losses.push(Loss { run, at: now });
+        self.has_changed = true;
     }
 
     /// Records that an answer was written on these parts at `at`, so that none of them crashes
     /// each upstream; returns those under which upstreams had been lost by then.
     pub fn note_sound(&mut self, at: Duration, parts: &[Digest]) -> Vec<Digest> {
-        for part in parts {
+        let sound: HashMap<Digest, Duration> = parts.iter().map(|part| (*part, at)).collect();
+        self.note_sound_parts(&sound)
+    }
+
+    /// The same for parts on which answers were written at different times.
+    pub fn note_sound_parts(&mut self, sound: &HashMap<Digest, Duration>) -> Vec<Digest> {
+        for (part, at) in sound {
             if self.sound.len() >= MAX_SOUND && !self.sound.contains_key(part) {
-                self.evict_sound(at);
+                self.evict_sound(*at);
             }
-            let last = self.sound.entry(*part).or_insert(at);
-            *last = at.max(*last);
+            let last = self.sound.entry(*part).or_insert(*at);
+            *last = (*at).max(*last);
         }
         let mut cleared = Vec::new();
-        for loss in self.losses.iter_mut().filter(|loss| loss.at <= at) {
-            let (sound, left) = loss.run.parts.iter().partition(|part| parts.contains(part));
-            loss.run.parts = left;
-            cleared.extend::<Vec<Digest>>(sound);
+        for loss in &mut self.losses {
+            let lost_at = loss.at;
+            loss.run.parts.retain(|part| {
+                let is_sound = sound.get(part).is_some_and(|at| lost_at <= *at);
+                if is_sound {
+                    cleared.push(*part);
+                }
+                !is_sound
+            });
         }
         cleared.sort_unstable();
         cleared.dedup();
+        self.has_changed |= !cleared.is_empty();
         cleared
     }
 
+    /// Searches the losses for a crashing part, see [`PartLosses::find_crashing`], if they have
+    /// changed since the last search.
+    pub fn search_changed(&mut self, now: Duration) -> Option<Digest> {
+        if !self.has_changed || self.losses.is_empty() {
+            return None;
+        }
+        self.searched_at = Some(now);
+        self.has_changed = false;
+        self.searches += 1;
+        self.find_crashing(now)
+    }
+
+    /// Does so, but not too often beside many losses, and after some time also if they have not
+    /// changed. Boxes report each loss for some seconds, so most reports change nothing.
+    pub fn search_due(&mut self, now: Duration) -> Option<Digest> {
+        let age = self.searched_at.map(|at| now.saturating_sub(at));
+        let min_age = match self.losses.len() <= MAX_PROMPT_LOSSES {
+            true => Duration::ZERO,
+            false => MIN_SEARCH_INTERVAL,
+        };
+        if age.is_some_and(|age| age < min_age) {
+            return None;
+        }
+        self.has_changed |= age.is_none_or(|age| age >= SEARCH_AGAIN_INTERVAL);
+        self.search_changed(now)
+    }
+
+    /// Returns the number of searches so far.
+    pub fn searches(&self) -> u64 {
+        self.searches
+    }
+
     /// Returns when an answer was last written on a part, if that is remembered.
     pub fn sound_at(&self, now: Duration, part: Digest) -> Option<Duration> {
         let at = self.sound.get(&part).copied();
@@ -184,7 +245,9 @@
     /// last in the prompt is taken.
     pub fn find_crashing(&self, now: Duration) -> Option<Digest> {
         let mut suspects = self.evidence();
-        suspects.retain(|suspect, _| match suspect {
+        // A suspect with fewer losses is neither the cause nor a better explanation of others.
+        suspects.retain(|suspect, evidence| match suspect {
+            _ if evidence.instances.len() < MIN_INSTANCES => false,
             Suspect::Part(part) => !self.is_sound(now, *part),
             Suspect::Request(_) => true,
         });
@@ -239,6 +302,7 @@
         let explained: HashSet<InstanceKey> = explained.map(|loss| loss.run.instance).collect();
         self.losses
             .retain(|loss| !explained.contains(&loss.run.instance));
+        self.has_changed = true;
         explained
     }
 
@@ -308,12 +372,11 @@
 
     /// Number of lost upstreams that no other suspect explains better.
     fn count_own(&self, suspect: Suspect, all: &HashMap<Suspect, Evidence>) -> usize {
-        let others = all
-            .iter()
-            .filter(|(other, _)| **other != suspect && !self.always_with(other));
-        let rivals: Vec<&Evidence> = others
-            .map(|(_, other)| other)
-            .filter(|other| self.is_rivalled_by(other))
+        let others = all.iter().filter(|(other, _)| **other != suspect);
+        let rivals = others.filter(|(_, evidence)| self.is_rivalled_by(evidence));
+        let rivals: Vec<&Evidence> = rivals
+            .filter(|(other, _)| !self.always_with(other))
+            .map(|(_, evidence)| evidence)
             .collect();
         let own = self.instances.iter();
         let own = own.filter(|i| !rivals.iter().any(|rival| rival.instances.contains(i)));
--- a/crates/ashgauge/src/gossip.rs
+++ b/crates/ashgauge/src/gossip.rs
@@ -1,5 +1,7 @@
 //! Items that a box tells others for some seconds, as datagrams may be lost.
 
+use std::collections::{HashMap, VecDeque};
+use std::hash::Hash;
 use std::time::Duration;
 
 /// How long an item is told: long enough for several messages to each box.
@@ -17,9 +19,24 @@
 }
 
 /// Items that are told to other boxes.
+///
+/// # Example
+///
+/// ```
+/// use std::time::Duration;
+/// use ashgauge::gossip::{Audience, Gossip};
+///
+/// let mut gossip = Gossip::new(10);
+/// assert!(gossip.add_new(Duration::ZERO, &["a", "b"], Audience::All));
+/// assert!(!gossip.add_new(Duration::ZERO, &["a"], Audience::All));
+/// assert_eq!(gossip.recent(Duration::ZERO, Audience::All, 1), ["b"]);
+/// ```
 #[derive(Clone, Debug)]
 pub struct Gossip<T> {
-    entries: Vec<Entry<T>>,
+    /// Oldest first.
+    entries: VecDeque<Entry<T>>,
+    /// Until when each item is told.
+    told_until: HashMap<T, Duration>,
     capacity: usize,
 }
 
@@ -27,47 +44,48 @@
 #[derive(Clone, Debug)]
 struct Entry<T> {
     item: T,
-    /// Time from which on it is told.
-    since: Duration,
+    until: Duration,
     /// Boxes that it is told to.
     audience: Audience,
 }
 
-impl<T: Clone + PartialEq> Gossip<T> {
+impl<T: Clone + Eq + Hash> Gossip<T> {
     /// Creates a list of at most `capacity` items.
     pub fn new(capacity: usize) -> Self {
-        let entries = Vec::new();
-        Gossip { entries, capacity }
+        Gossip {
+            entries: VecDeque::new(),
+            told_until: HashMap::new(),
+            capacity,
+        }
     }
 
     /// Adds an item; drops the oldest if there are too many.
     pub fn add(&mut self, now: Duration, item: T, audience: Audience) {
-        self.entries.retain(|entry| entry.is_told(now));
+        while self.entries.front().is_some_and(|e| e.until <= now) {
+            self.remove_oldest();
+        }
         if self.entries.len() >= self.capacity {
-            self.entries.remove(0);
+            self.remove_oldest();
         }
-        let since = now;
-        self.entries.push(Entry {
+        let until = now + GOSSIP_TIME;
+        self.told_until.insert(item.clone(), until);
+        self.entries.push_back(Entry {
             item,
-            since,
+            until,
             audience,
         });
     }
 
     /// Adds those items that are not told already; returns whether there are any.
     pub fn add_new(&mut self, now: Duration, items: &[T], audience: Audience) -> bool {
-        let is_told = |item: &T| {
-            let mut entries = self.entries.iter();
-            entries.any(|entry| entry.item == *item && entry.is_told(now))
-        };
-        let new: Vec<T> = items
-            .iter()
-            .filter(|item| !is_told(item))
-            .cloned()
-            .collect();
-        new.iter()
-            .for_each(|item| self.add(now, item.clone(), audience));
-        !new.is_empty()
+        let mut has_new = false;
+        for item in items {
+            if !self.is_told(now, item) {
+                self.add(now, item.clone(), audience);
+                has_new = true;
+            }
+        }
+        has_new
     }
 
     /// Returns at most `limit` items for an audience, the newest first.
@@ -75,17 +93,25 @@
         let entries = self.entries.iter().rev();
         let entries = entries.filter(|entry| {
             let is_wanted = audience == Audience::Leaves || entry.audience == audience;
-            is_wanted && entry.is_told(now)
+            is_wanted && now < entry.until
         });
         entries
             .map(|entry| entry.item.clone())
             .take(limit)
             .collect()
     }
-}
 
-impl<T> Entry<T> {
-    fn is_told(&self, now: Duration) -> bool {
-        now < self.since + GOSSIP_TIME
+    fn is_told(&self, now: Duration, item: &T) -> bool {
+        self.told_until.get(item).is_some_and(|until| now < *until)
+    }
+
+    fn remove_oldest(&mut self) {
+        let Some(oldest) = self.entries.pop_front() else {
+            return;
+        };
+        // A later entry may hold the same item.
+        if self.told_until.get(&oldest.item) == Some(&oldest.until) {
+            self.told_until.remove(&oldest.item);
+        }
     }
 }
--- a/crates/ashgauge/src/quarantine.rs
+++ b/crates/ashgauge/src/quarantine.rs
@@ -266,7 +266,21 @@
         let mut run = run.clone();
         run.parts.retain(|part| !self.parts.is_sound(now, *part));
         self.run_gossip.add(now, run.clone(), Audience::All);
-        self.add_lost_run(now, &run)
+        self.add_lost_run(now, &run);
+        let part = self.parts.search_changed(now)?;
+        self.quarantine(now, part, QUARANTINE_TIME).then_some(part)
+    }
+
+    /// Quarantines the part that the losses show to crash upstreams, if a search for it is due;
+    /// returns that part.
+    pub fn search_parts(&mut self, now: Duration) -> Option<Digest> {
+        let part = self.parts.search_due(now)?;
+        self.quarantine(now, part, QUARANTINE_TIME).then_some(part)
+    }
+
+    /// Returns the number of searches for crashing parts so far.
+    pub fn searches(&self) -> u64 {
+        self.parts.searches()
     }
 
     /// Records that an upstream has written an answer on these parts; returns those whose
@@ -279,21 +293,24 @@
         (released, has_suspects || has_released)
     }
 
-    /// Merges another box's report on parts; returns the parts that are newly quarantined, and
-    /// whether other boxes are to be told that some of its parts are known to be sound here.
-    pub fn merge_parts(&mut self, now: Duration, report: &PartReport) -> (Vec<Digest>, bool) {
-        for sound in &report.sound {
+    /// Merges another box's report on parts; returns the part that is newly quarantined, if one
+    /// is, and whether other boxes are to be told that some of its parts are known to be sound here.
+    pub fn merge_parts(&mut self, now: Duration, report: &PartReport) -> (Option<Digest>, bool) {
+        let sound = report.sound.iter().map(|sound| {
             let age = Duration::from_millis(sound.age_ms.into());
-            let at = now.saturating_sub(age);
-            self.parts.note_sound(at, &[sound.part]);
-            self.release(at, &[sound.part]);
+            (sound.part, now.saturating_sub(age))
+        });
+        let sound: HashMap<Digest, Duration> = sound.collect();
+        self.parts.note_sound_parts(&sound);
+        for (part, at) in &sound {
+            self.release(*at, &[*part]);
         }
-        let (mut quarantined, mut has_news) = (Vec::new(), false);
+        let mut has_news = false;
         for run in &report.runs {
             has_news |= self.report_sound(now, &run.parts);
-            quarantined.extend(self.add_lost_run(now, run));
+            self.add_lost_run(now, run);
         }
-        (quarantined, has_news)
+        (self.search_parts(now), has_news)
     }
 
     /// Reports those of the parts that are known to be sound here to other boxes; returns
@@ -333,14 +350,11 @@
         parts.iter().any(|part| self.parts.is_suspect(*part))
     }
 
-    fn add_lost_run(&mut self, now: Duration, run: &LostRun) -> Option<Digest> {
+    fn add_lost_run(&mut self, now: Duration, run: &LostRun) {
         let is_explained = |part: &Digest| self.time_left(now, *part).is_some();
-        if run.parts.iter().any(is_explained) {
-            return None;
+        if !run.parts.iter().any(is_explained) {
+            self.parts.record(now, run);
         }
-        self.parts.record(now, run);
-        let part = self.parts.find_crashing(now)?;
-        self.quarantine(now, part, QUARANTINE_TIME).then_some(part)
     }
 
     /// Ends the quarantines of parts that began before answers were written on them at `at`;
--- a/crates/ashgauge/tests/crashing_part.rs
+++ b/crates/ashgauge/tests/crashing_part.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use ashgauge::crashing_part::{LostRun, PartLosses};
-use ashgauge::quarantine::{InstanceLoss, LossReport, PartReport, QUARANTINE_TIME, Quarantine};
+use ashgauge::quarantine::{
+    Audience, InstanceLoss, LossReport, PartReport, QUARANTINE_TIME, Quarantine,
+};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -85,8 +87,8 @@
         runs: vec![lost(7, 1, &[1, 2])],
         sound: Vec::new(),
     };
-    assert_eq!(own.merge_parts(SECOND * 20, &report), (Vec::new(), true));
-    assert_eq!(own.merge_parts(SECOND * 20, &report), (Vec::new(), false));
+    assert_eq!(own.merge_parts(SECOND * 20, &report), (None, true));
+    assert_eq!(own.merge_parts(SECOND * 20, &report), (None, false));
 }
 
 #[test]
@@ -273,6 +275,28 @@
     }
 }
 
+/// Guards against a search for the cause at each lost run of each report, which boxes repeat for
+/// seconds: small boxes did nothing else then.
+#[test]
+fn repeated_reports_are_not_searched_again() {
+    let (mut own, mut other) = (Quarantine::default(), Quarantine::default());
+    let now = SECOND * 75;
+    for n in 0..120 {
+        let run = LostRun {
+            digest: n,
+            instance: n as u32 % 26,
+            run_ms: 50,
+            parts: vec![10_000 + n % 60, 10_060 + n % 7],
+        };
+        other.record_lost_run(now + MS * n as u32, &run);
+    }
+    let report = other.part_report(now + SECOND, Audience::All);
+    for n in 0..100 {
+        own.merge_parts(now + SECOND + MS * 9 * n, &report);
+    }
+    assert!(own.searches() <= 2, "{} searches", own.searches());
+}
+
 #[test]
 fn no_sound_request_of_a_hundred_thousand_is_held() {
     let (mut sent, mut held) = (0, 0);
--- a/crates/ashgauged/src/relay/load_reporter.rs
+++ b/crates/ashgauged/src/relay/load_reporter.rs
@@ -66,6 +66,7 @@
         shared.report_interval.set(report_interval);
         shared.fleet_load.borrow_mut().expire(now, report_interval);
         permit::expire(&shared);
+        quarantine::search_parts(&shared);
         let own = own_load(&shared);
         let report = match role {
             Role::Hub => {
--- a/crates/ashgauged/src/relay/metrics.rs
+++ b/crates/ashgauged/src/relay/metrics.rs
@@ -88,6 +88,8 @@
     pub stalls: IntCounter,
     /// Panics of this process.
     pub panics: IntGauge,
+    /// Searches for parts of prompts that crash upstreams.
+    pub loss_searches: IntGauge,
     /// Upstreams that are not used for a fault of their entries.
     pub faulty_entries: IntGauge,
     /// Tasks that should last as long as the process and have ended.
@@ -182,6 +184,7 @@
                 "Times in which the box did not run",
             )?,
             panics: gauge("ashgauge_panics", "Panics of this process")?,
+            loss_searches: gauge("ashgauge_loss_searches", "Searches for crashing parts")?,
             faulty_entries: gauge("ashgauge_faulty_entries", "Entries that are left out")?,
             ended_tasks: gauge("ashgauge_tasks_ended", "Tasks that have ended")?,
             backoffs: counter("ashgauge_rests_total", "Rests that upstreams asked for")?,
--- a/crates/ashgauged/src/relay/quarantine.rs
+++ b/crates/ashgauged/src/relay/quarantine.rs
@@ -129,7 +129,7 @@
     let now = shared.now();
     let merged = shared.quarantine.borrow_mut().merge_parts(now, report);
     let (quarantined, mut has_news) = merged;
-    for part in quarantined {
+    if let Some(part) = quarantined {
         log_quarantined(shared, part, "part told");
     }
     if shared.role() == Role::Hub {
@@ -142,6 +142,14 @@
     }
 }
 
+/// Searches the losses for parts that crash upstreams, if that was put off.
+pub fn search_parts(shared: &SharedState) {
+    let quarantined = shared.quarantine.borrow_mut().search_parts(shared.now());
+    if let Some(part) = quarantined {
+        log_quarantined(shared, part, "part");
+    }
+}
+
 /// Returns the boxes to which this hub forwards the report of a box.
 fn audience_of_hub(shared: &SharedState, from: &str) -> Audience {
     let is_hub = shared.readers.borrow().ids.iter().any(|id| **id == *from);
--- a/crates/ashgauged/src/relay/serve.rs
+++ b/crates/ashgauged/src/relay/serve.rs
@@ -93,6 +93,8 @@
         shared.metrics.inflight.set(shared.inflight.get() as i64);
         shared.metrics.dropped_lines.set(log::dropped() as i64);
         shared.metrics.panics.set(task::panics() as i64);
+        let searches = shared.quarantine.borrow().searches() as i64;
+        shared.metrics.loss_searches.set(searches);
         let ended = shared.tasks.ended() as i64;
         shared.metrics.ended_tasks.set(ended);
         let age = shared.freshness.borrow().age(shared.now());
