Start tasks again that end by a panic

The class: a task that ends takes its duty along, and the box seems well. Where the node runs stages itself, the end of a watch stops the process. A streamed response whose forwarder panics breaks off; by reading it looked complete before.

--- a/crates/ashgauged/src/io.rs
+++ b/crates/ashgauged/src/io.rs
@@ -7,7 +7,7 @@
 use http::Client;
 use platform::PlatformClient;
 use ractor::ActorRef;
-use spdlog::{debug, info, warn};
+use spdlog::{debug, error, info, warn};
 
 use crate::actor::{Msg, NodeArgs};
 
@@ -53,9 +53,21 @@
     /// Starts tasks that watch the table and the member list until the node's actor ends.
     pub fn watch_platform(&self) {
         let (node, platform) = (self.node.clone(), self.platform.clone());
-        tokio::spawn(watch_table(node, platform));
+        self.spawn_watch(watch_table(node, platform));
         let (node, platform) = (self.node.clone(), self.platform.clone());
-        tokio::spawn(watch_list(node, platform, self.list_interval));
+        self.spawn_watch(watch_list(node, platform, self.list_interval));
+    }
+
+    /// Starts a task without which the box knows nothing new; if it panics, the node's actor is
+    /// stopped, and with it the process, so that the box is started again.
+    fn spawn_watch(&self, watch: impl Future<Output = ()> + Send + 'static) {
+        let node = self.node.clone();
+        tokio::spawn(async move {
+            if let Err(e) = tokio::spawn(watch).await {
+                error!("platform: a watch has ended: {e}");
+                node.stop(Some("a watch has ended".into()));
+            }
+        });
     }
 
     /// Performs one action.
--- a/crates/ashgauged/src/relay/answers.rs
+++ b/crates/ashgauged/src/relay/answers.rs
@@ -208,7 +208,8 @@
     }
 
     /// Answers queries received over connections, from boxes with a valid fetch token.
-    pub async fn serve_fetches(self: Rc<Self>, mut requests: mpsc::Receiver<FetchRequest>) {
+    pub async fn serve_fetches(self: Rc<Self>, requests: Rc<Mutex<mpsc::Receiver<FetchRequest>>>) {
+        let mut requests = requests.lock().await;
         while let Some(FetchRequest { query, reply }) = requests.recv().await {
             let token = query.fetch_token;
             let expires_at = token.and_then(|t| self.fetch_tokens.borrow_mut().remove(&t));
--- a/crates/ashgauged/src/relay/event_forwarder/mod.rs
+++ b/crates/ashgauged/src/relay/event_forwarder/mod.rs
@@ -67,7 +67,7 @@
         shared,
     };
     let task = tokio::task::spawn_local(forwarder.run());
-    StreamBody { chunks, task }
+    StreamBody::new(chunks, task)
 }
 
 /// Forwards the events of one stream.
--- a/crates/ashgauged/src/relay/follow/mod.rs
+++ b/crates/ashgauged/src/relay/follow/mod.rs
@@ -25,10 +25,11 @@
 use platform::{StoreError, servers};
 use serde_json::json;
 use spdlog::Level;
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Mutex, Notify, mpsc};
 
 use super::peers::{PeerMessage, Peers};
 use super::shared_state::SharedState;
+use super::task::TaskName;
 use super::{log, membership, quarantine, task};
 
 /// How long after the store has become reachable again an entry may be missing although
@@ -111,24 +112,24 @@
             check_now: Notify::new(),
             changed: Notify::new(),
         });
+        follower.spawn("revision check", Self::confirm_loop);
+        follower.spawn("configuration", Self::follow_config);
+        follower.spawn("upstreams", Self::follow_upstreams);
+        follower.spawn("configuration age", Self::report_config_age);
+        follower.spawn("members", |f| membership::follow_members(f.shared.clone()));
+        follower.spawn("own entry", |f| membership::reannounce(f.shared.clone()));
+        follower.spawn("quarantine", |f| {
+            quarantine::restore_quarantined(f.shared.clone())
+        });
+        follower.spawn("suspensions", Self::follow_suspensions);
+        follower.spawn("restores", Self::follow_restores);
+        follower.spawn("silent connections", Self::follow_silent_connections);
         let shared = &follower.shared;
-        let this = || follower.clone();
-        task::spawn(shared, "revision check", this().confirm_loop());
-        task::spawn(shared, "configuration", this().follow_config());
-        task::spawn(shared, "upstreams", this().follow_upstreams());
-        task::spawn(shared, "configuration age", this().report_config_age());
-        let members = membership::follow_members(shared.clone());
-        task::spawn(shared, "members", members);
-        let own_entry = membership::reannounce(shared.clone());
-        task::spawn(shared, "own entry", own_entry);
-        let quarantined = quarantine::restore_quarantined(shared.clone());
-        task::spawn(shared, "quarantine", quarantined);
-        task::spawn(shared, "suspensions", this().follow_suspensions());
-        task::spawn(shared, "restores", this().follow_restores());
-        let silent = this().follow_silent_connections();
-        task::spawn(shared, "silent connections", silent);
         match messages.filter(|_| shared.settings().shares_reading()) {
-            Some(messages) => task::spawn(shared, "polls", this().poll_readers(messages)),
+            Some(messages) => {
+                let messages = Rc::new(Mutex::new(messages));
+                follower.spawn("polls", move |f| f.poll_readers(messages.clone()));
+            }
             None => {
                 shared.reads_store.send_replace(true);
                 tokio::task::spawn_local(quarantine::load_quarantined(shared.clone()));
@@ -136,6 +137,15 @@
         }
     }
 
+    /// Starts one of the follower's tasks.
+    fn spawn<F>(self: &Rc<Self>, name: TaskName, start: impl Fn(Rc<Self>) -> F + 'static)
+    where
+        F: Future<Output = ()> + 'static,
+    {
+        let follower = self.clone();
+        task::spawn(&self.shared, name, move || start(follower.clone()));
+    }
+
     /// Restarts the watches and checks freshness after the machine was suspended, as the
     /// connections they wait on may have died meanwhile.
     async fn follow_suspensions(self: Rc<Self>) {
--- a/crates/ashgauged/src/relay/follow/poll.rs
+++ b/crates/ashgauged/src/relay/follow/poll.rs
@@ -15,7 +15,7 @@
 use rand::Rng;
 use serde_json::json;
 use spdlog::Level;
-use tokio::sync::mpsc;
+use tokio::sync::{Mutex, mpsc};
 use tokio::time::sleep;
 
 use super::super::peers::{PeerMessage, Peers};
@@ -52,7 +52,11 @@
 
 impl StoreFollower {
     /// Polls the readers as long as the process runs.
-    pub(super) async fn poll_readers(self: Rc<Self>, mut messages: mpsc::Receiver<PeerMessage>) {
+    pub(super) async fn poll_readers(
+        self: Rc<Self>,
+        messages: Rc<Mutex<mpsc::Receiver<PeerMessage>>>,
+    ) {
+        let mut messages = messages.lock().await;
         let Some(peers) = self.peers.clone() else {
             return;
         };
--- a/crates/ashgauged/src/relay/mod.rs
+++ b/crates/ashgauged/src/relay/mod.rs
@@ -129,30 +129,64 @@
     let shared = Rc::new(SharedState::new(settings, Metrics::new()?));
     let peers = Peers::start(&shared).await?;
     if let Some((peers, _)) = &peers {
-        let loads = load_reporter::broadcast(shared.clone(), peers.clone());
-        task::spawn(&shared, "load reports", loads);
-        let losses = quarantine::broadcast(shared.clone(), peers.clone());
-        task::spawn(&shared, "loss reports", losses);
-        let suspects = suspicion::broadcast(shared.clone(), peers.clone());
-        task::spawn(&shared, "suspect reports", suspects);
+        spawn_reports(&shared, peers);
     }
     StoreFollower::start(shared.clone(), peers);
     Placer::start(shared.clone());
-    task::spawn(&shared, "clock", clock::watch_suspension(shared.clone()));
-    task::spawn(&shared, "levels", shedding::update_levels(shared.clone()));
-    let callers = serve::accept(shared.clone(), caller_listener);
-    task::spawn(&shared, "callers", callers);
-    let readiness = serve::serve_readiness(shared.clone(), ready_listener);
-    task::spawn(&shared, "readiness", readiness);
-    if let Some(listener) = metrics {
-        let metrics = serve::serve_metrics(shared.clone(), listener);
-        task::spawn(&shared, "metrics", metrics);
-    }
+    let state = shared.clone();
+    task::spawn(&shared, "clock", move || {
+        clock::watch_suspension(state.clone())
+    });
+    let state = shared.clone();
+    task::spawn(&shared, "levels", move || {
+        shedding::update_levels(state.clone())
+    });
+    spawn_servers(&shared, caller_listener, ready_listener, metrics);
     wait_for_stop(&shared, path).await?;
     stop(&shared).await;
     Ok(())
 }
 
+/// Starts the tasks that report to the other boxes.
+fn spawn_reports(shared: &Rc<SharedState>, peers: &Rc<Peers>) {
+    let (state, to) = (shared.clone(), peers.clone());
+    task::spawn(shared, "load reports", move || {
+        load_reporter::broadcast(state.clone(), to.clone())
+    });
+    let (state, to) = (shared.clone(), peers.clone());
+    task::spawn(shared, "loss reports", move || {
+        quarantine::broadcast(state.clone(), to.clone())
+    });
+    let (state, to) = (shared.clone(), peers.clone());
+    task::spawn(shared, "suspect reports", move || {
+        suspicion::broadcast(state.clone(), to.clone())
+    });
+}
+
+/// Starts the tasks that accept connections.
+fn spawn_servers(
+    shared: &Rc<SharedState>,
+    callers: TcpListener,
+    readiness: TcpListener,
+    metrics: Option<TcpListener>,
+) {
+    let (state, listener) = (shared.clone(), Rc::new(callers));
+    task::spawn(shared, "callers", move || {
+        serve::accept(state.clone(), listener.clone())
+    });
+    let (state, listener) = (shared.clone(), Rc::new(readiness));
+    task::spawn(shared, "readiness", move || {
+        serve::serve_readiness(state.clone(), listener.clone())
+    });
+    let Some(listener) = metrics.map(Rc::new) else {
+        return;
+    };
+    let state = shared.clone();
+    task::spawn(shared, "metrics", move || {
+        serve::serve_metrics(state.clone(), listener.clone())
+    });
+}
+
 /// Waits for SIGTERM or SIGINT. Reloads the settings on SIGHUP and when the file has
 /// changed.
 async fn wait_for_stop(shared: &SharedState, path: &Path) -> Result<()> {
--- a/crates/ashgauged/src/relay/peer_server.rs
+++ b/crates/ashgauged/src/relay/peer_server.rs
@@ -31,7 +31,7 @@
 /// Serves the connections of other boxes as long as the process runs.
 pub async fn serve(
     shared: Rc<SharedState>,
-    listener: TcpListener,
+    listener: Rc<TcpListener>,
     fetches: mpsc::Sender<FetchRequest>,
 ) {
     let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
--- a/crates/ashgauged/src/relay/peers.rs
+++ b/crates/ashgauged/src/relay/peers.rs
@@ -19,7 +19,7 @@
 use serde_json::json;
 use spdlog::Level;
 use tokio::net::UdpSocket;
-use tokio::sync::mpsc;
+use tokio::sync::{Mutex, mpsc};
 use tokio::time::sleep;
 
 use super::answers::Answers;
@@ -92,11 +92,17 @@
             messages: sender,
             answers: answers.clone(),
         });
-        task::spawn(shared, "datagrams", peers.clone().receive());
+        let receiving = peers.clone();
+        task::spawn(shared, "datagrams", move || receiving.clone().receive());
         let (fetches, requests) = mpsc::channel(MAX_QUEUED_MESSAGES);
-        task::spawn(shared, "fetches", answers.serve_fetches(requests));
-        let server = peer_server::serve(shared.clone(), listener, fetches);
-        task::spawn(shared, "peer connections", server);
+        let requests = Rc::new(Mutex::new(requests));
+        task::spawn(shared, "fetches", move || {
+            answers.clone().serve_fetches(requests.clone())
+        });
+        let (state, listener) = (shared.clone(), Rc::new(listener));
+        task::spawn(shared, "peer connections", move || {
+            peer_server::serve(state.clone(), listener.clone(), fetches.clone())
+        });
         Ok(Some((peers, receiver)))
     }
 
--- a/crates/ashgauged/src/relay/placer.rs
+++ b/crates/ashgauged/src/relay/placer.rs
@@ -80,17 +80,24 @@
 impl Placer {
     /// Starts the placement task, which runs as long as the process.
     pub fn start(shared: Rc<SharedState>) {
-        let placer = Placer {
-            shared: shared.clone(),
-            order_slots: Rc::new(Semaphore::new(MAX_OPEN_ORDERS)),
+        let order_slots = Rc::new(Semaphore::new(MAX_OPEN_ORDERS));
+        let state = shared.clone();
+        task::spawn(&shared, "placement", move || {
+            Placer::new(state.clone(), order_slots.clone()).run()
+        });
+    }
+
+    fn new(shared: Rc<SharedState>, order_slots: Rc<Semaphore>) -> Self {
+        Placer {
+            shared,
+            order_slots,
             pending: PendingAssignments::default(),
             rounds: OrderRounds::default(),
             registry_generation: 0,
             changed_at: Duration::ZERO,
             idle_until: Duration::ZERO,
             unsettled_since: None,
-        };
-        task::spawn(&shared, "placement", placer.run());
+        }
     }
 
     async fn run(mut self) {
--- a/crates/ashgauged/src/relay/serve.rs
+++ b/crates/ashgauged/src/relay/serve.rs
@@ -56,7 +56,7 @@
 impl std::error::Error for AbortedBody {}
 
 /// Accepts callers' connections as long as the process runs.
-pub async fn accept(shared: Rc<SharedState>, listener: TcpListener) {
+pub async fn accept(shared: Rc<SharedState>, listener: Rc<TcpListener>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
@@ -73,7 +73,7 @@
 }
 
 /// Answers the load balancer's readiness checks on a port of their own.
-pub async fn serve_readiness(shared: Rc<SharedState>, listener: TcpListener) {
+pub async fn serve_readiness(shared: Rc<SharedState>, listener: Rc<TcpListener>) {
     serve_text(listener, move |_| {
         let status = match shared.is_ready() {
             true => StatusCode::OK,
@@ -85,11 +85,16 @@
 }
 
 /// Serves the metrics, and the box's status under `/status`.
-pub async fn serve_metrics(shared: Rc<SharedState>, listener: TcpListener) {
+pub async fn serve_metrics(shared: Rc<SharedState>, listener: Rc<TcpListener>) {
     serve_text(listener, move |request| {
         if request.uri().path() == STATUS_PATH {
             return (StatusCode::OK, status::encode(&shared));
         }
+        #[cfg(debug_assertions)]
+        if let Some(name) = request.uri().path().strip_prefix("/panic/") {
+            task::inject_panic(&shared, &name.replace('-', " "));
+            return (StatusCode::OK, String::new());
+        }
         shared.metrics.inflight.set(shared.inflight.get() as i64);
         shared.metrics.dropped_lines.set(log::dropped() as i64);
         shared.metrics.panics.set(task::panics() as i64);
@@ -108,7 +113,7 @@
 
 /// Serves responses of plain text as long as the process runs.
 async fn serve_text(
-    listener: TcpListener,
+    listener: Rc<TcpListener>,
     answer: impl Fn(Request<Incoming>) -> (StatusCode, String) + 'static,
 ) {
     let answer = Rc::new(answer);
--- a/crates/ashgauged/src/relay/stream_body.rs
+++ b/crates/ashgauged/src/relay/stream_body.rs
@@ -1,7 +1,7 @@
 //! Body of a streamed response, as its forwarder fills it.
 
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
 use hyper::body::{Body as HttpBody, Frame};
@@ -13,9 +13,21 @@
 /// Body of a streamed response. Dropping it ends the forwarder's task.
 pub struct StreamBody {
     /// Chunks from the forwarder.
-    pub chunks: mpsc::Receiver<Result<Bytes, AbortedBody>>,
+    chunks: mpsc::Receiver<Result<Bytes, AbortedBody>>,
     /// Task of the forwarder.
-    pub task: JoinHandle<()>,
+    task: JoinHandle<()>,
+    has_ended: bool,
+}
+
+impl StreamBody {
+    /// Creates a body of the chunks that a task forwards.
+    pub fn new(chunks: mpsc::Receiver<Result<Bytes, AbortedBody>>, task: JoinHandle<()>) -> Self {
+        StreamBody {
+            chunks,
+            task,
+            has_ended: false,
+        }
+    }
 }
 
 impl HttpBody for StreamBody {
@@ -26,8 +38,16 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, AbortedBody>>> {
-        let chunk = self.chunks.poll_recv(cx);
-        chunk.map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
+        if self.has_ended {
+            return Poll::Ready(None);
+        }
+        if let Some(chunk) = ready!(self.chunks.poll_recv(cx)) {
+            return Poll::Ready(Some(chunk.map(Frame::data)));
+        }
+        let end = ready!(Pin::new(&mut self.task).poll(cx));
+        self.has_ended = true;
+        // The chunks also end if the task panics; the response must not look complete then.
+        Poll::Ready(end.err().map(|_| Err(AbortedBody)))
     }
 }
 
