Ask engines whether they have taken the orders of a round

Callers got no answer for 12.4, 11.6 and 12.1 s at 3, 48 and 101 boxes, where the writer of a round of placement was lost between its write and its orders. Cause: the others adopted the round and counted its engines as loading for the whole load time and 3 s more, though nobody had sent an order; in the users' deployment that sum passes the 15 s of the rule.

1.5 s after a box has adopted a round it asks four of its engines, and all if one of them has taken no order since its start; those are planned anew. An engine that is idle for longer than an announcement takes is given up, too, so the part of a round that was sent counts and the rest does not wait. A busy engine stays pending for as long as it is busy; so far it got a second order, which it refused.

--- a/crates/ashgauge/tests/pending.rs
+++ b/crates/ashgauge/tests/pending.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use ashgauge::pending::PendingAssignments;
+use ashgauge::pending::{ANNOUNCE_LAG, OrderState, PendingAssignments};
 use ashgauge::placement::Assignment;
 use ashgauge::upstream::LayerRange;
 
@@ -55,3 +55,32 @@
     assert_eq!(pending.layers("e1"), None);
     assert!(pending.layers("e2").is_some());
 }
+
+/// An engine that has carried out its order announces the layers a moment later.
+#[test]
+fn idle_engine_has_time_to_announce() {
+    let mut pending = PendingAssignments::default();
+    pending.adopt(Duration::ZERO, &[range("e1", 0, 4)], SECOND * 30);
+    assert!(pending.due_checks(SECOND).is_empty());
+    assert!(!pending.observe(SECOND * 2, "e1", OrderState::Idle));
+    let almost = SECOND * 2 + ANNOUNCE_LAG - Duration::from_millis(1);
+    assert!(!pending.observe(almost, "e1", OrderState::Idle));
+    assert!(pending.observe(SECOND * 2 + ANNOUNCE_LAG, "e1", OrderState::Idle));
+}
+
+/// Guards against another order to an engine that still carries one out, for longer than loading
+/// takes.
+#[test]
+fn busy_engine_stays_pending() {
+    let mut pending = PendingAssignments::default();
+    pending.add(Duration::ZERO, &[range("e1", 0, 4)], SECOND * 9);
+    for second in 0..30 {
+        let now = SECOND * second;
+        for id in pending.due_checks(now) {
+            pending.postpone_check(now, &id);
+            assert!(!pending.observe(now, &id, OrderState::Busy));
+        }
+        pending.expire(now);
+        assert!(pending.layers("e1").is_some(), "after {second} s");
+    }
+}
--- a/crates/ashgauged/src/relay/orders.rs
+++ b/crates/ashgauged/src/relay/orders.rs
@@ -3,6 +3,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use ashgauge::member::UpstreamId;
+use ashgauge::pending::OrderState;
 use ashgauge::placement::Assignment;
 use ashgauge::upstream::LayerRange;
 use platform::engine::{self, OrderReply, ReleaseMode, Report};
@@ -108,10 +110,28 @@
     Unknown,
 }
 
+/// Asks an engine whether it has taken an order; `None` if that cannot be told.
+pub async fn fetch_order_state(shared: &SharedState, id: &UpstreamId) -> Option<OrderState> {
+    let addr = {
+        let registry = shared.registry.borrow();
+        registry.get(id)?.upstream.addr.clone()
+    };
+    let report = engine::fetch_report(&shared.client, &addr, ORDER_TIMEOUT).await;
+    let report = report.ok()?;
+    if is_other_instance(shared, id, &report) {
+        return None;
+    }
+    Some(match report {
+        Report { busy: true, .. } => OrderState::Busy,
+        Report { orders: 0, .. } => OrderState::NotTaken,
+        _ => OrderState::Idle,
+    })
+}
+
 /// Asks an engine how many orders it has taken.
 async fn count_orders(shared: &SharedState, range: &Assignment, addr: &str) -> OrderCount {
     match engine::fetch_report(&shared.client, addr, ORDER_TIMEOUT).await {
-        Ok(report) if is_other_instance(shared, range, &report) => {
+        Ok(report) if is_other_instance(shared, &range.id, &report) => {
             let fields = json!({"upstream": &*range.id, "fault": "another engine has the address"});
             log::event(Level::Warn, "placement", "no report", fields);
             OrderCount::Unknown
@@ -128,9 +148,9 @@
 
 /// Whether a report comes from another engine, which has been given the address of one that is
 /// gone. An order must not even reach it.
-fn is_other_instance(shared: &SharedState, range: &Assignment, report: &Report) -> bool {
+fn is_other_instance(shared: &SharedState, id: &str, report: &Report) -> bool {
     let registry = shared.registry.borrow();
-    let listed = registry.get(&range.id).and_then(|e| e.upstream.started_ms);
+    let listed = registry.get(id).and_then(|e| e.upstream.started_ms);
     matches!((listed, report.started_ms), (Some(listed), Some(reported)) if listed != reported)
 }
 
--- a/crates/ashgauged/src/relay/placer.rs
+++ b/crates/ashgauged/src/relay/placer.rs
@@ -4,11 +4,12 @@
 //! Any box that sees such engines writes the layer ranges to the store, on the condition
 //! that no other box has written meanwhile, and then sends the orders. The write acts as a
 //! lease: it names the box that sends these orders, and it expires by itself if the engines
-//! do not announce the layers in time.
+//! do not announce the layers in time, or report that they have taken no order.
 
 use std::rc::Rc;
 use std::time::Duration;
 
+use ashgauge::member::UpstreamId;
 use ashgauge::pending::{OrderRounds, PendingAssignment, PendingAssignments};
 use ashgauge::placement::{self, Assignment, PlacedEngine};
 use ashgauge::revision::{self, Era};
@@ -17,13 +18,15 @@
 use platform::StoreError;
 use platform::engine::ReleaseMode;
 use rand::Rng;
+use rand::seq::SliceRandom;
 use serde_json::json;
 use spdlog::Level;
 use tokio::sync::Semaphore;
+use tokio::task::JoinSet;
 use tokio::time::sleep;
 
 use super::log;
-use super::orders::order_and_verify;
+use super::orders::{fetch_order_state, order_and_verify};
 use super::round::{KIND, StoredRound, announce_time, recent_revisions};
 use super::shared_state::SharedState;
 use super::task;
@@ -59,6 +62,10 @@
 /// connection.
 const MAX_OPEN_ORDERS: usize = 256;
 
+/// Number of engines that are asked at once whether they have taken the orders of a round. A round
+/// that was not sent shows at any of them; asking all would cost each reader a connection to each.
+const CHECKED_ORDERS: usize = 4;
+
 /// Watches the engines and places layers on those that hold none.
 pub struct Placer {
     shared: Rc<SharedState>,
@@ -108,6 +115,9 @@
             let idle = !reads || self.shared.is_stopping.get() || self.shared.store_down.get();
             // A box that reaches no engine of a service cannot give orders.
             let idle = idle || self.shared.reach.has_lost_service();
+            if !idle {
+                self.check_orders().await;
+            }
             if idle || !self.has_settled() || self.shared.now() < self.idle_until {
                 continue;
             }
@@ -240,9 +250,9 @@
             return;
         }
         self.rounds.record(service.name.clone(), era, round.round);
-        self.note_orders(model, &round.ranges);
-        self.pending.merge(self.shared.now(), &round.unannounced);
-        let wait = announce_time(model, &round.ranges);
+        let (now, wait) = (self.shared.now(), announce_time(model, &round.ranges));
+        self.pending.adopt(now, &round.ranges, wait);
+        self.pending.merge(now, &round.unannounced);
         let fields = json!({
             "service": &*service.name,
             "from": round.owner,
@@ -265,10 +275,51 @@
         unannounced
     }
 
-    /// Adds ordered ranges to the pending assignments, until they should be announced.
-    fn note_orders(&mut self, model: &Model, ranges: &[Assignment]) {
-        let time = announce_time(model, ranges);
-        self.pending.add(self.shared.now(), ranges, time);
+    /// Asks some of the engines with pending orders whether they have taken them, and all if one
+    /// has not: the box that wrote the round may be gone. What they have not taken is planned
+    /// anew.
+    async fn check_orders(&mut self) {
+        let mut due = self.pending.due_checks(self.shared.now());
+        due.shuffle(&mut *self.shared.rng());
+        let others = due.split_off(due.len().min(CHECKED_ORDERS));
+        let mut dropped = self.check_engines(due).await;
+        match dropped {
+            0 => {
+                let now = self.shared.now();
+                others
+                    .iter()
+                    .for_each(|id| self.pending.postpone_check(now, id));
+            }
+            _ => dropped += self.check_engines(others).await,
+        }
+        if dropped > 0 {
+            let fields = json!({"engines": dropped});
+            log::event(Level::Warn, "placement", "orders not taken", fields);
+            self.idle_until = self.shared.now();
+        }
+    }
+
+    /// Asks engines whether they have taken their orders; returns how many have not.
+    async fn check_engines(&mut self, engines: Vec<UpstreamId>) -> usize {
+        let mut queries = JoinSet::new();
+        for id in engines {
+            self.pending.postpone_check(self.shared.now(), &id);
+            let (shared, slots) = (self.shared.clone(), self.order_slots.clone());
+            queries.spawn_local(async move {
+                // The semaphore is never closed.
+                let _slot = slots.acquire().await;
+                let state = fetch_order_state(&shared, &id).await;
+                (id, state)
+            });
+        }
+        let mut dropped = 0;
+        while let Some(reply) = queries.join_next().await {
+            if let Ok((id, Some(state))) = reply {
+                let is_dropped = self.pending.observe(self.shared.now(), &id, state);
+                dropped += usize::from(is_dropped);
+            }
+        }
+        dropped
     }
 
     /// Drops assignments that are no longer pending, then plans ranges for the engines that
@@ -333,8 +384,9 @@
         });
         log::event(Level::Info, "placement", "ordering", fields);
         self.rounds.record(service.name.clone(), era, round.round);
-        self.note_orders(model, &round.ranges);
         let announce_time = announce_time(model, &round.ranges);
+        self.pending
+            .add(self.shared.now(), &round.ranges, announce_time);
         let release_mode = if round.abort {
             ReleaseMode::Cut
         } else {
--- a/crates/ashgauged/src/relay/round.rs
+++ b/crates/ashgauged/src/relay/round.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use ashgauge::pending::PendingAssignment;
+use ashgauge::pending::{ANNOUNCE_LAG, PendingAssignment};
 use ashgauge::placement::Assignment;
 use ashgauge::routing::Model;
 use platform::StoreError;
@@ -18,9 +18,6 @@
 /// most frequent, and boxes check as often.
 const MAX_KEPT_REVISIONS: usize = 16;
 
-/// Longest time by which an engine's announcement may lag behind its loading.
-const ANNOUNCE_LAG: Duration = Duration::from_secs(3);
-
 /// Largest step between two rounds; boxes may have missed some.
 const MAX_ROUND_STEP: u64 = 1 << 32;
 
