Do not take an answer for whole whose upstream was replaced at its address

An operator of another system reported that clients got a 200 with a short body, framed as whole, from an engine that had stopped in the middle of its answer. One case was: an answer with neither a length nor chunks, whose upstream has ended while another process has taken its address, so that a connection to it still succeeds. A caller got 200 with half of the body.

Such an answer is now followed by a health check that names the instance; another one answers 421, and the request counts as lost: a repeatable one runs elsewhere, another gets 'unknown'. Where an upstream has no path for health checks the case remains.

--- a/crates/ashgauged/src/relay/forward.rs
+++ b/crates/ashgauged/src/relay/forward.rs
@@ -9,7 +9,7 @@
 use ashgauge::digest::{self, Digest};
 use ashgauge::freshness::startup_wait;
 use ashgauge::member::UpstreamId;
-use ashgauge::routing::{Access, Route, Service, ServiceId, Team};
+use ashgauge::routing::{Access, Route, Service, Team};
 use bytes::Bytes;
 use http::Full;
 use http_body_util::{BodyExt, Limited};
@@ -375,7 +375,7 @@
         true => silence_timeout(shared, request, id).min(time_left),
         false => time_left,
     };
-    let (service, attempt) = (&request.service.name, &request.client_request.id);
+    let (service, attempt) = (&*request.service, &request.client_request.id);
     let collecting = collect_answer(shared, service, id, connection, outgoing, attempt);
     let answer = shared.clock.within(time_limit, collecting).await;
     let (answer, load) = answer.ok_or(SendOutcome::Lost)??;
@@ -412,7 +412,7 @@
 /// Sends the request on a new connection and reads the whole answer.
 async fn collect_answer(
     shared: &Rc<SharedState>,
-    service: &ServiceId,
+    service: &Service,
     upstream: &UpstreamId,
     connection: dial::Connection,
     request: Request<Full<Bytes>>,
@@ -423,7 +423,7 @@
         .send(request)
         .await
         .map_err(|e| failure_outcome(&e))?;
-    reach::note_reached(shared, service, sent);
+    reach::note_reached(shared, &service.name, sent);
     let (parts, body) = response.response.into_parts();
     notice::apply(shared, upstream, sent, &parts);
     let load = engine::parse_load(&parts.headers);
@@ -437,8 +437,7 @@
     }
     let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
     let body = body.map_err(|_| SendOutcome::Lost)?.to_bytes();
-    // An answer without a length that was cut off ends as a complete one does.
-    if !engine::is_framed(&parts.headers) && probe::is_lost(shared, upstream).await {
+    if !engine::is_framed(&parts.headers) && is_cut_off(shared, service, upstream).await {
         return Err(SendOutcome::Lost);
     }
     let mut answer = Response::new(body);
@@ -446,3 +445,9 @@
     *answer.headers_mut() = engine::answer_headers(&parts);
     Ok((answer, load))
 }
+
+/// Whether an answer without a length, which ends with its connection, was cut off: its upstream
+/// is lost.
+async fn is_cut_off(shared: &SharedState, service: &Service, upstream: &UpstreamId) -> bool {
+    probe::is_lost(shared, upstream).await || probe::is_replaced(shared, service, upstream).await
+}
--- a/crates/ashgauged/src/relay/probe.rs
+++ b/crates/ashgauged/src/relay/probe.rs
@@ -291,6 +291,17 @@
     !accepts_connections(shared, id, MAX_RECHECK_AGE).await
 }
 
+/// Whether another process has the address of an upstream whose connection has just ended. A
+/// connection attempt does not show that.
+pub async fn is_replaced(shared: &SharedState, service: &Service, id: &str) -> bool {
+    let (Some(path), Some(addr)) = (&service.health_path, address(shared, id)) else {
+        return false;
+    };
+    let asked = engine::is_other_instance(&shared.client, (id, &addr), path, REPORT_TIMEOUT);
+    // An upstream without a free slot may not answer in time.
+    asked.await.unwrap_or(false)
+}
+
 /// Whether an upstream accepts connections; one that is no longer listed does not.
 async fn is_alive(shared: &SharedState, id: &str) -> bool {
     let is_active = |e: &UpstreamState| e.is_active(shared.now());
--- a/crates/http/tests/client.rs
+++ b/crates/http/tests/client.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Client, FetchLimits, Full, Limits};
+use http::{Client, Failure, FetchLimits, Full, Limits};
 use hyper::{Request, Response};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -129,3 +129,59 @@
         assert!(response.is_err());
     }
 }
+
+/// Answers that break off in the head or in the body.
+const HALF_ANSWERS: [&str; 7] = [
+    "",
+    "HTTP/1.1 200",
+    "HTTP/1.1 200 OK\r\n",
+    "HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n",
+    "HTTP/1.1 200 OK\r\ncontent-ty",
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n",
+    "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nshort",
+];
+
+/// Answers each connection's first request in full if `is_kept`, the next one in half, and closes.
+async fn answer_half(mut stream: TcpStream, half: &str, is_kept: bool) {
+    let mut buffer = [0; 1024];
+    if is_kept {
+        let _ = stream.read(&mut buffer).await;
+        let whole = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+        let _ = stream.write_all(whole).await;
+    }
+    let _ = stream.read(&mut buffer).await;
+    let _ = stream.write_all(half.as_bytes()).await;
+}
+
+/// Guards against an answer that stops in its head and is taken for a complete one, over new and
+/// kept connections.
+#[tokio::test]
+async fn half_answers_are_lost() {
+    for half in HALF_ANSWERS {
+        for is_kept in [false, true] {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let addr = listener.local_addr().unwrap().to_string();
+            tokio::spawn(async move {
+                while let Ok((stream, _)) = listener.accept().await {
+                    tokio::spawn(answer_half(stream, half, is_kept));
+                }
+            });
+            let request = || {
+                let request = Request::builder().header("host", &addr);
+                request.body(Full::<Bytes>::default()).unwrap()
+            };
+            let client = Client::new(RESPONSE_TIMEOUT);
+            if is_kept {
+                client
+                    .send(&addr, request(), RESPONSE_TIMEOUT)
+                    .await
+                    .unwrap();
+            }
+            let sent = client.send(&addr, request(), RESPONSE_TIMEOUT).await;
+            assert!(matches!(sent, Err(Failure::Lost(_))), "{half:?}: {sent:?}");
+            let fetched = client.fetch(&addr, request(), FETCH_LIMITS).await;
+            let is_whole = fetched.is_ok_and(|answer| answer.body().as_ref() != b"ok");
+            assert!(!is_whole, "{half:?}");
+        }
+    }
+}
