Do not send a request whose time is over, and suspect no upstream for it

And a send that the box gave up itself counted as one that the upstream took no connection for, which made it suspect.

Time and key are checked at the same place before each send, and such a send has an outcome of its own that says nothing of the upstream. The new test stops a box while it connects; it holds with the code of before as well, as a send without time left was dropped before its bytes were written.

--- a/crates/ashgauge/src/attempts.rs
+++ b/crates/ashgauge/src/attempts.rs
@@ -28,8 +28,11 @@
 /// Outcome of a send that brought no successful response.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum SendOutcome {
-    /// No byte of the request left the box.
+    /// No byte of the request left the box, as the upstream took no connection.
     NotSent,
+    /// The box did not send the request, as its time was over or its key was withdrawn. That says
+    /// nothing of the upstream.
+    Withdrawn,
     /// The upstream answered that it has not run the request.
     NotRun,
     /// The upstream ran the request and answered with a failure.
@@ -130,7 +133,11 @@
         outcome: SendOutcome,
         withdraw_retry: impl FnOnce() -> bool,
     ) -> Decision {
-        if matches!(outcome, SendOutcome::NotSent | SendOutcome::NotRun) {
+        let has_not_run = matches!(
+            outcome,
+            SendOutcome::NotSent | SendOutcome::Withdrawn | SendOutcome::NotRun
+        );
+        if has_not_run {
             self.runs = self.runs.saturating_sub(1);
         }
         if self.may_resend(now, outcome) && withdraw_retry() {
--- a/crates/ashgauged/src/relay/egress.rs
+++ b/crates/ashgauged/src/relay/egress.rs
@@ -16,9 +16,7 @@
 use super::dial::{self, OpenResponse};
 use super::forward::MAX_ANSWER_BYTES;
 use super::offers::{self, Way};
-use super::request::{
-    DECLINED_HEADER, FullResponse, RoutedRequest, failure_outcome, is_authorized,
-};
+use super::request::{DECLINED_HEADER, FullResponse, RoutedRequest, failure_outcome, may_send};
 use super::shared_state::SharedState;
 use super::{open, permit, retry};
 
@@ -182,8 +180,8 @@
     let limit = connect_timeout.min(attempts.time_left(shared.now()));
     let connection = dial::connect(&addr.to_string(), limit).await;
     let connection = connection.map_err(|_| SendFailure::Declined("no connection"))?;
-    if !is_authorized(shared, request) {
-        return Err(SendFailure::Declined("no key"));
+    if !may_send(shared, request, attempts) {
+        return Err(SendFailure::Declined("withdrawn"));
     }
     let time_left = attempts.time_left(shared.now());
     let body = request.body.clone();
--- a/crates/ashgauged/src/relay/forward.rs
+++ b/crates/ashgauged/src/relay/forward.rs
@@ -34,7 +34,7 @@
 use super::record::Record;
 use super::request::{
     FullResponse, LoadGuard, RETRY_AFTER_FULL, RETRY_AFTER_UNSYNCED, RoutedRequest, apply_refusal,
-    failure_outcome, finish, is_authorized, is_quarantined, mark_declined, note_outcome,
+    failure_outcome, finish, is_authorized, is_quarantined, mark_declined, may_send, note_outcome,
     own_response, refuse_quarantined, unsynced_retry_after, upstream_response,
 };
 use super::retry;
@@ -355,8 +355,8 @@
     let connect_timeout = Duration::from_millis(shared.settings().timing.connect_ms);
     let connection = dial::connect(addr, connect_timeout.min(attempts.time_left(began))).await;
     let connection = connection.map_err(|_| SendOutcome::NotSent)?;
-    if !is_authorized(shared, request) {
-        return Err(SendOutcome::NotSent);
+    if !may_send(shared, request, attempts) {
+        return Err(SendOutcome::Withdrawn);
     }
     let time_left = attempts.time_left(shared.now());
     let target = Target {
--- a/crates/ashgauged/src/relay/open.rs
+++ b/crates/ashgauged/src/relay/open.rs
@@ -25,7 +25,7 @@
 use super::probe::{find_unreachable, query_engines};
 use super::reach;
 use super::recovery;
-use super::request::{LoadGuard, RoutedRequest, apply_refusal, failure_outcome, is_authorized};
+use super::request::{LoadGuard, RoutedRequest, apply_refusal, failure_outcome, may_send};
 use super::shared_state::SharedState;
 
 /// Silence after which a stream continues elsewhere though all its engines answer; its
@@ -135,8 +135,8 @@
     )
     .await;
     let connection = connection.map_err(|e| failed(failure_outcome(&e)))?;
-    if !is_authorized(shared, request) {
-        return Err(failed(SendOutcome::NotSent));
+    if !may_send(shared, request, attempts) {
+        return Err(failed(SendOutcome::Withdrawn));
     }
     let target = Target {
         id: &first_engine,
--- a/crates/ashgauged/src/relay/request.rs
+++ b/crates/ashgauged/src/relay/request.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ashgauge::attempts::{FailureKind, SendOutcome};
+use ashgauge::attempts::{Attempts, FailureKind, SendOutcome};
 use ashgauge::chain::Stage;
 use ashgauge::class::Class;
 use ashgauge::digest::Digest;
@@ -148,6 +148,7 @@
 ) {
     let label = match outcome {
         SendOutcome::NotSent => "not sent",
+        SendOutcome::Withdrawn => "withdrawn",
         SendOutcome::NotRun => "not run",
         SendOutcome::Failed => "failed",
         SendOutcome::Lost => "lost",
@@ -158,7 +159,7 @@
         .log_step("not answered", json!({"upstream": &**id, "outcome": label}));
     match outcome {
         SendOutcome::NotSent => reach::mark_unreachable(shared, id, "no connection").await,
-        SendOutcome::NotRun => {}
+        SendOutcome::Withdrawn | SendOutcome::NotRun => {}
         // Which engine of a chain was lost is determined where the loss is seen.
         SendOutcome::Lost if !reach::confirm_failure(shared, id).await => {}
         SendOutcome::Lost if request.route.stream.is_some() => {}
@@ -179,6 +180,12 @@
     shared.may_accept_keys() && matches!(access, Access::Team(_))
 }
 
+/// Whether the request may be sent at this moment: its key is still valid, and its time is not
+/// over. The box may have stood still while it connected.
+pub fn may_send(shared: &SharedState, request: &RoutedRequest, attempts: &Attempts) -> bool {
+    !attempts.time_left(shared.now()).is_zero() && is_authorized(shared, request)
+}
+
 /// Whether the request is quarantined because it, or a part of its prompt, crashes the
 /// upstreams that run it.
 pub fn is_quarantined(shared: &SharedState, request: &RoutedRequest) -> bool {
