--- a/crates/ashgauged/src/relay/event_forwarder/mod.rs
+++ b/crates/ashgauged/src/relay/event_forwarder/mod.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use ashgauge::attempts::Attempts;
-use ashgauge::crashing_part::SOUND_RUN_TIME;
+use ashgauge::crashing_part::{MAX_CRASHING_EVENTS, SOUND_RUN_TIME};
 use ashgauge::events;
 use ashgauge::member::UpstreamId;
 use ashgauge::quarantine::is_safe_run;
@@ -233,6 +233,7 @@
         }
         self.has_forwarded |= complete.count > 0;
         self.run.event_count += complete.count as u64;
+        self.request.has_sound_parts |= self.run.event_count > MAX_CRASHING_EVENTS;
         if complete.count > 0 {
             self.note_proven(now);
         }
--- a/crates/ashgauged/src/relay/forward.rs
+++ b/crates/ashgauged/src/relay/forward.rs
@@ -126,6 +126,7 @@
         body,
         digest,
         parts,
+        has_sound_parts: false,
         route,
         service,
         team,
--- a/crates/ashgauged/src/relay/request.rs
+++ b/crates/ashgauged/src/relay/request.rs
@@ -74,6 +74,9 @@
     pub digest: Digest,
     /// Digests of the parts of its prompt that other requests may share, in order.
     pub parts: Vec<Digest>,
+    /// Whether an upstream has written so much of an answer that none of the parts crashes
+    /// upstreams, which they do as they begin to write.
+    pub has_sound_parts: bool,
     /// Route that the request matched.
     pub route: Arc<Route>,
     /// Service that the request goes to.
@@ -195,7 +198,11 @@
 /// Returns the remaining time of the quarantine of a request, or of a part of its prompt.
 fn quarantine_left(shared: &SharedState, request: &RoutedRequest) -> Option<Duration> {
     let (now, quarantine) = (shared.now(), shared.quarantine.borrow());
-    let digests = request.parts.iter().chain([&request.digest]);
+    let parts = match request.has_sound_parts {
+        true => &[][..],
+        false => &request.parts,
+    };
+    let digests = parts.iter().chain([&request.digest]);
     let left = digests.filter_map(|digest| quarantine.time_left(now, *digest));
     left.max()
 }
