--- a/crates/ashgauge/src/lib.rs
+++ b/crates/ashgauge/src/lib.rs
@@ -127,6 +127,7 @@
 pub mod upstream_state;
 pub mod upstream_stats;
 pub mod wan;
+pub mod weight_share;
 
 pub use error::{Category, Error, Result};
 pub use node::{Action, Config, Event, Node};
--- a/crates/ashgauge/src/placement.rs
+++ b/crates/ashgauge/src/placement.rs
@@ -13,36 +13,10 @@
 use crate::chain::Layer;
 use crate::member::UpstreamId;
 use crate::routing::Model;
-use crate::throughput;
 use crate::upstream::LayerRange;
+use crate::weight_share::{MIN_SPARE_SHARE, WeightShare};
 
-/// Minimum and maximum share of an engine's memory that weights may take.
-///
-/// The rest of the memory holds requests: a larger share leaves memory for too few of them,
-/// a smaller one for too few layers.
-const MIN_WEIGHT_SHARE: f64 = 0.5;
-const MAX_WEIGHT_SHARE: f64 = 0.78;
-
-/// Step between the shares that are compared. Engines hold whole layers, and a hundredth of
-/// a small engine's memory may make a layer more.
-const WEIGHT_SHARE_STEP: f64 = 0.01;
-
-/// Share of memory for weights on fast accelerators, which chains prefer, and the minimum on
-/// the others, in a data centre with memory for a second copy of every layer.
-const MIN_SPARE_SHARE: f64 = 0.60;
-
-/// Copies of the model in a data centre at which no more memory is given to weights: one
-/// chain, and second holders for some of the layers.
-const TARGET_COPIES: f64 = 1.15;
-
-/// The same in a data centre whose memory allows a second copy of every layer, see
-/// [`MIN_SPARE_COPIES`]. The loss of any engine, and of most pairs, then leaves a chain in the
-/// data centre.
-const TARGET_SPARE_COPIES: f64 = 2.4;
-
-/// Copies that a data centre's memory must allow to count as one with a second copy of every
-/// layer.
-const MIN_SPARE_COPIES: f64 = 2.0;
+pub use crate::weight_share::layer_capacity;
 
 /// An accelerator counts as fast if the slowest kind takes this many times as long for a
 /// step.
@@ -164,17 +138,6 @@
     covered_to >= layers
 }
 
-/// Returns how many layers fit on an accelerator if weights take at most `weight_share` of
-/// its memory; 0 for a kind that is not configured.
-pub fn layer_capacity(model: &Model, accelerator: &str, weight_share: f64) -> Layer {
-    let memory_mb = model
-        .accelerators
-        .get(accelerator)
-        .map_or(0.0, |a| a.memory_mb);
-    let layers = (memory_mb * weight_share / model.layer_mb.max(1e-9)).floor();
-    (layers as Layer).min(model.layers)
-}
-
 /// Returns the holders of each layer within `data_centre`, or anywhere, weighted by their
 /// memory for requests.
 pub fn layer_coverage(
@@ -412,29 +375,15 @@
 
 impl DataCentre {
     fn new(model: &Model, engines: &[PlacedEngine], name: &str) -> Self {
-        let held = |weight_share: f64| -> f64 {
-            let local = engines.iter().filter(|e| *e.data_centre == *name);
-            local
-                .map(|e| f64::from(layer_capacity(model, &e.accelerator, weight_share)))
-                .sum()
-        };
-        let layers = f64::from(model.layers);
-        let allows_second = held(MAX_WEIGHT_SHARE) >= MIN_SPARE_COPIES * layers;
-        let weight_share = match allows_second {
-            true => {
-                let enough =
-                    |weight_share: &f64| held(*weight_share) >= TARGET_SPARE_COPIES * layers;
-                weight_shares(MIN_SPARE_SHARE)
-                    .find(enough)
-                    .unwrap_or(MAX_WEIGHT_SHARE)
-            }
-            false => best_weight_share(model, engines, name, |weight_share| {
-                held(weight_share) / layers
-            }),
-        };
+        let local = engines.iter().filter(|e| *e.data_centre == *name);
+        let accelerators: Vec<&str> = local.map(|e| e.accelerator.as_str()).collect();
+        let WeightShare {
+            allows_second,
+            share,
+        } = WeightShare::choose(model, &accelerators);
         DataCentre {
             allows_second,
-            weight_share,
+            weight_share: share,
             coverage: vec![0.0; model.layers as usize],
             announced: vec![0; model.layers as usize],
             range_ends: vec![0; model.layers as usize + 1],
@@ -459,55 +408,6 @@
     std::iter::once(0.0).chain(sums).collect()
 }
 
-/// Iterates over shares of memory that weights may take, from `min` up.
-fn weight_shares(min: f64) -> impl Iterator<Item = f64> {
-    let steps = ((MAX_WEIGHT_SHARE - min) / WEIGHT_SHARE_STEP).round() as u32;
-    (0..=steps).map(move |n| min + WEIGHT_SHARE_STEP * f64::from(n))
-}
-
-/// Returns the share of memory for weights with which a data centre has the highest
-/// throughput, if it holds [`TARGET_COPIES`] of the model; `copies` returns how many it
-/// holds at a share.
-fn best_weight_share(
-    model: &Model,
-    engines: &[PlacedEngine],
-    data_centre: &str,
-    copies: impl Fn(f64) -> f64,
-) -> f64 {
-    let mut best = (0.0, MAX_WEIGHT_SHARE);
-    for share in weight_shares(MIN_WEIGHT_SHARE).filter(|share| copies(*share) >= TARGET_COPIES) {
-        let rate = data_centre_rate(model, engines, data_centre, share);
-        if rate > best.0 {
-            best = (rate, share);
-        }
-    }
-    best.1
-}
-
-/// Returns the requests a second that a data centre can serve with chains of its engines,
-/// built from the fastest on.
-fn data_centre_rate(
-    model: &Model,
-    engines: &[PlacedEngine],
-    data_centre: &str,
-    weight_share: f64,
-) -> f64 {
-    let (mut rate, mut parts, mut missing) = (0.0, Vec::new(), model.layers);
-    for engine in engines.iter().filter(|e| *e.data_centre == *data_centre) {
-        let layers = layer_capacity(model, &engine.accelerator, weight_share).min(missing);
-        if layers == 0 {
-            continue;
-        }
-        parts.push((engine.accelerator.as_str(), layers));
-        missing -= layers;
-        if missing == 0 {
-            rate += throughput::chain_throughput(model, &parts);
-            (parts, missing) = (Vec::new(), model.layers);
-        }
-    }
-    rate
-}
-
 /// Returns whether chains prefer an accelerator for its speed, so that it needs memory for
 /// most of the requests of its data centre.
 fn is_fast(model: &Model, accelerator: &str) -> bool {
