--- a/crates/ashgauge/tests/placement.rs
+++ b/crates/ashgauge/tests/placement.rs
@@ -35,11 +35,11 @@
 proptest! {
     /// Guards against an engine with layers past the model, at which planning panicked.
     #[test]
-    fn odd_engines_do_not_change_the_plan(odd in prop::collection::vec(any_layers(), 1..6)) {
+    fn engines_past_the_model_do_not_change_the_plan(others in prop::collection::vec(any_layers(), 1..6)) {
         let model = model();
-        let odd = odd.into_iter().filter(|layers| !layers.is_within(model.layers));
-        let odd = odd.enumerate().map(|(n, layers)| PlacedEngine {
-            id: format!("odd-{n}").into(),
+        let others = others.into_iter().filter(|layers| !layers.is_within(model.layers));
+        let others = others.enumerate().map(|(n, layers)| PlacedEngine {
+            id: format!("other-{n}").into(),
             data_centre: Arc::from(["a", "elsewhere"][n % 2]),
             accelerator: ["large", "unknown"][n % 2].into(),
             layers: Some(layers),
@@ -47,7 +47,7 @@
         });
         let mut engines = fleet();
         let planned = plan(&model, &engines);
-        engines.extend(odd);
+        engines.extend(others);
         prop_assert_eq!(plan(&model, &engines), planned.clone());
         apply(&mut engines, &planned);
         prop_assert!(plan(&model, &engines).len() <= 4);
