Ask only engines whose orders are still open

An engine that had announced its layers a moment ago could still be asked for its order, and be counted as one that had not taken it. What is announced, expired or gone is dropped before the check, by the same step that planning uses.

--- a/crates/ashgauged/src/relay/placer.rs
+++ b/crates/ashgauged/src/relay/placer.rs
@@ -279,6 +279,7 @@
     /// has not: the box that wrote the round may be gone. What they have not taken is planned
     /// anew.
     async fn check_orders(&mut self) {
+        self.drop_closed();
         let mut due = self.pending.due_checks(self.shared.now());
         due.shuffle(&mut *self.shared.rng());
         let others = due.split_off(due.len().min(CHECKED_ORDERS));
@@ -322,17 +323,24 @@
         dropped
     }
 
+    /// Drops assignments that are no longer pending: their time is over, they are announced, or
+    /// their engine is gone.
+    fn drop_closed(&mut self) {
+        let registry = self.shared.registry.borrow();
+        self.pending.expire(self.shared.now());
+        self.pending.retain(|id, layers| {
+            let entry = registry.get(id);
+            entry.is_some_and(|e| e.upstream.layers != Some(layers))
+        });
+    }
+
     /// Drops assignments that are no longer pending, then plans ranges for the engines that
     /// hold no layers and have no pending order, and moves a few engines that are needed
     /// more elsewhere.
     fn plan_ranges(&mut self, service: &Service, model: &Model) -> Vec<Assignment> {
+        self.drop_closed();
         let now = self.shared.now();
         let registry = self.shared.registry.borrow();
-        self.pending.expire(now);
-        self.pending.retain(|id, layers| {
-            let entry = registry.get(id);
-            entry.is_some_and(|e| e.upstream.layers != Some(layers))
-        });
         let entries = registry
             .of_service(&service.name)
             .filter(|e| e.is_usable(now));
