--- a/crates/ashgauge/tests/reserve.rs
+++ b/crates/ashgauge/tests/reserve.rs
@@ -402,10 +402,14 @@
     }
 }
 
-/// Sums the results of five runs, by the data centres of [`ENGINES`].
+/// Number of runs whose results are added: a run depends on the order in which the registry's map
+/// lists the engines, which differs by process.
+const RUNS: u64 = 20;
+
+/// Sums the results of several runs, by the data centres of [`ENGINES`].
 fn sums(reserved: f64, loads: [f64; 3]) -> [Served; 3] {
     let mut sums = [Served::default(); 3];
-    for seed in 0..5 {
+    for seed in 0..RUNS {
         let run = World::new(reserved, seed).simulate(loads);
         for (sum, served) in sums.iter_mut().zip(run) {
             sum.local += served.local;
