Compute the pressure before a repair if the box stood still

Callers of a full service had their streams repaired all at once by a box that had stood still for half a second, on engines that had no room for them; repairs are meant to wait for each other there.

Cause: a value of the pressure holds 400 ms, and without one the recovery budget fills up at the full rate. The periodic task renews it every 300 ms, so it lapses just when the box is stopped or has no processor time. What runs first afterwards decides: a request or the task (the budget is cut back), or the streams that find their engine lost (26 credits for 20 streams).

Now each use of the budget or of the pressure computes it first where it has lapsed.

--- a/crates/ashgauge/src/recovery.rs
+++ b/crates/ashgauge/src/recovery.rs
@@ -126,10 +126,15 @@
 
     /// Returns the pressure, 0 to 1; 0 if it was not set recently.
     pub fn pressure(&self, now: Duration) -> f64 {
-        let current = self.pressure.filter(|(at, _)| now < *at + PRESSURE_TTL);
+        let current = self.pressure.filter(|_| self.is_pressure_current(now));
         current.map_or(0.0, |(_, pressure)| pressure)
     }
 
+    /// Returns whether the pressure was set recently.
+    pub fn is_pressure_current(&self, now: Duration) -> bool {
+        self.pressure.is_some_and(|(at, _)| now < at + PRESSURE_TTL)
+    }
+
     /// Returns whether there is a credit for an action.
     pub fn has_credit(&mut self, now: Duration, action: RecoveryAction) -> bool {
         self.accrue(now);
--- a/crates/ashgauge/tests/recovery.rs
+++ b/crates/ashgauge/tests/recovery.rs
@@ -189,6 +189,21 @@
     );
 }
 
+/// Guards against repairs of all streams at once by a box that stood still: credits that were
+/// earned without a current pressure are dropped once it is known.
+#[test]
+fn credits_of_a_standstill_are_dropped_under_pressure() {
+    let mut budget = budget_under_pressure(1.0, 5);
+    ACTIONS
+        .iter()
+        .for_each(|u| _ = drain(&mut budget, at(2000), *u));
+    assert!(budget.is_pressure_current(at(2300)));
+    assert!(!budget.is_pressure_current(at(3000)));
+    budget.set_pressure(at(3000), 1.0);
+    let repairs = drain(&mut budget, at(3000), RecoveryAction::Repair);
+    assert!(repairs <= ACTIONS.len(), "{repairs}");
+}
+
 /// A budget without deposits by requests must still allow repairs.
 #[test]
 fn budget_without_requests_allows_a_repair_each_second() {
--- a/crates/ashgauged/src/relay/recovery.rs
+++ b/crates/ashgauged/src/relay/recovery.rs
@@ -16,6 +16,7 @@
 use super::pick;
 use super::request::RoutedRequest;
 use super::shared_state::SharedState;
+use super::shedding;
 
 /// Interval at which a stream that waits for budget tries again; a tenth of the time in
 /// which a first event is due.
@@ -44,12 +45,15 @@
 
 /// Whether [`take_budget`] would find budget.
 pub fn has_budget(shared: &SharedState, request: &RoutedRequest) -> bool {
+    if request.class.is_none() {
+        return true;
+    }
     let (now, action) = (shared.now(), action_of(request));
     let service = &request.service.name;
-    request.class.is_none()
-        || shared
-            .admissions
-            .with(service, |s| s.recovery_budget.has_credit(now, action))
+    shedding::refresh_pressure(shared, service);
+    shared
+        .admissions
+        .with(service, |s| s.recovery_budget.has_credit(now, action))
 }
 
 /// Takes budget for a stream that cannot continue where it is. Returns whether it continues
@@ -107,14 +111,17 @@
 
 /// Pressure on the engines of a request's service, as last computed.
 fn pressure(shared: &SharedState, request: &RoutedRequest) -> f64 {
+    let service = &request.service.name;
+    shedding::refresh_pressure(shared, service);
     let now = shared.now();
     shared
         .admissions
-        .with(&request.service.name, |s| s.recovery_budget.pressure(now))
+        .with(service, |s| s.recovery_budget.pressure(now))
 }
 
 /// Takes budget for an action. Returns `false` if none is left.
 fn take_for(shared: &SharedState, service: &ServiceId, action: RecoveryAction) -> bool {
+    shedding::refresh_pressure(shared, service);
     let now = shared.now();
     let taken = shared
         .admissions
--- a/crates/ashgauged/src/relay/shedding.rs
+++ b/crates/ashgauged/src/relay/shedding.rs
@@ -123,6 +123,31 @@
         .with(&request.service.name, |s| s.meter.record(now, source, work));
 }
 
+/// Computes the pressure on a service's engines if no current value is known. The recovery budget
+/// fills up without one, also while the process was stopped or had no processor time.
+pub fn refresh_pressure(shared: &SharedState, service: &ServiceId) {
+    let now = shared.now();
+    let is_current = shared
+        .admissions
+        .with(service, |s| s.recovery_budget.is_pressure_current(now));
+    if !is_current {
+        update_service(shared, service);
+    }
+}
+
+/// Computes the level of a service again if streams are admitted by it and it is older than
+/// [`LEVEL_INTERVAL`].
+fn update_service(shared: &SharedState, service: &ServiceId) {
+    let routing = shared.routing();
+    let Some(service) = routing.services.get(service) else {
+        return;
+    };
+    match &service.model {
+        Some(model) if sheds_streams(shared, service) => update_level(shared, service, model),
+        _ => {}
+    }
+}
+
 /// Computes the level again if it is older than [`LEVEL_INTERVAL`].
 fn update_level(shared: &SharedState, service: &Service, model: &Model) {
     let now = shared.now();
@@ -185,13 +210,8 @@
     loop {
         sleep(IDLE_LEVEL_INTERVAL).await;
         let routing = shared.routing();
-        for service in routing.services.values() {
-            match &service.model {
-                Some(model) if sheds_streams(&shared, service) => {
-                    update_level(&shared, service, model)
-                }
-                _ => {}
-            }
+        for service in routing.services.keys() {
+            update_service(&shared, service);
         }
         let is_disabled = |name: &ServiceId| {
             let service = routing.services.get(name);
