Bound the texts of log lines

Beside an object of 900 kB that another client wrote, each box wrote lines of 900 kB, two for each read of the list, as a decoder's message repeats the value that it does not understand; a name of 100 kB came out whole, too. The queue of the log holds 1,024 lines, so that a box with 112 MB could run out of memory. Found while boxes_serve_beside_invalid_objects was traced: 5.6 MB of log from a box in some seconds.

Texts in a line are cut at 1,024 bytes now, in the one place that writes lines.

--- a/crates/ashgauged/src/relay/log.rs
+++ b/crates/ashgauged/src/relay/log.rs
@@ -19,6 +19,10 @@
 /// Interval between flushes of written lines.
 const FLUSH_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Maximum length of a text in a line, in bytes. Other clients of the store and callers choose
+/// some of the texts.
+const MAX_TEXT_BYTES: usize = 1024;
+
 /// Name of the box, which is part of every line.
 static BOX_ID: OnceLock<String> = OnceLock::new();
 
@@ -86,9 +90,24 @@
     if let Value::Object(fields) = fields {
         line.extend(fields);
     }
+    line.values_mut().for_each(shorten);
     spdlog::log!(level, "{}", Value::Object(line));
 }
 
+/// Cuts the texts of a field at [`MAX_TEXT_BYTES`].
+fn shorten(field: &mut Value) {
+    match field {
+        Value::String(text) if text.len() > MAX_TEXT_BYTES => {
+            let end = (0..=MAX_TEXT_BYTES).rfind(|at| text.is_char_boundary(*at));
+            text.truncate(end.unwrap_or_default());
+            text.push_str("...");
+        }
+        Value::Array(items) => items.iter_mut().for_each(shorten),
+        Value::Object(fields) => fields.values_mut().for_each(shorten),
+        _ => {}
+    }
+}
+
 /// Returns the number of lines dropped since the start.
 pub fn dropped() -> u64 {
     DROPPED.load(Ordering::Relaxed)
