Tell others of each loss once, besides the periodic reports

While engines are lost, a hub told all boxes of each new loss at once, and with it again all that it had told them within the last 14 s: with losses every few milliseconds a datagram of up to 128 runs each 10 ms to each box.

The box remembers how many of its items it has told and leaves these out of the news; the periodic reports repeat all as before.

--- a/crates/ashgauge/src/gossip.rs
+++ b/crates/ashgauge/src/gossip.rs
@@ -38,12 +38,16 @@
     /// Until when each item is told.
     told_until: HashMap<T, Duration>,
     capacity: usize,
+    /// Number of items added so far.
+    added: u64,
 }
 
 /// An item that is told to other boxes.
 #[derive(Clone, Debug)]
 struct Entry<T> {
     item: T,
+    /// Number of items that were added before.
+    position: u64,
     until: Duration,
     /// Boxes that it is told to.
     audience: Audience,
@@ -56,9 +60,15 @@
             entries: VecDeque::new(),
             told_until: HashMap::new(),
             capacity,
+            added: 0,
         }
     }
 
+    /// Returns the number of items added so far.
+    pub fn added(&self) -> u64 {
+        self.added
+    }
+
     /// Adds an item; drops the oldest if there are too many.
     pub fn add(&mut self, now: Duration, item: T, audience: Audience) {
         while self.entries.front().is_some_and(|e| e.until <= now) {
@@ -71,9 +81,11 @@
         self.told_until.insert(item.clone(), until);
         self.entries.push_back(Entry {
             item,
+            position: self.added,
             until,
             audience,
         });
+        self.added += 1;
     }
 
     /// Adds those items that are not told already; returns whether there are any.
@@ -90,7 +102,20 @@
 
     /// Returns at most `limit` items for an audience, the newest first.
     pub fn recent(&self, now: Duration, audience: Audience, limit: usize) -> Vec<T> {
+        self.added_since(now, 0, audience, limit)
+    }
+
+    /// Returns at most `limit` items for an audience that were added after the first `since`
+    /// ones, the newest first.
+    pub fn added_since(
+        &self,
+        now: Duration,
+        since: u64,
+        audience: Audience,
+        limit: usize,
+    ) -> Vec<T> {
         let entries = self.entries.iter().rev();
+        let entries = entries.take_while(|entry| entry.position >= since);
         let entries = entries.filter(|entry| {
             let is_wanted = audience == Audience::Leaves || entry.audience == audience;
             is_wanted && now < entry.until
--- a/crates/ashgauge/src/lib.rs
+++ b/crates/ashgauge/src/lib.rs
@@ -89,6 +89,7 @@
 pub mod level;
 pub mod limit;
 pub mod load_report;
+mod loss_report;
 pub mod member;
 pub mod message;
 pub mod mirror;
--- a/crates/ashgauge/src/quarantine.rs
+++ b/crates/ashgauge/src/quarantine.rs
@@ -9,13 +9,15 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::crashing_part::{LostRun, PartLosses, SoundPart};
 use crate::digest::Digest;
 pub use crate::gossip::Audience;
 use crate::gossip::Gossip;
+pub use crate::loss_report::{
+    InstanceKey, InstanceLoss, LossReport, PartReport, QuarantinedRequest, Reported,
+};
 
 /// Number of upstreams lost during a request after which it is quarantined, as the users
 /// specified.
@@ -49,48 +51,6 @@
 /// Maximum number of instances that are remembered as explained by a crashing part.
 const MAX_EXPLAINED: usize = 256;
 
-/// Hash that identifies one instance of an upstream: from one start of it to its end.
-pub type InstanceKey = u32;
-
-/// The loss of an upstream instance while it ran a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct InstanceLoss {
-    /// Digest of the request.
-    pub digest: Digest,
-    /// Instance of the upstream that was lost.
-    #[serde(rename = "start")]
-    pub instance: InstanceKey,
-}
-
-/// A quarantined request, as one box reports it to others.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct QuarantinedRequest {
-    /// Digest of the request.
-    pub digest: Digest,
-    /// Remaining time of the quarantine, in whole seconds, from the time of the report.
-    pub left_s: u32,
-}
-
-/// Report of one box to others on losses and quarantined requests.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct LossReport {
-    /// Losses that the box saw or was told of within the last seconds.
-    #[serde(rename = "lost")]
-    pub losses: Vec<InstanceLoss>,
-    /// Quarantined requests.
-    #[serde(rename = "held")]
-    pub quarantined: Vec<QuarantinedRequest>,
-}
-
-/// Report of one box to others on the parts of prompts under which upstreams were lost.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct PartReport {
-    /// Runs during which upstreams were lost, with the parts that may be the cause.
-    pub runs: Vec<LostRun>,
-    /// Parts on which answers were written, among those under which upstreams were lost.
-    pub sound: Vec<SoundPart>,
-}
-
 /// The losses during one request.
 #[derive(Clone, Debug)]
 struct Suspect {
@@ -332,14 +292,28 @@
 
     /// Builds a report on parts for an audience.
     pub fn part_report(&self, now: Duration, audience: Audience) -> PartReport {
-        let sound = self.sound_gossip.recent(now, audience, MAX_REPORT_LOSSES);
+        self.part_report_since(now, Reported::default(), audience)
+    }
+
+    /// Builds a report on parts for an audience, without what was reported before.
+    pub fn part_report_since(
+        &self,
+        now: Duration,
+        since: Reported,
+        audience: Audience,
+    ) -> PartReport {
+        let limit = MAX_REPORT_LOSSES;
+        let sound = &self.sound_gossip;
+        let sound = sound.added_since(now, since.sound, audience, limit);
         let sound = sound.into_iter().filter_map(|part| {
             let age = now.saturating_sub(self.parts.sound_at(now, part)?);
             let age_ms = age.as_millis().try_into().unwrap_or(u32::MAX);
             Some(SoundPart { part, age_ms })
         });
         PartReport {
-            runs: self.run_gossip.recent(now, audience, MAX_REPORT_LOSSES),
+            runs: self
+                .run_gossip
+                .added_since(now, since.runs, audience, limit),
             sound: sound.collect(),
         }
     }
@@ -410,16 +384,38 @@
         self.suspects.len()
     }
 
+    /// Returns what is reported once all items so far are.
+    pub fn reported(&self) -> Reported {
+        Reported {
+            losses: self.gossip.added(),
+            runs: self.run_gossip.added(),
+            sound: self.sound_gossip.added(),
+        }
+    }
+
     /// Builds a report for an audience. If there are too many quarantined requests for one
     /// report, `turn` selects which of them it contains.
     pub fn report(&self, now: Duration, turn: u64, audience: Audience) -> LossReport {
+        self.report_since(now, turn, Reported::default(), audience)
+    }
+
+    /// Same as [`Quarantine::report`], without the losses that were reported before.
+    pub fn report_since(
+        &self,
+        now: Duration,
+        turn: u64,
+        since: Reported,
+        audience: Audience,
+    ) -> LossReport {
         let quarantined = self.quarantined(now);
         let skipped =
             (turn as usize).wrapping_mul(MAX_REPORT_QUARANTINED) % quarantined.len().max(1);
         let reported = quarantined.iter().cycle().skip(skipped);
         let reported = reported.take(quarantined.len().min(MAX_REPORT_QUARANTINED));
         LossReport {
-            losses: self.gossip.recent(now, audience, MAX_REPORT_LOSSES),
+            losses: self
+                .gossip
+                .added_since(now, since.losses, audience, MAX_REPORT_LOSSES),
             quarantined: reported.map(QuarantinedRequest::new).collect(),
         }
     }
@@ -466,29 +462,6 @@
     }
 }
 
-impl QuarantinedRequest {
-    fn new((digest, left): &(Digest, Duration)) -> Self {
-        QuarantinedRequest {
-            digest: *digest,
-            left_s: left.as_secs().try_into().unwrap_or(u32::MAX),
-        }
-    }
-}
-
-impl PartReport {
-    /// Returns whether there is nothing to report.
-    pub fn is_empty(&self) -> bool {
-        self.runs.is_empty() && self.sound.is_empty()
-    }
-}
-
-impl LossReport {
-    /// Returns whether there is nothing to report.
-    pub fn is_empty(&self) -> bool {
-        self.losses.is_empty() && self.quarantined.is_empty()
-    }
-}
-
 /// Removes the entry with the lowest rank.
 fn evict_min<V, R: Ord>(entries: &mut HashMap<Digest, V>, rank: impl Fn(&V) -> R) {
     let least = entries.iter().min_by_key(|(digest, v)| (rank(v), **digest));
--- a/crates/ashgauge/tests/crashing_part.rs
+++ b/crates/ashgauge/tests/crashing_part.rs
@@ -5,7 +5,7 @@
 
 use ashgauge::crashing_part::{LostRun, PartLosses};
 use ashgauge::quarantine::{
-    Audience, InstanceLoss, LossReport, PartReport, QUARANTINE_TIME, Quarantine,
+    Audience, InstanceLoss, LossReport, PartReport, QUARANTINE_TIME, Quarantine, Reported,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -297,6 +297,36 @@
     assert!(own.searches() <= 2, "{} searches", own.searches());
 }
 
+/// Guards against news that repeats all losses of the last seconds to all boxes, each time one
+/// more is found.
+#[test]
+fn news_tells_each_loss_once() {
+    let mut own = Quarantine::default();
+    let (mut reported, mut told) = (Reported::default(), 0);
+    for n in 0..100 {
+        let now = SECOND + MS * 10 * n as u32;
+        let run = LostRun {
+            digest: n,
+            instance: n as u32,
+            run_ms: 50,
+            parts: vec![10_000 + n],
+        };
+        let loss = InstanceLoss {
+            digest: n,
+            instance: n as u32,
+        };
+        own.record_lost_run(now, &run);
+        own.record_loss(now, loss);
+        let losses = own.report_since(now, 0, reported, Audience::All).losses;
+        let runs = own.part_report_since(now, reported, Audience::All).runs;
+        reported = own.reported();
+        assert_eq!((losses, runs), (vec![loss], vec![run]));
+        told += 1;
+    }
+    assert_eq!(own.report(SECOND * 2, 0, Audience::All).losses.len(), told);
+    assert_eq!(own.part_report(SECOND * 2, Audience::All).runs.len(), told);
+}
+
 #[test]
 fn no_sound_request_of_a_hundred_thousand_is_held() {
     let (mut sent, mut held) = (0, 0);
--- a/crates/ashgauged/src/relay/load_reporter.rs
+++ b/crates/ashgauged/src/relay/load_reporter.rs
@@ -10,7 +10,7 @@
 use ashgauge::hub::{self, Role};
 use ashgauge::load_report::{self, LoadReport, LoadSum, Scope, UpstreamKey, Usage, UsageList};
 use ashgauge::permit::LimitRates;
-use ashgauge::quarantine::Audience;
+use ashgauge::quarantine::{Audience, Reported};
 use ashgauge::query::Datagram;
 use rand::Rng;
 use tokio::time::sleep;
@@ -184,7 +184,8 @@
 
     /// Sends the recorded losses again, as a datagram may have been lost.
     async fn send_losses(&self, audience: Audience, to: &[&Peer]) {
-        for report in quarantine::encode_reports(&self.shared, self.sequence, audience) {
+        let all = Reported::default();
+        for report in quarantine::encode_reports(&self.shared, self.sequence, all, audience) {
             for peer in to {
                 self.peers.send(peer.addr, &report).await;
             }
--- a/crates/ashgauged/src/relay/quarantine.rs
+++ b/crates/ashgauged/src/relay/quarantine.rs
@@ -9,7 +9,7 @@
 use ashgauge::digest::{self, Digest};
 use ashgauge::hub::Role;
 use ashgauge::quarantine::{
-    Audience, InstanceKey, InstanceLoss, LossReport, PartReport, QUARANTINE_TIME,
+    Audience, InstanceKey, InstanceLoss, LossReport, PartReport, QUARANTINE_TIME, Reported,
 };
 use ashgauge::query::Datagram;
 use platform::StoreError;
@@ -191,18 +191,20 @@
     }
 }
 
-/// Reports losses to the other boxes as they are found, as long as the process runs. The
-/// load reporter repeats them periodically, which makes up for lost datagrams.
+/// Reports losses to the other boxes as they are found, each once, as long as the process runs.
+/// The load reporter repeats them periodically, which makes up for lost datagrams.
 pub async fn broadcast(shared: Rc<SharedState>, peers: Rc<Peers>) {
+    let mut reported = Reported::default();
     loop {
         shared.loss_notify.notified().await;
         sleep(BATCH_DELAY).await;
+        let since = std::mem::replace(&mut reported, shared.quarantine.borrow().reported());
         let recipients = [
             (Audience::All, shared.report_targets()),
             (Audience::Leaves, shared.leaves()),
         ];
         for (audience, boxes) in recipients {
-            for bytes in encode_reports(&shared, 0, audience) {
+            for bytes in encode_reports(&shared, 0, since, audience) {
                 for (_, peer) in &boxes {
                     peers.send(peer.addr, &bytes).await;
                 }
@@ -211,14 +213,19 @@
     }
 }
 
-/// Encodes the reports for an audience, on requests and on parts of prompts; those without
-/// content are left out.
-pub fn encode_reports(shared: &SharedState, round: u64, audience: Audience) -> Vec<Vec<u8>> {
+/// Encodes the reports for an audience on what was not reported before, on requests and on parts
+/// of prompts; those without content are left out.
+pub fn encode_reports(
+    shared: &SharedState,
+    round: u64,
+    since: Reported,
+    audience: Audience,
+) -> Vec<Vec<u8>> {
     let (now, quarantine) = (shared.now(), shared.quarantine.borrow());
     let from = || shared.settings().id.as_str().into();
     let (losses, parts) = (
-        quarantine.report(now, round, audience),
-        quarantine.part_report(now, audience),
+        quarantine.report_since(now, round, since, audience),
+        quarantine.part_report_since(now, since, audience),
     );
     let losses = (!losses.is_empty()).then(|| Datagram::Losses(from(), losses));
     let parts = (!parts.is_empty()).then(|| Datagram::Parts(from(), parts));
