--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -26,6 +26,10 @@
     """The case could not be set up."""
 
 
+# So that the processes are ended, too, if the script is stopped.
+signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+
+
 class Deployment:
     def __init__(self, record):
         self.record = record
