--- a/review/8/run.py
+++ b/review/8/run.py
@@ -12,11 +12,13 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ZONES = ("ebene-a", "ebene-b", "plouis-c")
-ENGINES = 20
-GREY = 3              # a share of 0.15; each fails 0.4 of its requests
+ENGINES = 22
+GREY = 3              # a share of 0.136; each fails 0.4 of its requests
+GREY_S = 6.5          # seconds for which they do, and for which they are silent
+SENDING_S = 3.0       # seconds in which all requests are sent
 CLIENTS = 400
-TIMEOUT_MS = 6000     # of the route
-AIM_MS = 2500         # clients wait for four times this between events
+TIMEOUT_MS = 2500     # of the route
+AIM_MS = 1000         # clients wait for four times this between events
 BUDGET_MS = 20_000
 PATH = "/lohu930/2f"
 
@@ -80,10 +82,15 @@
     if TROUBLE:
         fails.write_text("")
         d.log("from now on i-00 to i-%02d fail 0.4 of their requests, and fall silent" % (GREY - 1))
+    began = time.monotonic()
     threads = [threading.Thread(target=ask, args=(n,)) for n in range(1, CLIENTS + 1)]
-    for thread in threads:
+    for number, thread in enumerate(threads):
+        time.sleep(max(0, began + SENDING_S * number / CLIENTS - time.monotonic()))
         thread.start()
-        time.sleep(0.03)
+    if TROUBLE:
+        time.sleep(max(0, began + GREY_S - time.monotonic()))
+        fails.unlink()
+        d.log("the engines are sound again, and break off what they were silent on")
     for thread in threads:
         thread.join()
     return judge(d, results)
@@ -91,6 +98,10 @@
 
 def judge(d, results):
     records = d.server_records()
+    for name in ("i-%02d" % n for n in range(GREY)):
+        what = [r["what"] for r in records if r["server"] == name and r["attempt"] != "note-0"]
+        d.log("%s took %d requests and failed %d" % (
+            name, what.count("taken"), what.count("failed, silent")))
     past, unanswered = [], []
     for attempt, answer in sorted(results.items()):
         taken = [r["server"] for r in records if r["attempt"] == attempt and r["what"] == "taken"]
